--- /dev/null
+++ b/Makefile
@@ -0,0 +1,52 @@
+# Developer entry points; .ci/run calls the same targets.
+SHELL := /bin/bash
+export CGO_ENABLED := 1
+export GOFLAGS := -mod=readonly
+
+MODULES := internal entry ctl standin endpt caller bench
+PROGRAMS := entry ctl standin endpt caller bench
+PACKAGES := $(MODULES:%=./%/...)
+BIN := $(CURDIR)/.bin
+GOLANGCI_LINT_VERSION := v2.15.0
+GOFUMPT_VERSION := v0.12.0
+
+.PHONY: build test vet lint format format-check house tools demo soak measure clean
+
+build:
+	@mkdir -p $(BIN)
+	@for program in $(PROGRAMS); do go build -o $(BIN)/aw-$$program ./$$program || exit 1; done
+
+test:
+	go test -count=1 $(PACKAGES)
+
+tools: $(BIN)/golangci-lint-$(GOLANGCI_LINT_VERSION) $(BIN)/gofumpt-$(GOFUMPT_VERSION)
+
+$(BIN)/golangci-lint-$(GOLANGCI_LINT_VERSION):
+	@mkdir -p $(BIN)
+	GOFLAGS= GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+	mv $(BIN)/golangci-lint $@
+
+$(BIN)/gofumpt-$(GOFUMPT_VERSION):
+	@mkdir -p $(BIN)
+	GOFLAGS= GOBIN=$(BIN) go install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
+	mv $(BIN)/gofumpt $@
+
+format: tools
+	$(BIN)/gofumpt-$(GOFUMPT_VERSION) -w $(MODULES)
+
+format-check: tools
+	@unformatted=$$($(BIN)/gofumpt-$(GOFUMPT_VERSION) -l $(MODULES)); \
+	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+
+lint: tools
+	$(BIN)/golangci-lint-$(GOLANGCI_LINT_VERSION) run $(PACKAGES)
+
+house:
+	@if [ -x ../shared/house-check ]; then ../shared/house-check .; \
+	else echo "house-check: skipped, ../shared/house-check is missing"; fi
+
+demo: build
+	scripts/demo
+
+clean:
+	rm -rf $(BIN) .run
--- /dev/null
+++ b/bench/doc.go
@@ -0,0 +1,2 @@
+// Command aw-bench is built up in later commits.
+package main
--- /dev/null
+++ b/caller/doc.go
@@ -0,0 +1,2 @@
+// Command aw-caller is built up in later commits.
+package main
--- /dev/null
+++ b/ctl/doc.go
@@ -0,0 +1,2 @@
+// Command aw-ctl is built up in later commits.
+package main
--- /dev/null
+++ b/endpt/doc.go
@@ -0,0 +1,2 @@
+// Command aw-endpt is built up in later commits.
+package main
--- /dev/null
+++ b/entry/doc.go
@@ -0,0 +1,2 @@
+// Command aw-entry is built up in later commits.
+package main
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/decl/types.go
@@ -0,0 +1,105 @@
+package decl
+
+import "arbutuswing.example/internal/model"
+
+// Organisation is a customer; its word is needed for changes that touch the terms of its teams.
+type Organisation struct {
+	Name model.OrganisationID `json:"name"`
+	// ApprovalKey is the hash of the key with which the organisation approves or vetoes changes.
+	ApprovalKey model.KeyHash `json:"approval-key"`
+}
+
+// Team owns work; Share and Limit are its terms.
+type Team struct {
+	Name         model.TeamID         `json:"name"`
+	Organisation model.OrganisationID `json:"organisation"`
+	// Share is the team's part of the fleet relative to the other teams' shares when all is full.
+	Share float64 `json:"share"`
+	// Limit is the most that the team may have running across the fleet.
+	Limit Limit `json:"limit"`
+	// Keys are the hashes of the keys that the team may use.
+	Keys []model.KeyHash `json:"keys,omitempty"`
+}
+
+// Limit bounds what a team has running across the fleet; a zero dimension is unbounded.
+type Limit struct {
+	Resources model.Resources `json:"resources,omitzero"`
+	Tasks     int             `json:"tasks,omitempty"`
+}
+
+// Class is a class of work with its target.
+type Class struct {
+	Name   model.ClassID `json:"name"`
+	Target Target        `json:"target,omitzero"`
+	// Open makes the class's queue open to all: every call needs a team key.
+	Open bool `json:"open,omitempty"`
+}
+
+// Target states what operators promise for a class; at most one field is set, and none means patient work.
+type Target struct {
+	// AnsweredWithin applies to requests.
+	AnsweredWithin model.Duration `json:"answered-within,omitempty"`
+	// StartedWithin applies to jobs.
+	StartedWithin model.Duration `json:"started-within,omitempty"`
+	// DoneBy applies to jobs.
+	DoneBy *DoneBy `json:"done-by,omitempty"`
+}
+
+// DoneBy is a time of day until which work queued before it must be done, once.
+type DoneBy struct {
+	// Time is HH:MM.
+	Time string `json:"time"`
+	// Zone is a time zone such as "UTC" or "Asia/Kolkata".
+	Zone string `json:"zone"`
+}
+
+// Service tells whether a data centre takes part.
+type Service string
+
+// States of data centres.
+const (
+	// InService lets tasks start.
+	InService Service = "in"
+	// OutOfService lets no task start; running tasks end or are moved.
+	OutOfService Service = "out"
+	// Lost declares that the data centre's instances are switched off, so that its work may run elsewhere.
+	Lost Service = "lost"
+)
+
+// DataCentre is a data centre that operators put in or out of service.
+type DataCentre struct {
+	Name    model.DataCentreID `json:"name"`
+	Region  string             `json:"region"`
+	Service Service            `json:"service"`
+}
+
+// Set is a whole set of declarations; it is never modified once built.
+type Set struct {
+	Organisations []Organisation `json:"organisations,omitempty"`
+	Teams         []Team         `json:"teams,omitempty"`
+	Classes       []Class        `json:"classes,omitempty"`
+	DataCentres   []DataCentre   `json:"data-centres,omitempty"`
+}
+
+// Patch is a change to a set: objects to add or replace by name, and names to remove.
+type Patch struct {
+	Put    Set   `json:"put,omitzero"`
+	Remove Names `json:"remove,omitzero"`
+	// GrantKeys and WithdrawKeys alter single keys without restating their teams.
+	GrantKeys    []KeyChange `json:"grant-keys,omitempty"`
+	WithdrawKeys []KeyChange `json:"withdraw-keys,omitempty"`
+}
+
+// Names lists objects by name.
+type Names struct {
+	Organisations []model.OrganisationID `json:"organisations,omitempty"`
+	Teams         []model.TeamID         `json:"teams,omitempty"`
+	Classes       []model.ClassID        `json:"classes,omitempty"`
+	DataCentres   []model.DataCentreID   `json:"data-centres,omitempty"`
+}
+
+// KeyChange names one key of a team.
+type KeyChange struct {
+	Team model.TeamID  `json:"team"`
+	Key  model.KeyHash `json:"key"`
+}
--- /dev/null
+++ b/internal/invar/invar.go
@@ -0,0 +1,70 @@
+package invar
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+)
+
+// Name is the name of an invariant.
+type Name string
+
+// The invariants of docs/design.md.
+const (
+	Capacity        Name = "capacity"
+	SingleRun       Name = "single-run"
+	TeamKey         Name = "team-key"
+	UpperLimit      Name = "upper-limit"
+	DataCentreOut   Name = "data-centre-out"
+	WholeAnswer     Name = "whole-answer"
+	TrueRefusal     Name = "true-refusal"
+	AtMostOnce      Name = "at-most-once"
+	LeavingEndpoint Name = "leaving-endpoint"
+	GracefulStop    Name = "graceful-stop"
+	ConfigForward   Name = "config-forward"
+	NoLoss          Name = "no-loss"
+)
+
+// Checker counts checks and violations of invariants.
+type Checker struct {
+	log   *zap.Logger
+	fatal bool
+
+	mu         sync.Mutex
+	violations map[Name]int
+}
+
+// New returns a checker that logs violations to log; with fatal set it panics instead of going on.
+func New(log *zap.Logger, fatal bool) *Checker {
+	return &Checker{log: log, fatal: fatal, violations: make(map[Name]int)}
+}
+
+// Check records one evaluation of the invariant; detail is formatted only when holds is false.
+func (c *Checker) Check(name Name, holds bool, format string, args ...any) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`aw_invariant_checks_total{name=%q}`, string(name))).Inc()
+	if holds {
+		return
+	}
+	detail := fmt.Sprintf(format, args...)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`aw_invariant_violations_total{name=%q}`, string(name))).Inc()
+	c.mu.Lock()
+	c.violations[name]++
+	c.mu.Unlock()
+	if c.fatal {
+		panic(fmt.Sprintf("invariant %s violated: %s", name, detail))
+	}
+	c.log.Error("invariant violated", zap.String("invariant", string(name)), zap.String("detail", detail))
+}
+
+// Violations returns the number of violations seen so far by name.
+func (c *Checker) Violations() map[Name]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[Name]int, len(c.violations))
+	for name, n := range c.violations {
+		out[name] = n
+	}
+	return out
+}
--- /dev/null
+++ b/internal/model/doc.go
@@ -0,0 +1,3 @@
+// Package model holds the value types that the whole scheduler shares: identifiers, resources, job
+// specifications and outcomes.
+package model
--- /dev/null
+++ b/internal/model/ident.go
@@ -0,0 +1,104 @@
+package model
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// ErrBadIdentifier reports a malformed task or attempt identifier.
+var ErrBadIdentifier = errors.New("malformed identifier")
+
+type (
+	// InstanceID names an entry instance, as the platform's list does.
+	InstanceID string
+	// WorkerID names a worker instance.
+	WorkerID string
+	// EndpointID names an endpoint instance.
+	EndpointID string
+	// DataCentreID names a data centre.
+	DataCentreID string
+	// RackID names a rack within a data centre.
+	RackID string
+	// TeamID names a team.
+	TeamID string
+	// OrganisationID names the organisation that a team belongs to.
+	OrganisationID string
+	// ClassID names a class of work.
+	ClassID string
+	// JobID names a job; the submitter chooses it, and the first submission under it counts.
+	JobID string
+	// BootID identifies one boot of a worker; tasks never outlive the boot that ran them.
+	BootID string
+	// Offset is a position in the platform's log.
+	Offset int64
+	// Incarnation numbers the starts of a process: its start time in nanoseconds since 1970.
+	Incarnation int64
+	// Token is a worker's fencing token; the worker refuses commands with an older one.
+	Token int64
+)
+
+// NoOffset precedes every position in the log.
+const NoOffset Offset = -1
+
+// TaskID names one task of a job.
+type TaskID struct {
+	Job   JobID
+	Index int
+}
+
+// String formats the identifier as job/index.
+func (t TaskID) String() string { return string(t.Job) + "/" + strconv.Itoa(t.Index) }
+
+// MarshalText encodes the identifier as job/index.
+func (t TaskID) MarshalText() ([]byte, error) { return []byte(t.String()), nil }
+
+// UnmarshalText decodes job/index; it returns ErrBadIdentifier for anything else.
+func (t *TaskID) UnmarshalText(text []byte) error {
+	job, index, err := splitLast(string(text))
+	if err != nil {
+		return err
+	}
+	*t = TaskID{Job: JobID(job), Index: index}
+	return nil
+}
+
+// AttemptID names one attempt to run a task; numbers start at 1.
+type AttemptID struct {
+	Task   TaskID
+	Number int
+}
+
+// String formats the identifier as job/index/number.
+func (a AttemptID) String() string { return a.Task.String() + "/" + strconv.Itoa(a.Number) }
+
+// MarshalText encodes the identifier as job/index/number.
+func (a AttemptID) MarshalText() ([]byte, error) { return []byte(a.String()), nil }
+
+// UnmarshalText decodes job/index/number; it returns ErrBadIdentifier for anything else.
+func (a *AttemptID) UnmarshalText(text []byte) error {
+	head, number, err := splitLast(string(text))
+	if err != nil {
+		return err
+	}
+	job, index, err := splitLast(head)
+	if err != nil {
+		return err
+	}
+	*a = AttemptID{Task: TaskID{Job: JobID(job), Index: index}, Number: number}
+	return nil
+}
+
+// splitLast splits at the last slash, so that job names may themselves hold slashes.
+func splitLast(text string) (string, int, error) {
+	cut := strings.LastIndexByte(text, '/')
+	if cut <= 0 {
+		return "", 0, fmt.Errorf("%w: %q", ErrBadIdentifier, text)
+	}
+	number, err := strconv.Atoi(text[cut+1:])
+	if err != nil || number < 0 {
+		return "", 0, fmt.Errorf("%w: %q", ErrBadIdentifier, text)
+	}
+	return text[:cut], number, nil
+}
--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,2 @@
+// Command aw-standin is built up in later commits.
+package main
