--- a/endpt/doc.go
+++ b/endpt/doc.go
@@ -1,2 +1,2 @@
-// Command aw-endpt is built up in later commits.
+// Command aw-endpt plays endpoints: each has its own port, slots and connection limit, and fails on request.
 package main
--- /dev/null
+++ b/endpt/internal/daemon/daemon.go
@@ -0,0 +1,233 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/jonboulle/clockwork"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/dig"
+	"go.uber.org/zap"
+
+	"arbutuswing.example/endpt/internal/fault"
+	"arbutuswing.example/endpt/internal/setup"
+	"arbutuswing.example/endpt/internal/site"
+	"arbutuswing.example/endpt/internal/tally"
+	"arbutuswing.example/internal/logs"
+	"arbutuswing.example/internal/platf"
+	"arbutuswing.example/internal/ports"
+)
+
+const (
+	stopLimit   = 2 * time.Second
+	pollDrained = 10 * time.Millisecond
+)
+
+// Daemon is one process with many endpoints.
+type Daemon struct {
+	settings setup.Settings
+	clock    clockwork.Clock
+	log      *zap.Logger
+	faults   *fault.Set
+	tally    *tally.Tally
+	platform *platf.Client
+	sites    []*site.Site
+	admin    *fasthttp.Server
+	failed   chan error
+	running  sync.WaitGroup
+}
+
+// Run plays the endpoints of a settings file until ctx ends, then drains; log lines go to out.
+func Run(ctx context.Context, path string, out io.Writer) error {
+	settings, err := setup.Load(path)
+	if err != nil {
+		return err
+	}
+	d, err := Build(settings, clockwork.NewRealClock(), out)
+	if err != nil {
+		return err
+	}
+	return d.Run(ctx)
+}
+
+// Build returns a daemon for settings that are complete and checked.
+func Build(settings setup.Settings, clock clockwork.Clock, out io.Writer) (*Daemon, error) {
+	container := dig.New()
+	for _, constructor := range []any{
+		func() setup.Settings { return settings },
+		func() clockwork.Clock { return clock },
+		func() (*zap.Logger, error) { return logs.New(out, settings.LogLevel) },
+		func() *fault.Set { return fault.NewSet(clock, settings.Seed) },
+		tally.New, newPlatform, newDaemon,
+	} {
+		if err := container.Provide(constructor); err != nil {
+			return nil, fmt.Errorf("building the endpoints: %w", err)
+		}
+	}
+	var built *Daemon
+	if err := container.Invoke(func(d *Daemon) { built = d }); err != nil {
+		return nil, fmt.Errorf("building the endpoints: %w", err)
+	}
+	return built, nil
+}
+
+// newPlatform returns nil without a platform.
+func newPlatform(settings setup.Settings) (*platf.Client, error) {
+	if settings.Platform == "" {
+		return nil, nil
+	}
+	return platf.New(platf.Config{Address: settings.Platform, DataCentre: settings.Groups[0].DataCentre})
+}
+
+func newDaemon(
+	settings setup.Settings, clock clockwork.Clock, log *zap.Logger, faults *fault.Set, counts *tally.Tally,
+	platform *platf.Client,
+) *Daemon {
+	d := &Daemon{
+		settings: settings, clock: clock, log: log, faults: faults, tally: counts, platform: platform,
+		failed: make(chan error, len(settings.Specs())+1),
+	}
+	for _, spec := range settings.Specs() {
+		d.sites = append(d.sites, site.New(site.Parts{Spec: spec, Clock: clock, Log: log, Faults: faults, Tally: counts}))
+	}
+	d.admin = &fasthttp.Server{Handler: d.routes().Handler, NoDefaultServerHeader: true}
+	return d
+}
+
+// Run plays the endpoints until ctx ends, then drains them.
+func (d *Daemon) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", d.settings.Listen)
+	if err != nil {
+		return fmt.Errorf("listening: %w", err)
+	}
+	for _, s := range d.sites {
+		if err := s.Listen(); err != nil {
+			return err
+		}
+	}
+	go d.runAdmin(listener)
+	for _, s := range d.sites {
+		go d.runSite(s)
+	}
+	registering, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d.running.Add(1)
+	go d.runRegister(registering)
+	d.log.Info("serving", zap.String("address", listener.Addr().String()), zap.Int("endpoints", len(d.sites)))
+	select {
+	case err := <-d.failed:
+		return err
+	case <-ctx.Done():
+	}
+	d.running.Wait()
+	return d.drain()
+}
+
+func (d *Daemon) runAdmin(listener net.Listener) {
+	if err := d.admin.Serve(listener); err != nil {
+		d.failed <- fmt.Errorf("serving faults and audit: %w", err)
+	}
+}
+
+func (d *Daemon) runSite(s *site.Site) {
+	if err := s.RunHTTP(); err != nil {
+		d.failed <- fmt.Errorf("endpoint %s: %w", s.Spec().ID, err)
+	}
+}
+
+// runRegister puts the endpoints on the platform's list and retries until it answers.
+func (d *Daemon) runRegister(ctx context.Context) {
+	defer d.running.Done()
+	if d.platform == nil {
+		return
+	}
+	for _, s := range d.sites {
+		_, err := backoff.Retry(ctx, func() (struct{}, error) {
+			return struct{}{}, d.platform.Register(ctx, row(s.Spec()))
+		}, backoff.WithMaxElapsedTime(0))
+		if err != nil {
+			d.log.Warn("not registered", zap.String("endpoint", s.Spec().ID), zap.Error(err))
+			return
+		}
+	}
+	d.log.Info("registered", zap.Int("endpoints", len(d.sites)))
+}
+
+func row(spec setup.Spec) ports.Instance {
+	return ports.Instance{
+		ID: spec.ID, Role: ports.RoleEndpoint, DataCentre: spec.DataCentre, Address: spec.Address,
+		Presence: ports.PresenceLive, Class: spec.Class, Slots: spec.Slots, Connections: spec.Connections,
+	}
+}
+
+// leave lets the endpoints leave that a test or a planned stop chose. After one failure it leaves the platform's list
+// alone, since a silent platform would hold up the rest.
+func (d *Daemon) leave(ctx context.Context, chosen func(setup.Spec) bool) int {
+	n := 0
+	reachable := d.platform != nil
+	for _, s := range d.sites {
+		if !chosen(s.Spec()) {
+			continue
+		}
+		n++
+		s.Leave()
+		if !reachable {
+			continue
+		}
+		if err := d.platform.Mark(ctx, s.Spec().ID, ports.PresenceLeaving); err != nil {
+			d.log.Warn("not marked as leaving", zap.String("endpoint", s.Spec().ID), zap.Error(err))
+			reachable = false
+		}
+	}
+	return n
+}
+
+// drain lets all endpoints leave, waits for running requests, and closes.
+func (d *Daemon) drain() error {
+	limit, cancel := context.WithTimeout(context.Background(), d.settings.Drain.Std())
+	defer cancel()
+	started := d.clock.Now()
+	d.log.Info("leaving")
+	for _, s := range d.sites {
+		s.Leave()
+	}
+	d.leave(limit, func(setup.Spec) bool { return true })
+	for limit.Err() == nil && (d.tally.Report(false).Running > 0 || d.clock.Since(started) < d.settings.Linger.Std()) {
+		d.clock.Sleep(pollDrained)
+	}
+	left := d.tally.Report(false).Running
+	err := d.stop()
+	d.log.Info("stopped", zap.Int("interrupted", left))
+	return err
+}
+
+func (d *Daemon) stop() error {
+	limit, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
+	var failures []error
+	for _, s := range d.sites {
+		failures = append(failures, s.Stop(limit))
+	}
+	d.unregister(limit)
+	failures = append(failures, d.admin.ShutdownWithContext(limit))
+	return errors.Join(failures...)
+}
+
+// unregister takes the endpoints off the list; a platform that is down does not make the stop a failure.
+func (d *Daemon) unregister(ctx context.Context) {
+	if d.platform == nil {
+		return
+	}
+	for _, s := range d.sites {
+		if err := d.platform.Remove(ctx, s.Spec().ID); err != nil {
+			d.log.Warn("not taken off the list", zap.String("endpoint", s.Spec().ID), zap.Error(err))
+			return
+		}
+	}
+}
--- /dev/null
+++ b/endpt/internal/fault/set.go
@@ -0,0 +1,165 @@
+package fault
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"arbutuswing.example/internal/model"
+)
+
+var (
+	// ErrBadFault reports a fault that can't be set.
+	ErrBadFault = errors.New("bad fault")
+	// ErrUnknownFault reports a fault that isn't set.
+	ErrUnknownFault = errors.New("unknown fault")
+)
+
+// Kind names a fault.
+type Kind string
+
+// Kinds of faults; they hit the next Next requests, or with Probability, or all if neither is set.
+const (
+	// Silent stops reading and writing on the connections that are open now, while new ones work.
+	Silent Kind = "silent-connections"
+	// Slow lets requests work longer by Delay.
+	Slow Kind = "slow"
+	// Late frees the slot in time and holds the answer back for Delay.
+	Late Kind = "late-answer"
+	// Crossed swaps the answers of two requests, with their attempts.
+	Crossed Kind = "crossed-answers"
+	// CutShort closes the connection in the middle of the answer.
+	CutShort Kind = "cut-short"
+	// Leave lets endpoints leave, though their process goes on.
+	Leave Kind = "leave"
+)
+
+// Fault is one fault.
+type Fault struct {
+	// ID is given by the stand-in.
+	ID   int  `json:"id,omitempty"`
+	Kind Kind `json:"kind"`
+	// Endpoint and Class choose endpoints; both empty means all.
+	Endpoint string        `json:"endpoint,omitempty"`
+	Class    model.ClassID `json:"class,omitempty"`
+	// For clears the fault after a time; zero keeps it until it is cleared.
+	For         model.Duration `json:"for,omitempty"`
+	Delay       model.Duration `json:"delay,omitempty"`
+	Probability float64        `json:"probability,omitempty"`
+	Next        int            `json:"next,omitempty"`
+	// counted is set for a fault that began with a number of requests to hit.
+	counted bool
+}
+
+// Check returns ErrBadFault for an unknown kind or a missing field.
+func (f Fault) Check() error {
+	switch f.Kind {
+	case Silent, Crossed, CutShort, Leave:
+		return nil
+	case Slow, Late:
+		if f.Delay <= 0 {
+			return fmt.Errorf("%w: %s needs delay", ErrBadFault, f.Kind)
+		}
+		return nil
+	default:
+		return fmt.Errorf("%w: unknown kind %q", ErrBadFault, f.Kind)
+	}
+}
+
+// Hits reports whether the fault concerns an endpoint.
+func (f Fault) Hits(endpoint string, class model.ClassID) bool {
+	return (f.Endpoint == "" || f.Endpoint == endpoint) && (f.Class == "" || f.Class == class)
+}
+
+type entry struct {
+	fault Fault
+	since time.Time
+}
+
+// Set holds the active faults.
+type Set struct {
+	clock clockwork.Clock
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	lastID  int
+	entries []*entry
+}
+
+// NewSet returns a set without faults.
+func NewSet(clock clockwork.Clock, seed int64) *Set {
+	return &Set{clock: clock, random: rand.New(rand.NewPCG(uint64(seed), 2))}
+}
+
+// Add sets a fault and returns its ID; it returns ErrBadFault for a malformed one.
+func (s *Set) Add(fault Fault) (int, error) {
+	if err := fault.Check(); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastID++
+	fault.ID = s.lastID
+	fault.counted = fault.Next > 0
+	if fault.Kind != Silent && fault.Kind != Leave {
+		s.entries = append(s.entries, &entry{fault: fault, since: s.clock.Now()})
+	}
+	return fault.ID, nil
+}
+
+// Active returns the faults that are set.
+func (s *Set) Active() []Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	out := make([]Fault, 0, len(s.entries))
+	for _, e := range s.entries {
+		out = append(out, e.fault)
+	}
+	return out
+}
+
+// Clear ends the fault with an ID, or all for zero; it returns ErrUnknownFault.
+func (s *Set) Clear(id int) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := len(s.entries)
+	s.entries = slices.DeleteFunc(s.entries, func(e *entry) bool { return id == 0 || e.fault.ID == id })
+	if id != 0 && len(s.entries) == before {
+		return fmt.Errorf("%w: %d", ErrUnknownFault, id)
+	}
+	return nil
+}
+
+func (s *Set) expire() {
+	now := s.clock.Now()
+	s.entries = slices.DeleteFunc(s.entries, func(e *entry) bool {
+		return e.fault.counted && e.fault.Next == 0 ||
+			e.fault.For > 0 && !now.Before(e.since.Add(e.fault.For.Std()))
+	})
+}
+
+// Draw decides whether a fault of a kind hits one request at an endpoint.
+func (s *Set) Draw(kind Kind, endpoint string, class model.ClassID) (Fault, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for _, e := range s.entries {
+		if e.fault.Kind != kind || !e.fault.Hits(endpoint, class) {
+			continue
+		}
+		switch {
+		case e.fault.counted:
+			e.fault.Next--
+			return e.fault, true
+		case e.fault.Probability == 0 || s.random.Float64() < e.fault.Probability:
+			return e.fault, true
+		}
+	}
+	return Fault{}, false
+}
