--- a/endpt/internal/daemon/daemon.go
+++ b/endpt/internal/daemon/daemon.go
@@ -210,7 +210,7 @@
 func (d *Daemon) stop() error {
 	limit, cancel := context.WithTimeout(context.Background(), stopLimit)
 	defer cancel()
-	var failures []error
+	failures := make([]error, 0, len(d.sites)+1)
 	for _, s := range d.sites {
 		failures = append(failures, s.Stop(limit))
 	}
--- a/internal/httpc/link.go
+++ b/internal/httpc/link.go
@@ -54,7 +54,7 @@
 		err = l.checkIdle()
 		if err == nil && probe && time.Since(used) > p.cfg.ProbeAfter {
 			err = l.probe(ctx, deadline)
-			p.countTimeout(err)
+			p.countTimeout(ctx, err)
 		}
 		if err == nil {
 			return l, nil
--- a/internal/httpc/pool.go
+++ b/internal/httpc/pool.go
@@ -146,7 +146,7 @@
 	sent, err := link.exchange(ctx, call.Request, call.Response, deadline)
 	// The interruption may hit the connection at any later moment once it has begun.
 	interrupted := !cancelled()
-	p.countTimeout(err)
+	p.countTimeout(ctx, err)
 	if err == nil && call.Accept != nil {
 		err = call.Accept(call.Response)
 	}
@@ -168,13 +168,14 @@
 	return fmt.Errorf("%w: %w", ErrNoAnswer, err)
 }
 
-func (p *Pool) countTimeout(err error) {
-	var failure net.Error
-	if err == nil || !errors.As(err, &failure) || !failure.Timeout() {
+// countTimeout keeps the number of time-outs in a row; a call that its own caller cancelled says nothing.
+func (p *Pool) countTimeout(ctx context.Context, err error) {
+	var failure interface{ Timeout() bool }
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+	case err == nil || !errors.As(err, &failure) || !failure.Timeout():
 		p.timeouts.Store(0)
-		return
-	}
-	if p.timeouts.Add(1) >= timeoutsBeforeForget {
+	case p.timeouts.Add(1) >= timeoutsBeforeForget:
 		p.timeouts.Store(0)
 		p.Forget()
 	}
--- /dev/null
+++ b/internal/httpc/pool_test.go
@@ -0,0 +1,297 @@
+package httpc
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+)
+
+const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// host is a raw TCP server whose behaviour depends on the number of the connection and of the request on it.
+type host struct {
+	net.Listener
+	connections atomic.Int32
+	requests    atomic.Int32
+	behave      func(conn net.Conn, connection, request int) bool
+	// ended gets a value after each connection that the host closed.
+	ended chan struct{}
+}
+
+func newHost(t *testing.T, behave func(conn net.Conn, connection, request int) bool) *host {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	h := &host{Listener: inner, behave: behave, ended: make(chan struct{}, 100)}
+	t.Cleanup(func() { _ = inner.Close() })
+	go h.runAccept()
+	return h
+}
+
+func (h *host) runAccept() {
+	for {
+		conn, err := h.Accept()
+		if err != nil {
+			return
+		}
+		go h.runConn(conn, int(h.connections.Add(1)))
+	}
+}
+
+func (h *host) runConn(conn net.Conn, number int) {
+	defer func() {
+		_ = conn.Close()
+		h.ended <- struct{}{}
+	}()
+	reader := bufio.NewReader(conn)
+	for request := 1; ; request++ {
+		var req fasthttp.Request
+		if req.Read(reader) != nil {
+			return
+		}
+		if !strings.HasSuffix(string(req.URI().Path()), "/ping") {
+			h.requests.Add(1)
+		}
+		if !h.behave(conn, number, request) {
+			return
+		}
+	}
+}
+
+func say(conn net.Conn, text string) bool {
+	_, err := conn.Write([]byte(text))
+	return err == nil
+}
+
+func hold(conn net.Conn) bool {
+	_, _ = conn.Read(make([]byte, 1))
+	return false
+}
+
+func newPool(t *testing.T, cfg Config) *Pool {
+	t.Helper()
+	pool, err := New(cfg)
+	assert.NilError(t, err)
+	return pool
+}
+
+func do(ctx context.Context, pool *Pool, method string, call Call) (string, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + pool.cfg.Address + "/x")
+	if method == fasthttp.MethodPost {
+		req.SetBodyString("body")
+	}
+	call.Request, call.Response = req, resp
+	if call.Timeout == 0 {
+		call.Timeout = 5 * time.Second
+	}
+	err := pool.Do(ctx, call)
+	return string(resp.Body()), err
+}
+
+// TestSentOnce guards against a request that is sent again after a failure: fasthttp's own client repeats GET, HEAD and
+// PUT, and a repeated request may run twice.
+func TestSentOnce(t *testing.T) {
+	tests := []struct {
+		name   string
+		behave func(conn net.Conn) bool
+	}{
+		{"closed without an answer", func(net.Conn) bool { return false }},
+		{"closed within the head", func(c net.Conn) bool { say(c, "HTTP/1.1 200 OK\r\nContent-"); return false }},
+		{"closed within the body", func(c net.Conn) bool { say(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab"); return false }},
+		{"not HTTP", func(c net.Conn) bool { return say(c, "no such protocol\r\n\r\n") }},
+		{"never answered", hold},
+	}
+	for _, test := range tests {
+		for _, method := range []string{fasthttp.MethodGet, fasthttp.MethodPut, fasthttp.MethodPost} {
+			t.Run(test.name+" "+method, func(t *testing.T) {
+				h := newHost(t, func(c net.Conn, _, _ int) bool { return test.behave(c) })
+				pool := newPool(t, Config{Address: h.Addr().String()})
+				_, err := do(t.Context(), pool, method, Call{Timeout: 100 * time.Millisecond})
+				assert.ErrorIs(t, err, ErrNoAnswer)
+				assert.Equal(t, h.requests.Load(), int32(1))
+				assert.Equal(t, pool.host.ConnsCount(), 0)
+			})
+		}
+	}
+}
+
+// TestNotSent guards against calling a request unsent that may have run, and the reverse.
+func TestNotSent(t *testing.T) {
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, closed.Close())
+	open := newHost(t, func(c net.Conn, _, _ int) bool { return say(c, whole) })
+	tests := []struct {
+		name    string
+		ctx     context.Context
+		address string
+		timeout time.Duration
+	}{
+		{"refused connection", t.Context(), closed.Addr().String(), time.Second},
+		{"cancelled before", cancelled, open.Addr().String(), time.Second},
+		{"no time left", t.Context(), open.Addr().String(), -time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			pool := newPool(t, Config{Address: test.address})
+			_, err := do(test.ctx, pool, fasthttp.MethodPost, Call{Timeout: test.timeout})
+			assert.ErrorIs(t, err, ErrNotSent)
+			assert.Equal(t, pool.host.ConnsCount(), 0)
+		})
+	}
+	assert.Equal(t, open.requests.Load(), int32(0))
+}
+
+// TestCancelWhileWaiting guards against a call that outlives its context, and against reusing its connection.
+func TestCancelWhileWaiting(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	h := newHost(t, func(c net.Conn, _, _ int) bool { cancel(); return hold(c) })
+	pool := newPool(t, Config{Address: h.Addr().String()})
+	_, err := do(ctx, pool, fasthttp.MethodPost, Call{Timeout: time.Minute})
+	assert.ErrorIs(t, err, ErrNoAnswer)
+	assert.ErrorIs(t, err, context.Canceled)
+	assert.Equal(t, pool.host.ConnsCount(), 0)
+}
+
+// TestConnectionLimit guards against more connections to a host than it accepts.
+func TestConnectionLimit(t *testing.T) {
+	entered, leave := make(chan struct{}), make(chan struct{})
+	h := newHost(t, func(c net.Conn, _, _ int) bool {
+		entered <- struct{}{}
+		<-leave
+		return say(c, whole)
+	})
+	pool := newPool(t, Config{Address: h.Addr().String(), Connections: 5})
+	pool.SetConnections(1)
+	first := make(chan error, 1)
+	go func() {
+		_, err := do(t.Context(), pool, fasthttp.MethodPost, Call{})
+		first <- err
+	}()
+	<-entered
+	_, err := do(t.Context(), pool, fasthttp.MethodPost, Call{})
+	assert.ErrorIs(t, err, ErrNotSent)
+	assert.ErrorIs(t, err, fasthttp.ErrNoFreeConns)
+	close(leave)
+	assert.NilError(t, <-first)
+}
+
+// TestReuse guards against reusing a connection that the host closed, that holds bytes of an older answer, or that a
+// time-out left in an unknown state.
+func TestReuse(t *testing.T) {
+	tests := []struct {
+		name        string
+		behave      func(conn net.Conn, connection, request int) bool
+		firstFails  bool
+		closes      bool
+		connections int32
+	}{
+		{"healthy", func(c net.Conn, _, _ int) bool { return say(c, whole) }, false, false, 1},
+		{"closed by the host while idle", func(c net.Conn, _, _ int) bool { say(c, whole); return false }, false, true, 2},
+		{"connection: close", func(c net.Conn, _, _ int) bool {
+			return say(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok")
+		}, false, false, 2},
+		{"bytes after the answer", func(c net.Conn, connection, _ int) bool {
+			if connection == 1 {
+				return say(c, whole+whole)
+			}
+			return say(c, whole)
+		}, false, false, 2},
+		{"time-out", func(c net.Conn, connection, _ int) bool { return connection > 1 && say(c, whole) || hold(c) }, true, false, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHost(t, test.behave)
+			pool := newPool(t, Config{Address: h.Addr().String()})
+			_, err := do(t.Context(), pool, fasthttp.MethodPost, Call{Timeout: 200 * time.Millisecond})
+			assert.Equal(t, err != nil, test.firstFails, "%v", err)
+			if test.closes {
+				<-h.ended
+			}
+			body, err := do(t.Context(), pool, fasthttp.MethodPost, Call{})
+			assert.NilError(t, err)
+			assert.Equal(t, body, "ok")
+			assert.Equal(t, h.connections.Load(), test.connections)
+			assert.Equal(t, h.requests.Load(), int32(2))
+		})
+	}
+}
+
+// TestProbe guards against sending a request on an idle connection that no longer delivers traffic.
+func TestProbe(t *testing.T) {
+	h := newHost(t, func(c net.Conn, connection, request int) bool {
+		if connection == 1 && request > 1 {
+			return hold(c)
+		}
+		return say(c, whole)
+	})
+	pool := newPool(t, Config{Address: h.Addr().String(), ProbeAfter: time.Nanosecond, ProbeTimeout: 50 * time.Millisecond})
+	for range 2 {
+		_, err := do(t.Context(), pool, fasthttp.MethodPost, Call{Probe: true})
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, h.connections.Load(), int32(2))
+	assert.Equal(t, h.requests.Load(), int32(2))
+}
+
+// TestAccept guards against reusing a connection whose answers belong to other requests.
+func TestAccept(t *testing.T) {
+	h := newHost(t, func(c net.Conn, _, _ int) bool { return say(c, whole) })
+	pool := newPool(t, Config{Address: h.Addr().String()})
+	errOther := errors.New("other request")
+	_, err := do(t.Context(), pool, fasthttp.MethodPost, Call{Accept: func(*fasthttp.Response) error { return errOther }})
+	assert.ErrorIs(t, err, ErrNoAnswer)
+	assert.ErrorIs(t, err, errOther)
+	assert.Equal(t, pool.host.ConnsCount(), 0)
+}
+
+// TestForgetAfterTimeouts guards against trying one silent connection after the other.
+func TestForgetAfterTimeouts(t *testing.T) {
+	const opened = 4
+	var arrived atomic.Int32
+	together := make(chan struct{})
+	h := newHost(t, func(c net.Conn, connection, request int) bool {
+		switch {
+		case connection > opened:
+			return say(c, whole)
+		case request > 1:
+			return hold(c)
+		}
+		if arrived.Add(1) == opened {
+			close(together)
+		}
+		<-together
+		return say(c, whole)
+	})
+	pool := newPool(t, Config{Address: h.Addr().String()})
+	results := make(chan error, opened)
+	for range opened {
+		go func() {
+			_, err := do(t.Context(), pool, fasthttp.MethodPost, Call{})
+			results <- err
+		}()
+	}
+	for range opened {
+		assert.NilError(t, <-results)
+	}
+	for n := range timeoutsBeforeForget {
+		_, err := do(t.Context(), pool, fasthttp.MethodPost, Call{Timeout: 50 * time.Millisecond})
+		assert.ErrorIs(t, err, ErrNoAnswer, strconv.Itoa(n))
+	}
+	assert.Equal(t, pool.host.IdleConnsCount(), 0)
+	_, err := do(t.Context(), pool, fasthttp.MethodPost, Call{})
+	assert.NilError(t, err)
+}
--- /dev/null
+++ b/standin/internal/fleet/fleet_test.go
@@ -0,0 +1,392 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"arbutuswing.example/internal/decl"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/ports"
+	"arbutuswing.example/standin/internal/audit"
+)
+
+// rules sets no faults unless a test says so.
+type rules struct {
+	out   map[model.DataCentreID]time.Time
+	limit decl.Limit
+	fails bool
+}
+
+func (r *rules) OutSince(dc model.DataCentreID, _ time.Time) (time.Time, bool) {
+	since, ok := r.out[dc]
+	return since, ok
+}
+
+func (r *rules) Limit(model.TeamID, time.Time) (decl.Limit, bool) {
+	return r.limit, r.limit != decl.Limit{}
+}
+
+func (r *rules) Failing(model.WorkerID) bool { return r.fails }
+
+var small = model.Resources{Cores: 4000, Memory: 4000}
+
+func newFleet(clock clockwork.Clock, r *rules) *Fleet {
+	return New(Config{
+		Clock: clock, RunTime: Range{1, 1}, Peak: Range{0.25, 0.25}, Scale: 1, UsageLag: 2 * time.Second, Rules: r,
+		Workers: []Spec{{ID: "w0", DataCentre: "dc-a", Capacity: small}, {ID: "w1", DataCentre: "dc-b", Capacity: small}},
+	})
+}
+
+func attemptID(task, number int) model.AttemptID {
+	return model.AttemptID{Task: model.TaskID{Job: "j", Index: task}, Number: number}
+}
+
+const (
+	leaseTTL = model.Duration(3 * time.Second)
+	taskTTL  = model.Duration(20 * time.Second)
+)
+
+// oracle holds what a worker must remember, in a form without any cleverness.
+type oracle struct {
+	token    model.Token
+	holder   string
+	expiry   time.Duration
+	boot     time.Duration
+	attempts map[model.AttemptID]*expected
+}
+
+type expected struct {
+	ended   bool
+	outcome model.Outcome
+	finish  time.Duration
+	lease   time.Duration
+}
+
+func (o *oracle) settle(now time.Duration) {
+	for _, a := range o.attempts {
+		switch {
+		case a.ended:
+		case a.finish <= a.lease && a.finish <= now:
+			a.ended, a.outcome = true, model.OutcomeSucceeded
+		case a.lease <= now:
+			a.ended, a.outcome = true, model.OutcomeLost
+		}
+	}
+}
+
+func (o *oracle) holds(token model.Token, now time.Duration) bool {
+	return token == o.token && now < o.expiry
+}
+
+// machine drives one worker and its oracle.
+type machine struct {
+	clock  *clockwork.FakeClock
+	origin time.Time
+	fleet  *Fleet
+	oracle oracle
+}
+
+func (m *machine) now() time.Duration { return m.clock.Now().Sub(m.origin) }
+
+// TestLeaseRules guards against a worker that obeys a stale token, gives a live lease away, shortens or wrongly extends
+// a task lease, runs an attempt again or forgets an end.
+func TestLeaseRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClock()
+		m := &machine{clock: clock, origin: clock.Now(), fleet: newFleet(clock, &rules{})}
+		m.oracle.attempts = make(map[model.AttemptID]*expected)
+		t.Repeat(map[string]func(*rapid.T){
+			"":        m.check,
+			"advance": m.advance,
+			"acquire": m.acquire,
+			"renew":   m.renew,
+			"release": m.release,
+			"start":   m.start,
+			"stop":    m.stop,
+			"ack":     m.acknowledge,
+			"reboot":  m.reboot,
+		})
+	})
+}
+
+func (m *machine) advance(t *rapid.T) {
+	step := rapid.SampledFrom([]time.Duration{time.Millisecond, time.Second, 3 * time.Second, 19 * time.Second}).Draw(t, "step")
+	m.clock.Advance(step)
+	m.oracle.settle(m.now())
+}
+
+func (m *machine) acquire(t *rapid.T) {
+	holder := rapid.SampledFrom([]string{"e1", "e2"}).Draw(t, "holder")
+	report, err := m.fleet.Lease("w0", ports.LeaseRequest{Holder: holder, TTL: leaseTTL})
+	if m.now() < m.oracle.expiry && holder != m.oracle.holder {
+		same(t, err, ports.ErrLeaseHeld)
+		return
+	}
+	same(t, err, nil)
+	if report.Token <= m.oracle.token {
+		t.Fatalf("token %d does not rise above %d", report.Token, m.oracle.token)
+	}
+	m.oracle.token, m.oracle.holder, m.oracle.expiry = report.Token, holder, m.now()+leaseTTL.Std()
+}
+
+func (m *machine) drawToken(t *rapid.T) model.Token {
+	return m.oracle.token - model.Token(rapid.IntRange(0, 1).Draw(t, "behind"))
+}
+
+func (m *machine) renew(t *rapid.T) {
+	token := m.drawToken(t)
+	// A token of zero would acquire.
+	if token <= 0 {
+		return
+	}
+	holder := rapid.SampledFrom([]string{"e1", "e2"}).Draw(t, "holder")
+	basis := time.Duration(rapid.IntRange(0, 60).Draw(t, "basis")) * time.Second
+	_, err := m.fleet.Lease("w0", ports.LeaseRequest{
+		Holder: holder, Token: token, TTL: leaseTTL, TaskTTL: taskTTL, Basis: model.Duration(basis),
+	})
+	if !m.oracle.holds(token, m.now()) || holder != m.oracle.holder {
+		same(t, err, ports.ErrStaleToken)
+		return
+	}
+	same(t, err, nil)
+	m.oracle.expiry = m.now() + leaseTTL.Std()
+	until := min(m.oracle.boot+basis, m.now()) + taskTTL.Std()
+	for _, a := range m.oracle.attempts {
+		if !a.ended {
+			a.lease = max(a.lease, until)
+		}
+	}
+}
+
+func (m *machine) release(t *rapid.T) {
+	token := m.drawToken(t)
+	if m.command(t, token, m.fleet.Release("w0", token)) {
+		m.oracle.expiry = 0
+	}
+}
+
+// command checks a command's error and reports whether it took effect.
+func (m *machine) command(t *rapid.T, token model.Token, err error) bool {
+	if !m.oracle.holds(token, m.now()) {
+		same(t, err, ports.ErrStaleToken)
+		return false
+	}
+	same(t, err, nil)
+	return true
+}
+
+func drawAttempt(t *rapid.T) model.AttemptID {
+	return attemptID(rapid.IntRange(0, 2).Draw(t, "task"), rapid.IntRange(1, 2).Draw(t, "number"))
+}
+
+func (m *machine) start(t *rapid.T) {
+	token, id := m.drawToken(t), drawAttempt(t)
+	declared := rapid.SampledFrom([]time.Duration{time.Second, 15 * time.Second, time.Hour}).Draw(t, "declared")
+	err := m.fleet.Start("w0", token, []ports.StartRequest{{
+		Attempt: id, Reservation: model.Resources{Cores: 1}, Declared: model.Duration(declared), TaskTTL: taskTTL,
+	}})
+	if _, known := m.oracle.attempts[id]; m.command(t, token, err) && !known {
+		m.oracle.attempts[id] = &expected{finish: m.now() + declared, lease: m.now() + taskTTL.Std()}
+	}
+}
+
+func (m *machine) stop(t *rapid.T) {
+	token, id := m.drawToken(t), drawAttempt(t)
+	if !m.command(t, token, m.fleet.Stop("w0", token, model.OutcomePreempted, []model.AttemptID{id})) {
+		return
+	}
+	if a, known := m.oracle.attempts[id]; !known {
+		m.oracle.attempts[id] = &expected{ended: true, outcome: model.OutcomeNeverStarted}
+	} else if !a.ended {
+		a.ended, a.outcome = true, model.OutcomePreempted
+	}
+}
+
+func (m *machine) acknowledge(t *rapid.T) {
+	token, id := m.drawToken(t), drawAttempt(t)
+	if !m.command(t, token, m.fleet.Acknowledge("w0", token, []model.AttemptID{id})) {
+		return
+	}
+	if a, known := m.oracle.attempts[id]; known && a.ended {
+		delete(m.oracle.attempts, id)
+	}
+}
+
+func (m *machine) reboot(t *rapid.T) {
+	before, err := m.fleet.Inspect("w0")
+	same(t, err, nil)
+	m.fleet.Reboot(func(s Spec) bool { return s.ID == "w0" })
+	after, err := m.fleet.Inspect("w0")
+	same(t, err, nil)
+	if before.Boot == after.Boot {
+		t.Fatalf("boot ID %s did not change", after.Boot)
+	}
+	m.oracle.attempts = make(map[model.AttemptID]*expected)
+	m.oracle.boot, m.oracle.expiry = m.now(), 0
+}
+
+func (m *machine) check(t *rapid.T) {
+	report, err := m.fleet.Inspect("w0")
+	same(t, err, nil)
+	got := make(map[model.AttemptID]string)
+	for _, task := range report.Tasks {
+		got[task.Attempt] = fmt.Sprint(task.Phase, task.Outcome)
+	}
+	want := make(map[model.AttemptID]string)
+	running := 0
+	for id, a := range m.oracle.attempts {
+		if a.ended {
+			want[id] = fmt.Sprint(ports.PhaseEnded, a.outcome)
+			continue
+		}
+		want[id] = fmt.Sprint(ports.PhaseRunning)
+		running++
+	}
+	assert.DeepEqual(t, got, want)
+	assert.Equal(t, len(report.Tasks), len(want))
+	assert.Equal(t, m.fleet.Audit().Running, running)
+	assert.Equal(t, report.Clock, model.Duration(m.now()-m.oracle.boot))
+}
+
+func same(t *rapid.T, got, want error) {
+	t.Helper()
+	if !errors.Is(got, want) {
+		t.Fatalf("got error %v, want %v", got, want)
+	}
+}
+
+// TestAudit guards against a referee that misses a violation or sees one where there is none.
+func TestAudit(t *testing.T) {
+	start := func(task, number int, cores model.MilliCores) ports.StartRequest {
+		return ports.StartRequest{
+			Attempt: attemptID(task, number), Team: "t", Reservation: model.Resources{Cores: cores},
+			Declared: model.Duration(10 * time.Second), TaskTTL: taskTTL,
+		}
+	}
+	type step struct {
+		worker model.WorkerID
+		start  ports.StartRequest
+		after  time.Duration
+	}
+	tests := []struct {
+		name  string
+		rules rules
+		steps []step
+		want  audit.Violation
+	}{
+		{name: "side by side", steps: []step{{worker: "w0", start: start(0, 1, 2000)}, {worker: "w0", start: start(1, 1, 2000)}}},
+		{
+			name:  "started twice on one worker",
+			steps: []step{{worker: "w0", start: start(0, 1, 1)}, {worker: "w0", start: start(0, 1, 1), after: 15 * time.Second}},
+		},
+		{
+			name:  "two attempts at once",
+			steps: []step{{worker: "w0", start: start(0, 1, 1)}, {worker: "w1", start: start(0, 2, 1), after: 9 * time.Second}},
+			want:  audit.Overlap,
+		},
+		{
+			name:  "one attempt after the other",
+			steps: []step{{worker: "w0", start: start(0, 1, 1)}, {worker: "w1", start: start(0, 2, 1), after: 10 * time.Second}},
+		},
+		{
+			name:  "same attempt on another worker",
+			steps: []step{{worker: "w0", start: start(0, 1, 1)}, {worker: "w1", start: start(0, 1, 1), after: 11 * time.Second}},
+			want:  audit.RepeatedAttempt,
+		},
+		{
+			name:  "overcommitted",
+			steps: []step{{worker: "w0", start: start(0, 1, 2000)}, {worker: "w0", start: start(1, 1, 2001)}},
+			want:  audit.Overcommitted,
+		},
+		{
+			name:  "above the limit across workers",
+			rules: rules{limit: decl.Limit{Resources: model.Resources{Cores: 3000}}},
+			steps: []step{{worker: "w0", start: start(0, 1, 2000)}, {worker: "w1", start: start(1, 1, 2000)}},
+			want:  audit.AboveLimit,
+		},
+		{
+			name:  "within the limit after an end",
+			rules: rules{limit: decl.Limit{Tasks: 1}},
+			steps: []step{{worker: "w0", start: start(0, 1, 2000)}, {worker: "w1", start: start(1, 1, 2000), after: 10 * time.Second}},
+		},
+		{
+			name:  "data centre out",
+			rules: rules{out: map[model.DataCentreID]time.Time{"dc-b": clockwork.NewFakeClock().Now()}},
+			steps: []step{{worker: "w0", start: start(0, 1, 1)}, {worker: "w1", start: start(1, 1, 1)}},
+			want:  audit.DataCentreOut,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			f := newFleet(clock, &test.rules)
+			for _, s := range test.steps {
+				clock.Advance(s.after)
+				report, err := f.Lease(s.worker, ports.LeaseRequest{Holder: "e1", TTL: leaseTTL})
+				assert.NilError(t, err)
+				assert.NilError(t, f.Start(s.worker, report.Token, []ports.StartRequest{s.start}))
+			}
+			for name, n := range f.Audit().Violations {
+				assert.Equal(t, n > 0, name == test.want, "%s: %d", name, n)
+			}
+		})
+	}
+}
+
+// TestProgress guards against wrong ends, usage and checkpoints of throttled, resumed and failing attempts.
+func TestProgress(t *testing.T) {
+	tests := []struct {
+		name       string
+		request    ports.StartRequest
+		fails      bool
+		throttle   float64
+		checkpoint time.Duration
+		ends       time.Duration
+		outcome    model.Outcome
+	}{
+		{name: "plain", ends: 10 * time.Second, checkpoint: 4 * time.Second, outcome: model.OutcomeSucceeded},
+		{name: "throttled", throttle: 0.5, ends: 16 * time.Second, checkpoint: 4 * time.Second, outcome: model.OutcomeSucceeded},
+		{
+			name: "resumed", request: ports.StartRequest{Resume: model.Duration(3 * time.Second)},
+			ends: 7 * time.Second, checkpoint: 7 * time.Second, outcome: model.OutcomeSucceeded,
+		},
+		{
+			name: "chosen by the payload", request: ports.StartRequest{Payload: `{"run-time":"5s","outcome":"failed"}`},
+			ends: 5 * time.Second, checkpoint: 4 * time.Second, outcome: model.OutcomeFailed,
+		},
+		{name: "service", request: ports.StartRequest{Service: true}, ends: 20 * time.Second, checkpoint: 4 * time.Second, outcome: model.OutcomeLost},
+		{name: "failing worker", fails: true, ends: failAfter, outcome: model.OutcomeFailed},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			f := newFleet(clock, &rules{fails: test.fails})
+			lease, err := f.Lease("w0", ports.LeaseRequest{Holder: "e1", TTL: taskTTL})
+			assert.NilError(t, err)
+			test.request.Attempt = attemptID(0, 1)
+			test.request.Declared = model.Duration(10 * time.Second)
+			test.request.TaskTTL = taskTTL
+			test.request.Reservation = model.Resources{Cores: 1000}
+			assert.NilError(t, f.Start("w0", lease.Token, []ports.StartRequest{test.request}))
+			clock.Advance(min(4*time.Second, test.ends))
+			assert.NilError(t, f.Checkpoint("w0", lease.Token, test.request.Attempt))
+			if test.throttle > 0 {
+				assert.NilError(t, f.Throttle("w0", lease.Token, test.request.Attempt, test.throttle))
+			}
+			clock.Advance(time.Hour)
+			report, err := f.Inspect("w0")
+			assert.NilError(t, err)
+			task := report.Tasks[0]
+			assert.Equal(t, task.Outcome, test.outcome)
+			assert.Equal(t, task.Usage.RunTime.Std(), test.ends)
+			assert.Equal(t, task.Usage.Peak, model.Resources{Cores: 250})
+			assert.Equal(t, task.Checkpoint.Std(), test.checkpoint)
+		})
+	}
+}
--- /dev/null
+++ b/standin/internal/server/adapter_test.go
@@ -0,0 +1,291 @@
+package server_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/platf"
+	"arbutuswing.example/internal/ports"
+	"arbutuswing.example/standin/internal/daemon"
+	"arbutuswing.example/standin/internal/fault"
+	"arbutuswing.example/standin/internal/server"
+	"arbutuswing.example/standin/internal/setup"
+)
+
+// short bounds the calls that a test wants to time out.
+const short = 150 * time.Millisecond
+
+// platform is a running stand-in with two workers in two data centres.
+type platform struct {
+	*server.Server
+	address string
+	client  *platf.Client
+}
+
+func startPlatform(t *testing.T, clock clockwork.Clock) platform {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	settings := setup.Settings{
+		Listen: listener.Addr().String(), LogLevel: "error", SilentFor: model.Duration(time.Minute),
+		Log:     setup.Log{AppendsPerSecond: 1, Burst: 3, MaxBytes: 100},
+		Workers: []setup.Group{{Prefix: "a", Count: 1, DataCentre: "dc-a"}, {Prefix: "b", Count: 1, DataCentre: "dc-b"}},
+	}.WithDefaults()
+	assert.NilError(t, settings.Check())
+	s, err := daemon.Build(settings, clock, io.Discard)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	return platform{Server: s, address: settings.Listen, client: newClient(t, settings.Listen, "dc-a")}
+}
+
+func newClient(t *testing.T, address string, dc model.DataCentreID) *platf.Client {
+	t.Helper()
+	client, err := platf.New(platf.Config{Address: address, DataCentre: dc, Timeout: short, CommandTimeout: short})
+	assert.NilError(t, err)
+	return client
+}
+
+func (p platform) set(t *testing.T, f fault.Fault) {
+	t.Helper()
+	_, err := p.Faults.Add(f)
+	assert.NilError(t, err)
+}
+
+func (p platform) length(t *testing.T) model.Offset {
+	t.Helper()
+	batch, err := p.Store.Read(canceled(), 0, 1)
+	assert.NilError(t, err)
+	return batch.Next
+}
+
+func canceled() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+// foreign answers everything with a status and a body that the platform never sends.
+func foreign(t *testing.T, status int, body string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		ctx.SetStatusCode(status)
+		ctx.SetBodyString(body)
+	}}
+	go func() { _ = s.Serve(listener) }()
+	t.Cleanup(func() { _ = s.Shutdown() })
+	return listener.Addr().String()
+}
+
+// TestAppendErrors guards against an append that is taken for one without effect though it took effect, which would
+// lose an operation, and the reverse.
+func TestAppendErrors(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults []fault.Fault
+		data   string
+		before int
+		want   error
+		// records is the length of the log afterwards.
+		records model.Offset
+	}{
+		{name: "accepted", data: "x", records: 1},
+		{name: "refused", faults: []fault.Fault{{Kind: fault.LogOutage}}, data: "x", want: ports.ErrUnavailable},
+		{name: "silent", faults: []fault.Fault{{Kind: fault.LogOutage, Silent: true}}, data: "x", want: ports.ErrUnknownEffect},
+		{name: "partition", faults: []fault.Fault{{Kind: fault.Partition, DataCentre: "dc-a"}}, data: "x", want: ports.ErrUnknownEffect},
+		{name: "other partition", faults: []fault.Fault{{Kind: fault.Partition, DataCentre: "dc-b"}}, data: "x", records: 1},
+		{name: "answer lost", faults: []fault.Fault{{Kind: fault.AppendAnswerLost, Next: 1}}, data: "x", want: ports.ErrUnknownEffect, records: 1},
+		{name: "throttled", data: "x", before: 3, want: ports.ErrThrottled, records: 3},
+		{name: "too large", data: strings.Repeat("x", 101), want: ports.ErrUnavailable},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := startPlatform(t, clockwork.NewFakeClock())
+			for range test.before {
+				_, err := p.client.Append(t.Context(), []byte("earlier"))
+				assert.NilError(t, err)
+			}
+			for _, f := range test.faults {
+				p.set(t, f)
+			}
+			_, err := p.client.Append(t.Context(), []byte(test.data))
+			assert.ErrorIs(t, err, test.want)
+			assert.Equal(t, p.length(t), test.records)
+		})
+	}
+}
+
+// TestForeignAnswers guards against trusting answers that did not come from the platform itself.
+func TestForeignAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		status int
+		body   string
+		want   error
+	}{
+		{"gateway time-out", fasthttp.StatusGatewayTimeout, "late", ports.ErrUnknownEffect},
+		{"internal error", fasthttp.StatusInternalServerError, "", ports.ErrUnknownEffect},
+		{"limit of another device", fasthttp.StatusTooManyRequests, "slow down", ports.ErrUnknownEffect},
+		{"unreadable success", fasthttp.StatusOK, "fine", ports.ErrUnknownEffect},
+		{"success without an offset", fasthttp.StatusOK, "{}", ports.ErrUnknownEffect},
+		{"unavailable", fasthttp.StatusServiceUnavailable, "", ports.ErrUnavailable},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			address := foreign(t, test.status, test.body)
+			client := newClient(t, address, "dc-a")
+			_, err := client.Append(t.Context(), []byte("x"))
+			assert.ErrorIs(t, err, test.want)
+			if test.status != fasthttp.StatusOK {
+				_, err = client.Lease(t.Context(), address+"/workers/a1", ports.LeaseRequest{})
+				assert.ErrorIs(t, err, ports.ErrUnreachable)
+			}
+		})
+	}
+}
+
+// TestRefusedConnection guards against unknown effects where there surely was none.
+func TestRefusedConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	client := newClient(t, listener.Addr().String(), "dc-a")
+	_, err = client.Append(t.Context(), []byte("x"))
+	assert.ErrorIs(t, err, ports.ErrUnavailable)
+	_, err = client.Read(t.Context(), 0, 1, 0)
+	assert.ErrorIs(t, err, ports.ErrUnavailable)
+	_, err = client.List(t.Context())
+	assert.ErrorIs(t, err, ports.ErrUnavailable)
+	err = client.Release(t.Context(), listener.Addr().String()+"/workers/a1", 1)
+	assert.ErrorIs(t, err, ports.ErrUnreachable)
+}
+
+// TestRead guards against reads that skip records, miss a truncation or don't wake up.
+func TestRead(t *testing.T) {
+	p := startPlatform(t, clockwork.NewFakeClock())
+	for _, text := range []string{"r0", "r1"} {
+		_, err := p.client.Append(t.Context(), []byte(text))
+		assert.NilError(t, err)
+	}
+	batch, err := p.client.Read(t.Context(), 1, 10, 0)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, batch, ports.Batch{Records: []ports.Record{{Offset: 1, Data: []byte("r1")}}, Next: 2})
+
+	woken := make(chan ports.Batch, 1)
+	failed := make(chan error, 1)
+	go func() {
+		batch, err := p.client.Read(t.Context(), 2, 10, 20*time.Second)
+		failed <- err
+		woken <- batch
+	}()
+	_, err = p.client.Append(t.Context(), []byte("r2"))
+	assert.NilError(t, err)
+	assert.NilError(t, <-failed)
+	assert.DeepEqual(t, (<-woken).Records, []ports.Record{{Offset: 2, Data: []byte("r2")}})
+
+	p.Store.Truncate(2)
+	_, err = p.client.Read(t.Context(), 1, 10, 0)
+	assert.ErrorIs(t, err, ports.ErrTruncated)
+	batch, err = p.client.Read(t.Context(), 2, 10, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, batch.First, model.Offset(2))
+	p.set(t, fault.Fault{Kind: fault.LogOutage})
+	_, err = p.client.Read(t.Context(), 2, 10, 0)
+	assert.ErrorIs(t, err, ports.ErrUnavailable)
+}
+
+// TestListLag guards against a list that is fresher or staler than its lag.
+func TestListLag(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := startPlatform(t, clock)
+	row := ports.Instance{ID: "e1", Role: ports.RoleEntry, DataCentre: "dc-a", Address: "127.0.0.1:1", Presence: ports.PresenceLive}
+	presence := func() ports.Presence {
+		rows, err := p.client.List(t.Context())
+		assert.NilError(t, err)
+		for _, shown := range rows {
+			if shown.ID == row.ID {
+				return shown.Presence
+			}
+		}
+		return ""
+	}
+	assert.NilError(t, p.client.Register(t.Context(), row))
+	assert.Equal(t, presence(), ports.Presence(""))
+	clock.Advance(500 * time.Millisecond)
+	assert.Equal(t, presence(), ports.PresenceLive)
+	p.set(t, fault.Fault{Kind: fault.ListLag, Delay: model.Duration(10 * time.Second)})
+	assert.NilError(t, p.client.Mark(t.Context(), row.ID, ports.PresenceLeaving))
+	clock.Advance(9 * time.Second)
+	assert.Equal(t, presence(), ports.PresenceLive)
+	clock.Advance(time.Second)
+	assert.Equal(t, presence(), ports.PresenceLeaving)
+	assert.NilError(t, p.client.Remove(t.Context(), row.ID))
+	clock.Advance(10 * time.Second)
+	assert.Equal(t, presence(), ports.Presence(""))
+	assert.ErrorIs(t, p.client.Mark(t.Context(), row.ID, ports.PresenceLive), ports.ErrUnavailable)
+}
+
+// TestWorkerErrors guards against a worker's refusal that reaches its caller as another one.
+func TestWorkerErrors(t *testing.T) {
+	p := startPlatform(t, clockwork.NewFakeClock())
+	a, b := p.address+"/workers/a1", p.address+"/workers/b1"
+	ttl := model.Duration(3 * time.Second)
+	report, err := p.client.Lease(t.Context(), a, ports.LeaseRequest{Holder: "e1", TTL: ttl})
+	assert.NilError(t, err)
+	attempt := model.AttemptID{Task: model.TaskID{Job: "j"}, Number: 1}
+	starts := []ports.StartRequest{{Attempt: attempt, Declared: model.Duration(time.Hour), TaskTTL: model.Duration(time.Minute)}}
+	ctx, c, token := t.Context(), p.client, report.Token
+	tests := []struct {
+		name string
+		call func() error
+		want error
+	}{
+		{"lease held", func() error { _, err := c.Lease(ctx, a, ports.LeaseRequest{Holder: "e2", TTL: ttl}); return err }, ports.ErrLeaseHeld},
+		{"stale renewal", func() error {
+			_, err := c.Lease(ctx, a, ports.LeaseRequest{Holder: "e1", TTL: ttl, Token: token + 1})
+			return err
+		}, ports.ErrStaleToken},
+		{"stale start", func() error { return c.Start(ctx, a, token-1, starts) }, ports.ErrStaleToken},
+		{"start", func() error { return c.Start(ctx, a, token, starts) }, nil},
+		{"checkpoint", func() error { return c.Checkpoint(ctx, a, token, attempt) }, nil},
+		{"throttle", func() error { return c.Throttle(ctx, a, token, attempt, 0.5) }, nil},
+		{"unknown attempt", func() error { return c.Checkpoint(ctx, a, token, model.AttemptID{Task: attempt.Task, Number: 2}) }, ports.ErrUnknownTask},
+		{"unknown worker", func() error { return c.Release(ctx, p.address+"/workers/none", token) }, ports.ErrUnreachable},
+		{"partition", func() error {
+			p.set(t, fault.Fault{Kind: fault.Partition, DataCentre: "dc-b"})
+			_, err := c.Lease(ctx, b, ports.LeaseRequest{Holder: "e1", TTL: ttl})
+			return err
+		}, ports.ErrUnreachable},
+		{"own data centre", func() error { return c.Checkpoint(ctx, a, token, attempt) }, nil},
+		{"answer lost", func() error {
+			p.set(t, fault.Fault{Kind: fault.WorkerAnswerLost, Next: 1})
+			return c.Stop(ctx, a, token, model.OutcomeStopped, []model.AttemptID{attempt})
+		}, ports.ErrUnreachable},
+		{"acknowledge", func() error { return c.Acknowledge(ctx, a, token, []model.AttemptID{attempt}) }, nil},
+		{"acknowledged", func() error { return c.Checkpoint(ctx, a, token, attempt) }, ports.ErrUnknownTask},
+		{"unreachable", func() error {
+			p.set(t, fault.Fault{Kind: fault.WorkerUnreachable, Worker: "a1"})
+			return c.Release(ctx, a, token)
+		}, ports.ErrUnreachable},
+	}
+	for _, test := range tests {
+		assert.ErrorIs(t, test.call(), test.want, test.name)
+	}
+	assert.Equal(t, p.Fleet.Audit().Outcomes[model.OutcomeStopped], 1)
+}
