--- /dev/null
+++ b/endpt/internal/daemon/adapter_test.go
@@ -0,0 +1,227 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"arbutuswing.example/endpt/internal/fault"
+	"arbutuswing.example/endpt/internal/setup"
+	"arbutuswing.example/endpt/internal/site"
+	"arbutuswing.example/endpt/internal/tally"
+	"arbutuswing.example/internal/ephttp"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/ports"
+)
+
+// short bounds the calls that a test wants to time out.
+const short = 150 * time.Millisecond
+
+// endpoint is a running daemon with one endpoint.
+type endpoint struct {
+	*Daemon
+	address string
+	client  *ephttp.Client
+}
+
+func startEndpoint(t *testing.T, slots, connections int) endpoint {
+	t.Helper()
+	zero := model.Duration(0)
+	settings := setup.Settings{
+		Listen: "127.0.0.1:0", LogLevel: "error", Linger: &zero,
+		Groups: []setup.Group{{Prefix: "e", Class: "chat", Count: 1, DataCentre: "dc-a", FirstPort: 1, Slots: slots, Connections: connections}},
+	}.WithDefaults()
+	assert.NilError(t, settings.Check())
+	d, err := Build(settings, clockwork.NewRealClock(), io.Discard)
+	assert.NilError(t, err)
+	spec := settings.Specs()[0]
+	spec.Address, spec.Work = "127.0.0.1:0", 0
+	only := site.New(site.Parts{Spec: spec, Clock: d.clock, Log: d.log, Faults: d.faults, Tally: d.tally})
+	d.sites = []*site.Site{only}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	ready := make(chan struct{})
+	d.ready = func() { close(ready) }
+	go func() { done <- d.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	<-ready
+	client, err := ephttp.New(ephttp.Config{})
+	assert.NilError(t, err)
+	return endpoint{Daemon: d, address: only.Spec().Address, client: client}
+}
+
+func (e endpoint) set(t *testing.T, f fault.Fault) {
+	t.Helper()
+	_, err := e.faults.Add(f)
+	assert.NilError(t, err)
+	e.apply(f)
+}
+
+func (e endpoint) call(attempt, body string) ports.Call {
+	return ports.Call{Address: e.address, Attempt: attempt, Class: "chat", Team: "t", Body: []byte(body), Timeout: 5 * time.Second}
+}
+
+// wait blocks until the tally satisfies a condition.
+func (e endpoint) wait(t *testing.T, reached func(tally.Report) bool) {
+	t.Helper()
+	for !reached(e.tally.Report(true)) {
+		select {
+		case <-t.Context().Done():
+			t.Fatal("condition not reached")
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+const busyBody = `{"request-id":"r-busy","work-ms":400}` + "\n"
+
+// TestSendErrors guards against an error that says "not run" of a request that ran, and the reverse: either breaks
+// at-most-once.
+func TestSendErrors(t *testing.T) {
+	tests := []struct {
+		name        string
+		slots       int
+		connections int
+		occupied    bool
+		faults      []fault.Fault
+		timeout     time.Duration
+		want        error
+		ran         int
+	}{
+		{name: "answered", want: nil, ran: 1},
+		{name: "no free slot", slots: 1, occupied: true, want: ports.ErrBusy},
+		{name: "no free connection", connections: 1, occupied: true, want: ports.ErrBusy},
+		{name: "leaving", faults: []fault.Fault{{Kind: fault.Leave}}, want: ports.ErrLeaving},
+		{name: "slow", faults: []fault.Fault{{Kind: fault.Slow, Delay: model.Duration(2 * short)}}, timeout: short, want: ports.ErrNoAnswer, ran: 1},
+		{name: "late answer", faults: []fault.Fault{{Kind: fault.Late, Delay: model.Duration(2 * short)}}, timeout: short, want: ports.ErrNoAnswer, ran: 1},
+		{name: "cut short", faults: []fault.Fault{{Kind: fault.CutShort, Next: 1}}, want: ports.ErrNoAnswer, ran: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e := startEndpoint(t, test.slots, test.connections)
+			other := make(chan error, 1)
+			other <- nil
+			if test.occupied {
+				<-other
+				go func() {
+					client, err := ephttp.New(ephttp.Config{})
+					if err == nil {
+						_, err = client.Send(context.Background(), e.call("a0", busyBody))
+					}
+					other <- err
+				}()
+				e.wait(t, func(r tally.Report) bool { return r.Running == 1 })
+			}
+			for _, f := range test.faults {
+				e.set(t, f)
+			}
+			call := e.call("a1", `{"request-id":"r1","work-ms":0}`+"\n")
+			if test.timeout > 0 {
+				call.Timeout = test.timeout
+			}
+			answer, err := e.client.Send(t.Context(), call)
+			assert.ErrorIs(t, err, test.want)
+			assert.Equal(t, e.tally.Report(true).ByRequest["r1"], test.ran)
+			if err == nil {
+				assert.Equal(t, string(answer.Body), string(call.Body))
+			}
+			assert.NilError(t, <-other)
+			assert.Equal(t, e.tally.Report(false).RepeatedAttempts, 0)
+		})
+	}
+}
+
+// TestNotSent guards against an unknown outcome where surely nothing ran.
+func TestNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	client, err := ephttp.New(ephttp.Config{})
+	assert.NilError(t, err)
+	for _, address := range []string{listener.Addr().String(), "no address"} {
+		_, err = client.Send(t.Context(), ports.Call{Address: address, Attempt: "a", Timeout: time.Second})
+		assert.ErrorIs(t, err, ports.ErrNotSent)
+	}
+
+	e := startEndpoint(t, 8, 60)
+	e.client.SetConnections(1)
+	first := make(chan error, 1)
+	go func() {
+		_, err := e.client.Send(context.Background(), e.call("a1", busyBody))
+		first <- err
+	}()
+	e.wait(t, func(r tally.Report) bool { return r.Running == 1 })
+	_, err = e.client.Send(t.Context(), e.call("a2", "x"))
+	assert.ErrorIs(t, err, ports.ErrNotSent)
+	assert.NilError(t, <-first)
+	assert.Equal(t, e.tally.Report(false).Runs, 1)
+}
+
+// TestCrossedAnswers guards against handing an answer to the caller of another request.
+func TestCrossedAnswers(t *testing.T) {
+	e := startEndpoint(t, 8, 60)
+	e.set(t, fault.Fault{Kind: fault.Crossed, Next: 2})
+	errs := make(chan error, 2)
+	for _, attempt := range []string{"a1", "a2"} {
+		go func() {
+			_, err := e.client.Send(context.Background(), e.call(attempt, attempt))
+			errs <- err
+		}()
+	}
+	for range 2 {
+		assert.ErrorIs(t, <-errs, ports.ErrNoAnswer)
+	}
+	answer, err := e.client.Send(t.Context(), e.call("a3", "a3"))
+	assert.NilError(t, err)
+	assert.Equal(t, string(answer.Body), "a3")
+}
+
+// TestSilentConnection guards against using a silent connection again after a time-out, and against an unknown outcome
+// that a probe or a forgotten connection avoids.
+func TestSilentConnection(t *testing.T) {
+	e := startEndpoint(t, 8, 60)
+	send := func(attempt string, timeout time.Duration) error {
+		call := e.call(attempt, "x")
+		call.Timeout = timeout
+		_, err := e.client.Send(t.Context(), call)
+		return err
+	}
+	assert.NilError(t, send("a1", 5*time.Second))
+	e.set(t, fault.Fault{Kind: fault.Silent})
+	assert.ErrorIs(t, send("a2", short), ports.ErrNoAnswer)
+	assert.NilError(t, send("a3", 5*time.Second))
+	e.set(t, fault.Fault{Kind: fault.Silent, Endpoint: "e1"})
+	e.client.Forget(e.address)
+	assert.NilError(t, send("a4", 5*time.Second))
+	assert.Equal(t, e.tally.Report(false).Runs, 3)
+}
+
+// TestDrain guards against a planned stop that interrupts a request.
+func TestDrain(t *testing.T) {
+	e := startEndpoint(t, 8, 60)
+	first := make(chan error, 1)
+	go func() {
+		_, err := e.client.Send(context.Background(), e.call("a1", busyBody))
+		first <- err
+	}()
+	e.wait(t, func(r tally.Report) bool { return r.Running == 1 })
+	assert.NilError(t, e.drain())
+	assert.NilError(t, <-first)
+	_, err := e.client.Send(t.Context(), e.call("a2", "x"))
+	assert.ErrorIs(t, err, ports.ErrNotSent)
+}
+
+// TestTransform guards against answers by which a caller can't tell its own.
+func TestTransform(t *testing.T) {
+	assert.Equal(t, string(site.Transform([]byte("hi"), 0)), "hi")
+	assert.Equal(t, len(site.Transform([]byte("hi"), 200)), 200)
+	assert.Assert(t, string(site.Transform([]byte("hi"), 64)) != string(site.Transform([]byte("ho"), 64)))
+}
--- a/endpt/internal/daemon/daemon.go
+++ b/endpt/internal/daemon/daemon.go
@@ -41,6 +41,8 @@
 	admin    *fasthttp.Server
 	failed   chan error
 	running  sync.WaitGroup
+	// ready is called once all endpoints listen.
+	ready func()
 }
 
 // Run plays the endpoints of a settings file until ctx ends, then drains; log lines go to out.
@@ -91,7 +93,7 @@
 ) *Daemon {
 	d := &Daemon{
 		settings: settings, clock: clock, log: log, faults: faults, tally: counts, platform: platform,
-		failed: make(chan error, len(settings.Specs())+1),
+		failed: make(chan error, len(settings.Specs())+1), ready: func() {},
 	}
 	for _, spec := range settings.Specs() {
 		d.sites = append(d.sites, site.New(site.Parts{Spec: spec, Clock: clock, Log: log, Faults: faults, Tally: counts}))
@@ -111,6 +113,7 @@
 			return err
 		}
 	}
+	d.ready()
 	go d.runAdmin(listener)
 	for _, s := range d.sites {
 		go d.runSite(s)
