--- /dev/null
+++ b/internal/once/once_test.go
@@ -0,0 +1,291 @@
+package once
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"arbutuswing.example/internal/model"
+)
+
+var errUnreachable = errors.New("unreachable")
+
+// fleet is a set of members in one process; calls to crashed members fail.
+type fleet struct {
+	clock       *clockwork.FakeClock
+	alive       map[Member]*Service
+	memberships []Membership
+	seen        map[Member]int
+	// loseAnswers drops the answers of claims after they took effect.
+	loseAnswers bool
+}
+
+func newFleet() *fleet {
+	return &fleet{
+		clock: clockwork.NewFakeClock(), alive: make(map[Member]*Service), seen: make(map[Member]int),
+	}
+}
+
+func (f *fleet) Claim(_ context.Context, to Member, req ClaimRequest) (Status, error) {
+	s, ok := f.alive[to]
+	if !ok {
+		return "", errUnreachable
+	}
+	status := s.Decide(req)
+	if f.loseAnswers {
+		return "", errUnreachable
+	}
+	return status, nil
+}
+
+func (f *fleet) Settle(_ context.Context, to Member, req SettleRequest) error {
+	s, ok := f.alive[to]
+	if !ok {
+		return errUnreachable
+	}
+	s.Finish(req)
+	return nil
+}
+
+func (f *fleet) Handoff(_ context.Context, from Member, offset model.Offset) (Handoff, error) {
+	s, ok := f.alive[from]
+	if !ok {
+		return Handoff{}, errUnreachable
+	}
+	return s.Handoff(f.owner(offset), offset)
+}
+
+// collector is the member on whose behalf Handoff is called; the fleet runs one collection at a time.
+var collector Member
+
+func (f *fleet) owner(model.Offset) Member { return collector }
+
+func (f *fleet) record(members []Member) {
+	f.memberships = append(f.memberships, Membership{Offset: model.Offset(len(f.memberships)), Members: members})
+}
+
+func (f *fleet) recorded() []Member {
+	if len(f.memberships) == 0 {
+		return nil
+	}
+	return f.memberships[len(f.memberships)-1].Members
+}
+
+func (f *fleet) join(name string, incarnation model.Incarnation) Member {
+	m := Member{Instance: model.InstanceID(name), Incarnation: incarnation}
+	s, err := New(Config{Self: m, Peers: f, Clock: f.clock})
+	if err != nil {
+		panic(err)
+	}
+	f.alive[m] = s
+	f.seen[m] = len(f.memberships)
+	var members []Member
+	for _, member := range f.recorded() {
+		if member.Instance != m.Instance {
+			members = append(members, member)
+		}
+	}
+	f.record(append(members, m))
+	return m
+}
+
+func (f *fleet) leave(m Member) {
+	var rest []Member
+	for _, member := range f.recorded() {
+		if member != m {
+			rest = append(rest, member)
+		}
+	}
+	f.record(rest)
+}
+
+// catchUp lets a member read memberships up to the newest.
+func (f *fleet) catchUp(m Member) {
+	for f.seen[m] < len(f.memberships) {
+		n := f.seen[m]
+		f.alive[m].Advance(f.memberships[n], n == 0)
+		f.seen[m]++
+	}
+}
+
+func (f *fleet) collect(m Member) {
+	collector = m
+	f.alive[m].Collect(context.Background())
+}
+
+func (f *fleet) members() []Member {
+	var out []Member
+	for _, m := range f.recorded() {
+		if _, ok := f.alive[m]; ok {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// TestAtMostOnceUnderMembershipChanges guards against an ID being granted twice while members join, crash and leave,
+// answers are lost and members read the log late.
+func TestAtMostOnceUnderMembershipChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet()
+		next := model.Incarnation(1)
+		first := f.join("a", next)
+		f.catchUp(first)
+		granted := make(map[string]int)
+		born := make(map[string]time.Time)
+		live := func(t *rapid.T) Member { return rapid.SampledFrom(f.members()).Draw(t, "member") }
+		t.Repeat(map[string]func(*rapid.T){
+			"join": func(t *rapid.T) {
+				if len(f.alive) >= 5 {
+					t.Skip("enough members")
+				}
+				next++
+				m := f.join(fmt.Sprintf("m%d", rapid.IntRange(0, 3).Draw(t, "name")), next)
+				f.catchUp(m)
+			},
+			"crash": func(t *rapid.T) {
+				if len(f.members()) < 2 {
+					t.Skip("last member")
+				}
+				m := live(t)
+				delete(f.alive, m)
+				f.leave(m)
+			},
+			"read": func(t *rapid.T) { f.catchUp(live(t)) },
+			"collect": func(t *rapid.T) {
+				f.collect(live(t))
+			},
+			"wait": func(t *rapid.T) {
+				f.clock.Advance(time.Duration(rapid.IntRange(1, 30).Draw(t, "seconds")) * time.Second)
+				for _, m := range f.members() {
+					f.catchUp(m) // a stale member stops deciding after the freshness margin
+					f.alive[m].table.expire(f.clock.Now())
+				}
+			},
+			"claim": func(t *rapid.T) {
+				m := live(t)
+				id := fmt.Sprintf("id-%d", rapid.IntRange(0, 9).Draw(t, "id"))
+				if at, ok := born[id]; ok && f.clock.Since(at) > DefaultRetention {
+					t.Skip("callers do not repeat an ID that late")
+				}
+				if _, ok := born[id]; !ok {
+					born[id] = f.clock.Now()
+				}
+				f.loseAnswers = rapid.Bool().Draw(t, "answer lost")
+				claim, err := f.claimFrom(m, id)
+				f.loseAnswers = false
+				if err != nil {
+					return
+				}
+				granted[id]++
+				if granted[id] > 1 {
+					t.Fatalf("%s granted %d times", id, granted[id])
+				}
+				if rapid.Bool().Draw(t, "not run") {
+					claim.Settle(context.Background(), false, false)
+					granted[id]--
+					return
+				}
+				claim.Settle(context.Background(), true, rapid.Bool().Draw(t, "answered"))
+			},
+		})
+	})
+}
+
+func (f *fleet) claimFrom(m Member, id string) (*Claim, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // no waiting for memberships to meet: the clock is manual
+	return f.alive[m].Claim(ctx, id)
+}
+
+// TestIssuedIDs guards against issued IDs being redeemed twice, after their validity, or by another incarnation.
+func TestIssuedIDs(t *testing.T) {
+	f := newFleet()
+	a, b := f.join("a", 1), f.join("b-with-dash", 2)
+	f.catchUp(a)
+	f.catchUp(b)
+	id := f.alive[b].Issue()
+	expired := f.alive[b].Issue()
+	orphan := f.alive[b].Issue()
+	forged := strings.Replace(expired, "aw1-2-", "aw1-9-", 1)
+
+	claim, err := f.claimFrom(a, id)
+	assert.NilError(t, err)
+	_, err = f.claimFrom(b, id)
+	assert.ErrorIs(t, err, ErrRunning)
+	claim.Settle(context.Background(), true, true)
+	_, err = f.claimFrom(a, id)
+	assert.ErrorIs(t, err, ErrAnswered)
+	_, err = f.claimFrom(a, forged)
+	assert.ErrorIs(t, err, ErrUnknownOutcome)
+
+	f.clock.Advance(DefaultValidity)
+	f.alive[b].table.expire(f.clock.Now())
+	for _, late := range []string{expired, id} {
+		_, err = f.claimFrom(a, late)
+		assert.ErrorIs(t, err, ErrUnknownOutcome)
+	}
+
+	delete(f.alive, b)
+	f.leave(b)
+	again := f.join("b-with-dash", 3)
+	f.catchUp(a)
+	f.catchUp(again)
+	_, err = f.claimFrom(a, orphan)
+	assert.ErrorIs(t, err, ErrUnknownOutcome)
+}
+
+// TestCrashedOwnerIsUnknown guards against a false answer for an ID whose owner crashed after granting it.
+func TestCrashedOwnerIsUnknown(t *testing.T) {
+	f := newFleet()
+	a, b := f.join("a", 1), f.join("b", 2)
+	f.catchUp(a)
+	f.catchUp(b)
+	f.collect(a)
+	f.collect(b)
+	id := ownedBy(t, f.alive[a].history.current(), b)
+	_, err := f.claimFrom(a, id)
+	assert.NilError(t, err)
+
+	delete(f.alive, b)
+	_, err = f.claimFrom(a, id)
+	assert.ErrorIs(t, err, ErrUnknownOutcome)
+	f.leave(b)
+	f.catchUp(a)
+	_, err = f.claimFrom(a, id)
+	assert.ErrorIs(t, err, ErrUnknownOutcome)
+	f.clock.Advance(DefaultRetention + freshnessMargin)
+	_, err = f.claimFrom(a, ownedBy(t, f.memberships[1], b))
+	assert.NilError(t, err)
+}
+
+// TestTableIsBounded guards against unbounded memory; the refusal of a full table is a true "not run".
+func TestTableIsBounded(t *testing.T) {
+	self := Member{Instance: "a", Incarnation: 1}
+	s, err := New(Config{Self: self, Peers: newFleet(), Capacity: 1})
+	assert.NilError(t, err)
+	s.Advance(Membership{Offset: 0, Members: []Member{self}}, true)
+	_, err = s.Claim(context.Background(), "x")
+	assert.NilError(t, err)
+	_, err = s.Claim(context.Background(), "y")
+	assert.ErrorIs(t, err, ErrRefused)
+}
+
+func ownedBy(t *testing.T, m Membership, owner Member) string {
+	t.Helper()
+	for i := range 1000 {
+		id := fmt.Sprintf("own-%d", i)
+		if got, _ := m.Owner(id); got == owner {
+			return id
+		}
+	}
+	t.Fatal("no ID found")
+	return ""
+}
