--- a/internal/once/owner.go
+++ b/internal/once/owner.go
@@ -192,7 +192,8 @@
 			continue
 		}
 		owner, ok := e.Membership.Owner(id)
-		if ok && owner != h.self && !(h.handed[owner] && current.has(owner)) {
+		covered := owner == h.self || (h.handed[owner] && current.has(owner))
+		if ok && !covered {
 			return StatusUnknown
 		}
 	}
--- a/internal/once/table.go
+++ b/internal/once/table.go
@@ -131,26 +131,21 @@
 }
 
 // expire removes the entries that expired before now.
-func (t *table) expire(now time.Time) int {
-	removed := 0
+func (t *table) expire(now time.Time) {
 	for i := range t.shards {
-		removed += t.expireShard(&t.shards[i], now)
+		t.expireShard(&t.shards[i], now)
 	}
-	return removed
 }
 
-func (t *table) expireShard(s *shard, now time.Time) int {
+func (t *table) expireShard(s *shard, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	removed := 0
 	for id, entry := range s.entries {
 		if !now.Before(entry.Expires) {
 			delete(s.entries, id)
-			removed++
+			t.size.Add(-1)
 		}
 	}
-	t.size.Add(int64(-removed))
-	return removed
 }
 
 // selectEntries returns the entries whose IDs match.
--- a/internal/ports/endpoint.go
+++ b/internal/ports/endpoint.go
@@ -25,9 +25,11 @@
 	Address string
 	// Attempt is unique to this attempt; the answer must repeat it.
 	Attempt string
-	Class   model.ClassID
-	Team    model.TeamID
-	Body    []byte
+	// RequestID is the caller's request ID, for endpoints that log it; it may be empty.
+	RequestID string
+	Class     model.ClassID
+	Team      model.TeamID
+	Body      []byte
 	// Probe asks for a check of an idle connection before the request is sent on it.
 	Probe   bool
 	Timeout time.Duration
--- /dev/null
+++ b/internal/route/errors.go
@@ -0,0 +1,35 @@
+package route
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Outcomes other than an answer; every error of Serve wraps exactly one of them.
+var (
+	// ErrNotRun reports that the request surely did not run.
+	ErrNotRun = errors.New("not run")
+	// ErrUnknown reports that the request may have run.
+	ErrUnknown = errors.New("outcome unknown")
+	// ErrConflict reports that the request ID is in use or was answered before.
+	ErrConflict = errors.New("request ID already used")
+)
+
+// Reasons of refusals; each wraps ErrNotRun.
+var (
+	// ErrOverloaded reports that the request would have waited past its class's target.
+	ErrOverloaded = fmt.Errorf("%w: too much work is waiting", ErrNotRun)
+	// ErrNoEndpoint reports that no endpoint serves the class.
+	ErrNoEndpoint = fmt.Errorf("%w: no endpoint serves the class", ErrNotRun)
+	// ErrDeadline reports that no slot came free in time.
+	ErrDeadline = fmt.Errorf("%w: no slot came free in time", ErrNotRun)
+	// ErrDraining reports that this instance is shutting down.
+	ErrDraining = fmt.Errorf("%w: this instance is shutting down", ErrNotRun)
+	// ErrAttempts reports that every endpoint tried refused the request.
+	ErrAttempts = fmt.Errorf("%w: every endpoint tried refused", ErrNotRun)
+	// ErrClaimRefused reports that the request ID could not be claimed.
+	ErrClaimRefused = fmt.Errorf("%w: the request ID could not be claimed", ErrNotRun)
+)
+
+// ErrConfig reports a configuration that can't work.
+var ErrConfig = errors.New("invalid configuration")
