feat(decl): parse, check, compare and apply declarations

Faults name file, line, column and path, so that operators find them without searching. Keys and the state of data centres are told apart from a team's terms, because withdrawing a key must never wait for an approval. The packages strict (decoding with places) and schema (JSON schema from structs and their comments) are shared with config, whose structs are the reference for the settings of the programs.

--- /dev/null
+++ b/internal/config/ctl.go
@@ -0,0 +1,29 @@
+package config
+
+import "arbutuswing.example/internal/model"
+
+// Ctl holds the settings of aw-ctl; its command line options take precedence.
+type Ctl struct {
+	// Server is the URL of an entry instance's admin address, such as http://127.0.0.1:7101.
+	Server string `json:"server,omitempty"`
+	// KeyFile is the path of the file that holds the operators' key.
+	KeyFile string `json:"key-file,omitempty"`
+	// Timeout is how long a call to the server may take.
+	Timeout model.Duration `json:"timeout,omitempty"`
+}
+
+// WithDefaults returns the settings with a timeout of 10 s, which leaves time for a change to be recorded.
+func (c Ctl) WithDefaults() Ctl {
+	c.Timeout = seconds(10)
+	return c
+}
+
+// Check returns the faults of the settings.
+func (c Ctl) Check() []Problem {
+	checker := &Checker{}
+	if c.Server != "" {
+		checker.URL("server", c.Server)
+	}
+	checker.Require(c.Timeout > 0, "timeout", "must be greater than 0")
+	return checker.Problems()
+}
--- /dev/null
+++ b/internal/config/defaults.go
@@ -0,0 +1,52 @@
+package config
+
+import (
+	"time"
+
+	"arbutuswing.example/internal/model"
+)
+
+// WithDefaults returns the settings with the defaults of docs/design.md in place of all tunable values.
+func (e Entry) WithDefaults() Entry {
+	e.LogLevel = "info"
+	e.Lease = defaultLease()
+	e.Stream = defaultStream()
+	e.Member = Member{
+		Beat: ms(500), Timeout: ms(400), Dead: seconds(2),
+		// Three seconds are the placer's lease and keep the data-centre-out and key limits of 5 s.
+		CutOff: seconds(3),
+	}
+	e.Route = defaultRoute()
+	e.Once = Once{Issued: minutes(10), Kept: seconds(60), Settling: seconds(60), Entries: 200_000}
+	e.Sched = Sched{
+		Round: ms(10), Backlog: seconds(60), Report: seconds(1), QuarantineFailures: 5, QuarantineJobs: 3,
+		QuarantineFirst: minutes(1), QuarantineMax: minutes(60),
+	}
+	e.Shutdown = Shutdown{Grace: seconds(30)}
+	return e
+}
+
+func defaultLease() Lease {
+	return Lease{
+		Worker: seconds(3), Renew: seconds(1), Task: seconds(20), Freshness: seconds(2), Margin: seconds(3),
+		Isolation: minutes(90),
+	}
+}
+
+func defaultStream() Stream {
+	return Stream{
+		Commit: ms(10), CommitMax: ms(500), ReadWait: seconds(1), RetryFirst: ms(50), RetryMax: seconds(2),
+		Retention: minutes(60), SnapshotRecords: 20_000, SnapshotPart: 64 << 10, Pending: 20_000,
+	}
+}
+
+func defaultRoute() Route {
+	return Route{
+		Connections: 60, Slots: 8, RetryShare: 0.1, RetryBurst: 20, ProbeIdle: seconds(1), ProbeTimeout: ms(200),
+		SilentAfter: 2, Timeout: seconds(10), Queue: 4_000, List: seconds(1),
+	}
+}
+
+func ms(n int) model.Duration      { return model.Duration(time.Duration(n) * time.Millisecond) }
+func seconds(n int) model.Duration { return model.Duration(time.Duration(n) * time.Second) }
+func minutes(n int) model.Duration { return model.Duration(time.Duration(n) * time.Minute) }
--- /dev/null
+++ b/internal/config/schema.go
@@ -0,0 +1,26 @@
+package config
+
+import (
+	_ "embed"
+
+	"arbutuswing.example/internal/schema"
+)
+
+var (
+	//go:embed entry.go
+	entrySource string
+	//go:embed ctl.go
+	ctlSource string
+)
+
+const importPath = "arbutuswing.example/internal/config"
+
+// Schema returns the JSON schema of aw-entry's settings, derived from the structs, with the defaults.
+func Schema() []byte {
+	return schema.Build("Settings of aw-entry", Entry{}.WithDefaults(), schema.Source{Package: importPath, Text: entrySource})
+}
+
+// CtlSchema returns the JSON schema of aw-ctl's settings.
+func CtlSchema() []byte {
+	return schema.Build("Settings of aw-ctl", Ctl{}.WithDefaults(), schema.Source{Package: importPath, Text: ctlSource})
+}
--- /dev/null
+++ b/internal/decl/check.go
@@ -0,0 +1,159 @@
+package decl
+
+import (
+	"fmt"
+	"math"
+	"time"
+	// Zones must be known alike on every instance, also where the system has no zone files.
+	_ "time/tzdata"
+
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/strict"
+)
+
+// Problem is a fault of a declaration with its place.
+type Problem = strict.Fault
+
+const (
+	nameText = "must be kebab case, start with a letter and have at most 63 characters"
+	hashText = "must be a SHA-256 in lower-case hexadecimal (64 digits)"
+)
+
+// Check returns the faults of a set's contents in the order of its objects; none means the set may be put in force.
+func Check(set Set) []Problem {
+	c := &checker{set: set.Indexed()}
+	for i, organisation := range set.Organisations {
+		c.at(organisationsKey, i)
+		c.organisation(organisation)
+	}
+	c.keys = make(map[model.KeyHash]model.TeamID)
+	for i, team := range set.Teams {
+		c.at(teamsKey, i)
+		c.team(team)
+	}
+	for i, class := range set.Classes {
+		c.at(classesKey, i)
+		c.class(class)
+	}
+	for i, centre := range set.DataCentres {
+		c.at(dataCentresKey, i)
+		c.dataCentre(centre)
+	}
+	if len(set.DataCentres) == 0 {
+		c.path = ""
+		c.fail(dataCentresKey, "at least one data centre must be declared")
+	}
+	return c.problems
+}
+
+type checker struct {
+	set      Set
+	path     string
+	position int
+	keys     map[model.KeyHash]model.TeamID
+	problems []Problem
+}
+
+func (c *checker) at(key string, i int) {
+	c.path, c.position = fmt.Sprintf("%s[%d]", key, i), i
+}
+
+func (c *checker) fail(rest, format string, args ...any) {
+	c.problems = append(c.problems, c.set.problem(c.path, rest, fmt.Sprintf(format, args...)))
+}
+
+func (c *checker) require(holds bool, rest, text string) {
+	if !holds {
+		c.fail(rest, "%s", text)
+	}
+}
+
+// named checks a name; first is the position of the first object of that name.
+func (c *checker) named(name string, first int) {
+	switch {
+	case name == "":
+		c.fail(".name", "must be set")
+	case !ValidName(name):
+		c.fail(".name", nameText)
+	case first != c.position:
+		c.fail(".name", "%q is declared twice", name)
+	}
+}
+
+func (c *checker) organisation(o Organisation) {
+	c.named(string(o.Name), c.set.index.organisations[o.Name])
+	c.require(ValidKeyHash(o.ApprovalKey), ".approval-key", hashText)
+}
+
+func (c *checker) team(t Team) {
+	c.named(string(t.Name), c.set.index.teams[t.Name])
+	if _, known := c.set.Organisation(t.Organisation); !known {
+		c.fail(".organisation", "unknown organisation %q", t.Organisation)
+	}
+	c.require(t.Share > 0 && !math.IsInf(t.Share, 0), ".share", "must be greater than 0")
+	c.limit(t.Limit)
+	for i, key := range t.Keys {
+		c.key(t, fmt.Sprintf(".keys[%d]", i), key)
+	}
+}
+
+// key refuses a key that two teams hold, because a key has to tell whose work a call may take.
+func (c *checker) key(t Team, path string, key model.KeyHash) {
+	c.require(ValidKeyHash(key), path, hashText)
+	holder, taken := c.keys[key]
+	switch {
+	case taken && holder == t.Name:
+		c.fail(path, "the key is listed twice")
+	case taken:
+		c.fail(path, "the key is already granted to team %q", holder)
+	}
+	c.keys[key] = t.Name
+}
+
+func (c *checker) limit(l Limit) {
+	const negative = "must not be negative"
+	c.require(l.Resources.Cores >= 0, ".limit.resources.milli-cores", negative)
+	c.require(l.Resources.Memory >= 0, ".limit.resources.memory-mib", negative)
+	c.require(l.Resources.Accelerators >= 0, ".limit.resources.accelerators", negative)
+	c.require(l.Tasks >= 0, ".limit.tasks", negative)
+}
+
+func (c *checker) class(class Class) {
+	c.named(string(class.Name), c.set.index.classes[class.Name])
+	target, targets := class.Target, 0
+	if target.AnsweredWithin != 0 {
+		targets++
+		c.require(target.AnsweredWithin > 0, ".target.answered-within", "must be positive")
+	}
+	if target.StartedWithin != 0 {
+		targets++
+		c.require(target.StartedWithin > 0, ".target.started-within", "must be positive")
+	}
+	if target.DoneBy != nil {
+		targets++
+		c.doneBy(*target.DoneBy)
+	}
+	c.require(targets <= 1, ".target", "at most one of answered-within, started-within and done-by may be set")
+}
+
+func (c *checker) doneBy(d DoneBy) {
+	c.require(clockTime.MatchString(d.Time), ".target.done-by.time", "must be a time of day from 00:00 to 23:59")
+	// "Local" and the empty name depend on the machine.
+	if d.Zone == "" || d.Zone == "Local" {
+		c.fail(".target.done-by.zone", "must be a time zone such as \"UTC\" or \"Asia/Kolkata\"")
+		return
+	}
+	if _, err := time.LoadLocation(d.Zone); err != nil {
+		c.fail(".target.done-by.zone", "unknown time zone %q", d.Zone)
+	}
+}
+
+func (c *checker) dataCentre(d DataCentre) {
+	c.named(string(d.Name), c.set.index.dataCentres[d.Name])
+	c.require(ValidName(d.Region), ".region", nameText)
+	switch d.Service {
+	case "", InService, OutOfService, Lost:
+	default:
+		c.fail(".service", "must be %q, %q or %q", InService, OutOfService, Lost)
+	}
+}
--- /dev/null
+++ b/internal/decl/diff.go
@@ -0,0 +1,145 @@
+package decl
+
+import (
+	"reflect"
+	"slices"
+
+	"arbutuswing.example/internal/model"
+)
+
+// Diff returns the patch that turns old into new. Keys of teams that both sets have appear as granted and withdrawn
+// keys, apart from the teams' terms, so that they can take effect on their own.
+func Diff(old, new Set) Patch {
+	old, new = old.Indexed(), new.Indexed()
+	var p Patch
+	p.Put.Organisations, p.Remove.Organisations = differ(old.Organisations, new.Organisations)
+	p.Put.Classes, p.Remove.Classes = differ(old.Classes, new.Classes)
+	p.Put.DataCentres, p.Remove.DataCentres = differ(old.DataCentres, new.DataCentres)
+	p.Remove.Teams = missing(old.Teams, new.Teams)
+	for _, team := range new.Teams {
+		before, ok := old.Team(team.Name)
+		if !ok {
+			p.Put.Teams = append(p.Put.Teams, team)
+			continue
+		}
+		if !sameTerms(before, team) {
+			terms := team
+			terms.Keys = nil
+			p.Put.Teams = append(p.Put.Teams, terms)
+		}
+		p.GrantKeys = append(p.GrantKeys, keysOnlyIn(team, before)...)
+		p.WithdrawKeys = append(p.WithdrawKeys, keysOnlyIn(before, team)...)
+	}
+	return p
+}
+
+// sameTerms reports whether both teams have the same share, limit and organisation.
+func sameTerms(a, b Team) bool {
+	return a.Organisation == b.Organisation && a.Share == b.Share && a.Limit == b.Limit
+}
+
+// keysOnlyIn lists the keys that team has and other lacks.
+func keysOnlyIn(team, other Team) []KeyChange {
+	var out []KeyChange
+	for _, key := range team.Keys {
+		if !other.HasKey(key) {
+			out = append(out, KeyChange{Team: team.Name, Key: key})
+		}
+	}
+	return out
+}
+
+// differ lists the objects that are new or changed, and the names that are gone.
+func differ[N comparable, T named[N]](old, new []T) ([]T, []N) {
+	var put []T
+	before := positions(old)
+	for _, object := range new {
+		if i, ok := before[object.name()]; !ok || !reflect.DeepEqual(old[i], object) {
+			put = append(put, object)
+		}
+	}
+	return put, missing(old, new)
+}
+
+func missing[N comparable, T named[N]](old, new []T) []N {
+	var gone []N
+	after := positions(new)
+	for _, object := range old {
+		if _, ok := after[object.name()]; !ok {
+			gone = append(gone, object.name())
+		}
+	}
+	return gone
+}
+
+// Empty reports whether the patch changes nothing.
+func (p Patch) Empty() bool {
+	return p.Put.IsZero() && p.Remove.IsZero() && len(p.GrantKeys)+len(p.WithdrawKeys) == 0
+}
+
+// IsZero reports whether no object is named.
+func (n Names) IsZero() bool {
+	return len(n.Organisations)+len(n.Teams)+len(n.Classes)+len(n.DataCentres) == 0
+}
+
+// Equal reports whether both sets declare the same, in any order.
+func (s Set) Equal(other Set) bool { return Diff(s, other).Empty() }
+
+// Touches returns the organisations, sorted, that must approve the change from old to new. A team's terms are its
+// share, its limit, its organisation, its existence and the targets of the classes. Classes have no list of teams, so
+// a changed or removed target touches every organisation that has a team. Replacing an organisation's approval key or
+// removing the organisation touches it too, because whoever sets that key could approve on its behalf. New objects,
+// keys of teams and data centres touch nobody.
+func Touches(old, new Set) []model.OrganisationID {
+	old, new = old.Indexed(), new.Indexed()
+	touched := make(map[model.OrganisationID]bool)
+	hasTeams := make(map[model.OrganisationID]bool)
+	targets := targetsChanged(old, new)
+	for _, team := range old.Teams {
+		hasTeams[team.Organisation] = true
+		after, ok := new.Team(team.Name)
+		if targets || !ok || !sameTerms(team, after) {
+			touched[team.Organisation] = true
+		}
+		if ok {
+			touched[after.Organisation] = touched[after.Organisation] || after.Organisation != team.Organisation
+		}
+	}
+	for _, before := range old.Organisations {
+		after, ok := new.Organisation(before.Name)
+		if hasTeams[before.Name] && (!ok || after.ApprovalKey != before.ApprovalKey) {
+			touched[before.Name] = true
+		}
+	}
+	return sortedKeys(touched)
+}
+
+func targetsChanged(old, new Set) bool {
+	return slices.ContainsFunc(old.Classes, func(before Class) bool {
+		after, ok := new.Class(before.Name)
+		return !ok || !reflect.DeepEqual(before.Target, after.Target)
+	})
+}
+
+func sortedKeys(set map[model.OrganisationID]bool) []model.OrganisationID {
+	var out []model.OrganisationID
+	for name, in := range set {
+		if in {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Split divides a patch made by Diff into the part that never waits for approval (keys of existing teams and data
+// centres) and the rest.
+func (p Patch) Split() (now, rest Patch) {
+	rest = p
+	now.Put.DataCentres, rest.Put.DataCentres = p.Put.DataCentres, nil
+	now.Remove.DataCentres, rest.Remove.DataCentres = p.Remove.DataCentres, nil
+	now.GrantKeys, rest.GrantKeys = p.GrantKeys, nil
+	now.WithdrawKeys, rest.WithdrawKeys = p.WithdrawKeys, nil
+	now.Put, rest.Put = now.Put.Indexed(), rest.Put.withOrigins(nil)
+	return now, rest
+}
--- /dev/null
+++ b/internal/decl/index.go
@@ -0,0 +1,129 @@
+package decl
+
+import (
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/strict"
+)
+
+// index finds objects by name; it also remembers where objects of parsed sets were written.
+type index struct {
+	organisations map[model.OrganisationID]int
+	teams         map[model.TeamID]int
+	classes       map[model.ClassID]int
+	dataCentres   map[model.DataCentreID]int
+	keys          map[model.KeyHash]model.TeamID
+	origins       map[string]origin
+}
+
+// origin is the place of one object of a merged set in its own file.
+type origin struct {
+	document *strict.Document
+	path     string
+}
+
+// Indexed returns the set with an index, so that lookups by name take constant time. Sets from ParseSet, Merge and
+// Apply have one; a set decoded from JSON has none until Indexed is called.
+func (s Set) Indexed() Set {
+	if s.index != nil {
+		return s
+	}
+	return s.withOrigins(nil)
+}
+
+func (s Set) withOrigins(origins map[string]origin) Set {
+	ix := &index{
+		organisations: positions(s.Organisations),
+		teams:         positions(s.Teams),
+		classes:       positions(s.Classes),
+		dataCentres:   positions(s.DataCentres),
+		keys:          make(map[model.KeyHash]model.TeamID),
+		origins:       origins,
+	}
+	for _, team := range s.Teams {
+		for _, key := range team.Keys {
+			ix.keys[key] = team.Name
+		}
+	}
+	s.index = ix
+	return s
+}
+
+// named is an object that is found by its name.
+type named[N comparable] interface{ name() N }
+
+func (o Organisation) name() model.OrganisationID { return o.Name }
+func (t Team) name() model.TeamID                 { return t.Name }
+func (c Class) name() model.ClassID               { return c.Name }
+func (d DataCentre) name() model.DataCentreID     { return d.Name }
+
+// positions maps names to positions; of objects with the same name, the first one counts.
+func positions[N comparable, T named[N]](list []T) map[N]int {
+	out := make(map[N]int, len(list))
+	for i, object := range list {
+		if _, taken := out[object.name()]; !taken {
+			out[object.name()] = i
+		}
+	}
+	return out
+}
+
+func find[N comparable, T named[N]](list []T, at map[N]int, name N) (T, bool) {
+	var none T
+	if at != nil {
+		i, ok := at[name]
+		if !ok {
+			return none, false
+		}
+		return list[i], true
+	}
+	for _, object := range list {
+		if object.name() == name {
+			return object, true
+		}
+	}
+	return none, false
+}
+
+func (s Set) lookup() *index {
+	if s.index == nil {
+		return &index{}
+	}
+	return s.index
+}
+
+// Organisation returns the organisation of that name.
+func (s Set) Organisation(name model.OrganisationID) (Organisation, bool) {
+	return find(s.Organisations, s.lookup().organisations, name)
+}
+
+// Team returns the team of that name.
+func (s Set) Team(name model.TeamID) (Team, bool) { return find(s.Teams, s.lookup().teams, name) }
+
+// Class returns the class of that name.
+func (s Set) Class(name model.ClassID) (Class, bool) {
+	return find(s.Classes, s.lookup().classes, name)
+}
+
+// DataCentre returns the data centre of that name.
+func (s Set) DataCentre(name model.DataCentreID) (DataCentre, bool) {
+	return find(s.DataCentres, s.lookup().dataCentres, name)
+}
+
+// KeyHolder returns the team to which the key with that hash is granted.
+func (s Set) KeyHolder(key model.KeyHash) (model.TeamID, bool) {
+	if s.index != nil {
+		team, ok := s.index.keys[key]
+		return team, ok
+	}
+	for _, team := range s.Teams {
+		if team.HasKey(key) {
+			return team.Name, true
+		}
+	}
+	return "", false
+}
+
+// IsZero reports whether the set declares nothing.
+func (s Set) IsZero() bool {
+	return len(s.Organisations)+len(s.Teams)+len(s.Classes)+len(s.DataCentres) == 0
+}
--- /dev/null
+++ b/internal/decl/names.go
@@ -0,0 +1,22 @@
+package decl
+
+import (
+	"regexp"
+
+	"arbutuswing.example/internal/model"
+)
+
+var (
+	kebabCase = regexp.MustCompile(`^[a-z][a-z0-9]*(-[a-z0-9]+)*$`)
+	hexHash   = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	clockTime = regexp.MustCompile(`^([01][0-9]|2[0-3]):[0-5][0-9]$`)
+)
+
+// maxName bounds names in bytes, because they become part of metrics and paths.
+const maxName = 63
+
+// ValidName reports whether name is kebab case, starts with a letter and has at most 63 bytes.
+func ValidName(name string) bool { return len(name) <= maxName && kebabCase.MatchString(name) }
+
+// ValidKeyHash reports whether hash is a SHA-256 in lower-case hexadecimal.
+func ValidKeyHash(hash model.KeyHash) bool { return hexHash.MatchString(string(hash)) }
--- /dev/null
+++ b/internal/decl/parse.go
@@ -0,0 +1,98 @@
+package decl
+
+import (
+	"fmt"
+
+	"arbutuswing.example/internal/strict"
+)
+
+// Kinds of objects, as they are named in files and paths.
+const (
+	organisationsKey = "organisations"
+	teamsKey         = "teams"
+	classesKey       = "classes"
+	dataCentresKey   = "data-centres"
+)
+
+// ParseSet decodes the declarations of one file. Unknown keys are refused; the error is a strict.Faults that gives
+// the place of each fault. The set's contents are not checked: see Check.
+func ParseSet(file string, data []byte) (Set, error) {
+	var set Set
+	document, err := strict.Decode(file, data, &set)
+	if err != nil {
+		return Set{}, err
+	}
+	return set.withOrigins(set.originsIn(document, "")), nil
+}
+
+// ParsePatch decodes a change to declarations as ParseSet decodes a set.
+func ParsePatch(file string, data []byte) (Patch, error) {
+	var patch Patch
+	document, err := strict.Decode(file, data, &patch)
+	if err != nil {
+		return Patch{}, err
+	}
+	patch.Put = patch.Put.withOrigins(patch.Put.originsIn(document, "put."))
+	return patch, nil
+}
+
+// originsIn returns the places of the set's objects in document, by their path in the set.
+func (s Set) originsIn(document *strict.Document, prefix string) map[string]origin {
+	origins := map[string]origin{"": {document: document}}
+	for _, kind := range s.counts() {
+		for i := range kind.count {
+			path := fmt.Sprintf("%s[%d]", kind.key, i)
+			origins[path] = origin{document: document, path: prefix + path}
+		}
+	}
+	return origins
+}
+
+type count struct {
+	key   string
+	count int
+}
+
+func (s Set) counts() []count {
+	return []count{
+		{organisationsKey, len(s.Organisations)},
+		{teamsKey, len(s.Teams)},
+		{classesKey, len(s.Classes)},
+		{dataCentresKey, len(s.DataCentres)},
+	}
+}
+
+// Merge joins sets, such as those of the files of one directory, and keeps the places of their objects.
+func Merge(sets ...Set) Set {
+	var merged Set
+	origins := make(map[string]origin)
+	for _, set := range sets {
+		before := merged.counts()
+		for i, kind := range set.counts() {
+			for n := range kind.count {
+				place, ok := set.lookup().origins[fmt.Sprintf("%s[%d]", kind.key, n)]
+				if ok {
+					origins[fmt.Sprintf("%s[%d]", kind.key, before[i].count+n)] = place
+				}
+			}
+		}
+		merged.Organisations = append(merged.Organisations, set.Organisations...)
+		merged.Teams = append(merged.Teams, set.Teams...)
+		merged.Classes = append(merged.Classes, set.Classes...)
+		merged.DataCentres = append(merged.DataCentres, set.DataCentres...)
+	}
+	if len(sets) > 0 {
+		if first, ok := sets[0].lookup().origins[""]; ok {
+			origins[""] = first
+		}
+	}
+	return merged.withOrigins(origins)
+}
+
+// problem locates a fault of the object at path; rest is the part of the path inside the object.
+func (s Set) problem(path, rest, text string) Problem {
+	if place, ok := s.lookup().origins[path]; ok && place.document != nil {
+		return place.document.Fault(place.path+rest, text)
+	}
+	return Problem{Path: path + rest, Text: text}
+}
--- /dev/null
+++ b/internal/schema/defaults.go
@@ -0,0 +1,39 @@
+package schema
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/invopop/jsonschema"
+)
+
+// setDefaults copies the values of value, a struct with defaults, into the schema; empty values are no defaults.
+func setDefaults(root *jsonschema.Schema, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	var tree map[string]any
+	if err := json.Unmarshal(data, &tree); err != nil {
+		return err
+	}
+	defaultsOf(root, root, tree)
+	return nil
+}
+
+func defaultsOf(root, part *jsonschema.Schema, tree map[string]any) {
+	for pair := part.Properties.Oldest(); pair != nil; pair = pair.Next() {
+		value, ok := tree[pair.Key]
+		if !ok || value == "" {
+			continue
+		}
+		inner, nested := value.(map[string]any)
+		if !nested {
+			pair.Value.Default = value
+			continue
+		}
+		if definition := root.Definitions[strings.TrimPrefix(pair.Value.Ref, refPrefix)]; definition != nil {
+			defaultsOf(root, definition, inner)
+		}
+	}
+}
--- /dev/null
+++ b/internal/schema/page.go
@@ -0,0 +1,103 @@
+package schema
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/invopop/jsonschema"
+)
+
+const refPrefix = "#/$defs/"
+
+// Markdown renders a schema from Build as a section of a reference page: one table for the document and one for each
+// object in it.
+func Markdown(text []byte) (string, error) {
+	root := &jsonschema.Schema{}
+	if err := json.Unmarshal(text, root); err != nil {
+		return "", fmt.Errorf("reading a schema: %w", err)
+	}
+	p := &page{root: root}
+	p.section("## "+root.Title, root)
+	for i := 0; i < len(p.pending); i++ {
+		name := p.pending[i]
+		p.section("### "+name, root.Definitions[name])
+	}
+	return p.text.String(), nil
+}
+
+type page struct {
+	root *jsonschema.Schema
+	text strings.Builder
+	// pending lists the definitions in the order in which they are first referred to.
+	pending []string
+}
+
+func (p *page) section(heading string, part *jsonschema.Schema) {
+	fmt.Fprintf(&p.text, "%s\n\n", heading)
+	if part.Description != "" {
+		fmt.Fprintf(&p.text, "%s\n\n", escape(part.Description))
+	}
+	p.text.WriteString("| key | type | default | meaning |\n|---|---|---|---|\n")
+	for pair := part.Properties.Oldest(); pair != nil; pair = pair.Next() {
+		key := "`" + pair.Key + "`"
+		if slices.Contains(part.Required, pair.Key) {
+			key += " (required)"
+		}
+		fmt.Fprintf(&p.text, "| %s | %s | %s | %s |\n", key, p.kind(pair.Value), preset(pair.Value), p.meaning(pair.Value))
+	}
+	p.text.WriteString("\n")
+}
+
+func (p *page) kind(s *jsonschema.Schema) string {
+	switch {
+	case s.Ref != "":
+		name := strings.TrimPrefix(s.Ref, refPrefix)
+		if !slices.Contains(p.pending, name) {
+			p.pending = append(p.pending, name)
+		}
+		return "[" + name + "](#" + strings.ToLower(name) + ")"
+	case s.Type == "array":
+		return "list of " + p.kind(s.Items)
+	case len(s.Enum) > 0:
+		return choices(s.Enum)
+	case s.Format == "duration":
+		return "duration, such as `250ms`"
+	case s.Pattern == hashPattern:
+		return "SHA-256 in hexadecimal"
+	case s.Type == "string":
+		return "text"
+	default:
+		return s.Type
+	}
+}
+
+func (p *page) meaning(s *jsonschema.Schema) string {
+	if s.Description == "" && s.Ref != "" {
+		return escape(p.root.Definitions[strings.TrimPrefix(s.Ref, refPrefix)].Description)
+	}
+	return escape(s.Description)
+}
+
+func choices(values []any) string {
+	out := make([]string, len(values))
+	for i, value := range values {
+		out[i] = fmt.Sprintf("`%v`", value)
+	}
+	return strings.Join(out, ", ")
+}
+
+func preset(s *jsonschema.Schema) string {
+	if s.Default == nil {
+		return ""
+	}
+	text, err := json.Marshal(s.Default)
+	if err != nil {
+		return ""
+	}
+	return "`" + strings.Trim(string(text), `"`) + "`"
+}
+
+// escape keeps text from ending a table cell.
+func escape(text string) string { return strings.ReplaceAll(text, "|", `\|`) }
