--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,135 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/peerpb"
+	"arbutuswing.example/internal/ports"
+)
+
+// pathPrefix is the first part of the path of all calls.
+const pathPrefix = "/peer"
+
+// Client calls peers by address; its methods are safe for concurrent use.
+type Client struct {
+	cfg  ClientConfig
+	pool *pool
+}
+
+// NewClient returns a client without open connections.
+func NewClient(cfg ClientConfig) (*Client, error) {
+	cfg = cfg.WithDefaults()
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	return &Client{cfg: cfg, pool: newPool(cfg)}, nil
+}
+
+// Beat sends a heartbeat; it returns ErrUnreachable if no answer comes in time.
+func (c *Client) Beat(ctx context.Context, address string, own Status) (BeatAnswer, error) {
+	out, err := call(ctx, c, "Beat", address, c.cfg.BeatTimeout, &peerpb.BeatRequest{Status: statusToWire(own)},
+		peerpb.Peer.Beat)
+	if err != nil {
+		return BeatAnswer{}, err
+	}
+	return answerFromWire(out), nil
+}
+
+// ReadLog reads the platform's log through a peer; it returns ports.ErrTruncated with a batch that holds only First
+// and Next, ports.ErrUnavailable if the peer cannot read the log, or ErrUnreachable.
+func (c *Client) ReadLog(
+	ctx context.Context, address string, from model.Offset, limit int, wait time.Duration,
+) (ports.Batch, error) {
+	req := &peerpb.ReadLogRequest{From: int64(from), Limit: int32(min(limit, 1<<20)), Wait: int64(wait)}
+	out, err := call(ctx, c, "ReadLog", address, wait+c.cfg.CallTimeout, req, peerpb.Peer.ReadLog)
+	if err != nil {
+		return ports.Batch{}, err
+	}
+	batch := batchFromWire(out)
+	if out.GetTruncated() {
+		return batch, fmt.Errorf("reading the log through %s: %w", address, ports.ErrTruncated)
+	}
+	return batch, nil
+}
+
+// AppendLog appends to the platform's log through a peer; it returns ports.ErrUnavailable or ports.ErrThrottled when
+// the append certainly had no effect, else ports.ErrUnknownEffect.
+func (c *Client) AppendLog(ctx context.Context, address string, data []byte) (model.Offset, error) {
+	req := &peerpb.AppendLogRequest{Data: data}
+	out, err := call(ctx, c, "AppendLog", address, c.cfg.CallTimeout, req, peerpb.Peer.AppendLog)
+	switch {
+	case err == nil:
+		return model.Offset(out.GetOffset()), nil
+	case isCertain(err):
+		return model.NoOffset, err
+	case notSent(err):
+		return model.NoOffset, fmt.Errorf("%w: %w", ports.ErrUnavailable, err)
+	default:
+		return model.NoOffset, fmt.Errorf("%w: %w", ports.ErrUnknownEffect, err)
+	}
+}
+
+// Snapshot fetches a peer's folded state; it returns ErrNotReady or ErrUnreachable.
+func (c *Client) Snapshot(ctx context.Context, address string) (Snapshot, error) {
+	out, err := call(ctx, c, "Snapshot", address, c.cfg.SnapshotTimeout, &peerpb.SnapshotRequest{},
+		peerpb.Peer.Snapshot)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	return Snapshot{
+		At: model.Offset(out.GetAt()), Data: out.GetData(),
+		Recorded: model.Offset(out.GetRecorded()), RecordedAge: time.Duration(out.GetRecordedAge()),
+	}, nil
+}
+
+// Claim asks the owner of a request ID for the right to run it; after ErrUnreachable the claim may have been granted.
+func (c *Client) Claim(ctx context.Context, address string, claim Claim) (ClaimAnswer, error) {
+	req := &peerpb.ClaimRequest{
+		RequestId: claim.RequestID, Claimant: senderToWire(claim.Claimant), Membership: int64(claim.Membership),
+	}
+	out, err := call(ctx, c, "Claim", address, c.cfg.CallTimeout, req, peerpb.Peer.Claim)
+	if err != nil {
+		return ClaimAnswer{}, err
+	}
+	return ClaimAnswer{
+		Verdict: verdictFromWire(out.GetVerdict()), Membership: model.Offset(out.GetMembership()),
+	}, nil
+}
+
+// Settle tells the owner of a request ID how the request ended; it may be repeated.
+func (c *Client) Settle(ctx context.Context, address string, settle Settle) error {
+	req := &peerpb.SettleRequest{
+		RequestId: settle.RequestID, Claimant: senderToWire(settle.Claimant), Ran: settle.Ran,
+	}
+	_, err := call(ctx, c, "Settle", address, c.cfg.CallTimeout, req, peerpb.Peer.Settle)
+	return err
+}
+
+// Retain closes the connections to all peers but those at addresses, so that replaced instances leave nothing behind.
+func (c *Client) Retain(addresses []string) { c.pool.retain(addresses) }
+
+// Dump returns the counts of calls by address for the state dump.
+func (c *Client) Dump() any { return c.pool.dump() }
+
+// call runs one method of the generated client under a deadline.
+func call[Req, Resp any](
+	ctx context.Context, c *Client, name, address string, timeout time.Duration, req Req,
+	method func(peerpb.Peer, context.Context, Req) (Resp, error),
+) (Resp, error) {
+	ctx, cancel := clockwork.WithTimeout(ctx, c.cfg.Clock, timeout)
+	defer cancel()
+	link := c.pool.link(address)
+	start := c.cfg.Clock.Now()
+	out, err := method(link.peer, ctx, req)
+	link.finish(name, c.cfg.Clock.Since(start), err)
+	if err != nil {
+		var zero Resp
+		return zero, errorFromWire(name, address, err)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/peer/config.go
@@ -0,0 +1,115 @@
+package peer
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+)
+
+// ErrConfig reports settings that cannot be used.
+var ErrConfig = errors.New("invalid peer settings")
+
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	Logger *zap.Logger
+	Clock  clockwork.Clock
+	// BeatTimeout bounds a heartbeat; it is shorter than the interval between heartbeats.
+	BeatTimeout time.Duration
+	// CallTimeout bounds Claim, Settle and AppendLog, and ReadLog on top of its wait.
+	CallTimeout time.Duration
+	// SnapshotTimeout bounds the transfer of a whole state.
+	SnapshotTimeout time.Duration
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	// IdleTimeout closes connections that carried nothing for that long.
+	IdleTimeout time.Duration
+	// IdleConnections is the number of idle connections kept to each peer.
+	IdleConnections int
+}
+
+// WithDefaults fills in what is not set.
+func (c ClientConfig) WithDefaults() ClientConfig {
+	if c.Logger == nil {
+		c.Logger = zap.NewNop()
+	}
+	if c.Clock == nil {
+		c.Clock = clockwork.NewRealClock()
+	}
+	setDefault(&c.BeatTimeout, 400*time.Millisecond)
+	setDefault(&c.CallTimeout, time.Second)
+	setDefault(&c.SnapshotTimeout, 10*time.Second)
+	setDefault(&c.DialTimeout, 300*time.Millisecond)
+	setDefault(&c.IdleTimeout, 30*time.Second)
+	if c.IdleConnections == 0 {
+		c.IdleConnections = 4
+	}
+	return c
+}
+
+// Check returns ErrConfig for settings that cannot be used.
+func (c ClientConfig) Check() error {
+	for _, d := range []time.Duration{c.BeatTimeout, c.CallTimeout, c.SnapshotTimeout, c.DialTimeout, c.IdleTimeout} {
+		if d <= 0 {
+			return fmt.Errorf("%w: time-outs must be positive", ErrConfig)
+		}
+	}
+	if c.IdleConnections < 1 {
+		return fmt.Errorf("%w: at least one idle connection is needed", ErrConfig)
+	}
+	return nil
+}
+
+// ServerConfig configures a Server.
+type ServerConfig struct {
+	Logger *zap.Logger
+	// Listener accepts the connections of peers; the server closes it.
+	Listener net.Listener
+	Beats    Beats
+	Journal  Journal
+	Requests Requests
+	// StopTimeout bounds the wait for open calls when the server stops.
+	StopTimeout time.Duration
+	// MaxBody is the longest request body in bytes.
+	MaxBody int64
+	// MaxWait bounds the wait of a relayed read.
+	MaxWait time.Duration
+	// MaxRecords bounds the records of a relayed read.
+	MaxRecords int
+}
+
+// WithDefaults fills in what is not set.
+func (c ServerConfig) WithDefaults() ServerConfig {
+	if c.Logger == nil {
+		c.Logger = zap.NewNop()
+	}
+	setDefault(&c.StopTimeout, 2*time.Second)
+	setDefault(&c.MaxWait, time.Second)
+	if c.MaxBody == 0 {
+		c.MaxBody = 1 << 20
+	}
+	if c.MaxRecords == 0 {
+		c.MaxRecords = 1000
+	}
+	return c
+}
+
+// Check returns ErrConfig for settings that cannot be used.
+func (c ServerConfig) Check() error {
+	if c.Listener == nil || c.Beats == nil || c.Journal == nil || c.Requests == nil {
+		return fmt.Errorf("%w: listener and handlers must be set", ErrConfig)
+	}
+	if c.StopTimeout <= 0 || c.MaxBody <= 0 || c.MaxWait <= 0 || c.MaxRecords <= 0 {
+		return fmt.Errorf("%w: limits must be positive", ErrConfig)
+	}
+	return nil
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
--- /dev/null
+++ b/internal/peer/convert.go
@@ -0,0 +1,95 @@
+package peer
+
+import (
+	"time"
+
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/peerpb"
+	"arbutuswing.example/internal/ports"
+)
+
+func senderToWire(s Sender) *peerpb.Sender {
+	return &peerpb.Sender{Instance: string(s.Instance), Incarnation: int64(s.Incarnation)}
+}
+
+func senderFromWire(s *peerpb.Sender) Sender {
+	return Sender{
+		Instance:    model.InstanceID(s.GetInstance()),
+		Incarnation: model.Incarnation(s.GetIncarnation()),
+	}
+}
+
+func statusToWire(s Status) *peerpb.Status {
+	return &peerpb.Status{
+		Sender: senderToWire(s.Sender), DataCentre: string(s.DataCentre), PeerAddress: s.PeerAddress,
+		Applied: int64(s.Applied), LogAnswers: s.LogAnswers, Ready: s.Ready, Load: s.Load, Leaving: s.Leaving,
+		Age: int64(s.Age),
+	}
+}
+
+func statusFromWire(s *peerpb.Status) Status {
+	return Status{
+		Sender: senderFromWire(s.GetSender()), DataCentre: model.DataCentreID(s.GetDataCentre()),
+		PeerAddress: s.GetPeerAddress(), Applied: model.Offset(s.GetApplied()), LogAnswers: s.GetLogAnswers(),
+		Ready: s.GetReady(), Load: s.GetLoad(), Leaving: s.GetLeaving(), Age: time.Duration(max(s.GetAge(), 0)),
+	}
+}
+
+func answerToWire(a BeatAnswer) *peerpb.BeatResponse {
+	out := &peerpb.BeatResponse{Status: statusToWire(a.Status)}
+	for _, neighbour := range a.Neighbours {
+		out.Neighbours = append(out.Neighbours, statusToWire(neighbour))
+	}
+	return out
+}
+
+func answerFromWire(a *peerpb.BeatResponse) BeatAnswer {
+	out := BeatAnswer{Status: statusFromWire(a.GetStatus())}
+	for _, neighbour := range a.GetNeighbours() {
+		out.Neighbours = append(out.Neighbours, statusFromWire(neighbour))
+	}
+	return out
+}
+
+func batchToWire(b ports.Batch) *peerpb.ReadLogResponse {
+	out := &peerpb.ReadLogResponse{First: int64(b.First), Next: int64(b.Next)}
+	for _, rec := range b.Records {
+		out.Records = append(out.Records, &peerpb.Record{Offset: int64(rec.Offset), Data: rec.Data})
+	}
+	return out
+}
+
+func batchFromWire(b *peerpb.ReadLogResponse) ports.Batch {
+	out := ports.Batch{First: model.Offset(b.GetFirst()), Next: model.Offset(b.GetNext())}
+	for _, rec := range b.GetRecords() {
+		out.Records = append(out.Records, ports.Record{Offset: model.Offset(rec.GetOffset()), Data: rec.GetData()})
+	}
+	return out
+}
+
+func verdictToWire(v Verdict) peerpb.Verdict {
+	switch v {
+	case VerdictGranted:
+		return peerpb.Verdict_VERDICT_GRANTED
+	case VerdictConflict:
+		return peerpb.Verdict_VERDICT_CONFLICT
+	case VerdictMembership:
+		return peerpb.Verdict_VERDICT_MEMBERSHIP
+	case VerdictUnknown:
+	}
+	return peerpb.Verdict_VERDICT_UNKNOWN
+}
+
+// verdictFromWire maps verdicts of a newer version to VerdictUnknown, which never lets a request run twice.
+func verdictFromWire(v peerpb.Verdict) Verdict {
+	switch v {
+	case peerpb.Verdict_VERDICT_GRANTED:
+		return VerdictGranted
+	case peerpb.Verdict_VERDICT_CONFLICT:
+		return VerdictConflict
+	case peerpb.Verdict_VERDICT_MEMBERSHIP:
+		return VerdictMembership
+	case peerpb.Verdict_VERDICT_UNSPECIFIED, peerpb.Verdict_VERDICT_UNKNOWN:
+	}
+	return VerdictUnknown
+}
--- /dev/null
+++ b/internal/peer/types.go
@@ -0,0 +1,122 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/ports"
+)
+
+// Errors of calls to peers.
+var (
+	// ErrUnreachable reports that the peer gave no answer in time; the call may have taken effect.
+	ErrUnreachable = errors.New("peer unreachable")
+	// ErrRefused reports that the peer answered with an error.
+	ErrRefused = errors.New("peer refused the call")
+	// ErrNotReady reports that the peer has no state to serve yet.
+	ErrNotReady = errors.New("peer has no state yet")
+)
+
+// Sender identifies one incarnation of an entry instance.
+type Sender struct {
+	Instance    model.InstanceID  `json:"instance"`
+	Incarnation model.Incarnation `json:"incarnation"`
+}
+
+// Status is what an instance tells about itself, or about another instance of its own data centre.
+type Status struct {
+	Sender
+	DataCentre  model.DataCentreID `json:"data-centre"`
+	PeerAddress string             `json:"peer-address"`
+	// Applied is the offset of the last envelope folded, or model.NoOffset.
+	Applied model.Offset `json:"applied"`
+	// LogAnswers tells whether the instance itself reads the log; a relayed instance says no.
+	LogAnswers bool `json:"log-answers"`
+	// Ready tells whether the instance can serve a snapshot.
+	Ready bool `json:"ready"`
+	// Load is the number of requests in flight.
+	Load int64 `json:"load"`
+	// Leaving is set during a planned shutdown.
+	Leaving bool `json:"leaving,omitempty"`
+	// Age is how old the information was when it was sent; zero for the sender's own status.
+	Age time.Duration `json:"age,omitempty"`
+}
+
+// BeatAnswer is the answer to a heartbeat.
+type BeatAnswer struct {
+	Status Status `json:"status"`
+	// Neighbours are the other live instances of the responder's data centre.
+	Neighbours []Status `json:"neighbours,omitempty"`
+}
+
+// Snapshot is the state after the record at offset At, compressed.
+type Snapshot struct {
+	At   model.Offset
+	Data []byte
+	// Recorded is the offset that the newest whole snapshot in the log describes, or model.NoOffset.
+	Recorded model.Offset
+	// RecordedAge is the age of that snapshot.
+	RecordedAge time.Duration
+}
+
+// Claim asks the owner of a request ID for the right to run the request.
+type Claim struct {
+	RequestID string
+	Claimant  Sender
+	// Membership is the offset of the last membership change that the claimant has folded.
+	Membership model.Offset
+}
+
+// Verdict is the owner's decision on a claim.
+type Verdict int
+
+// Verdicts on claims.
+const (
+	// VerdictUnknown reports that the owner cannot tell whether the request ran.
+	VerdictUnknown Verdict = iota
+	// VerdictGranted lets the claimant run the request.
+	VerdictGranted
+	// VerdictConflict reports that the request ran already or is running.
+	VerdictConflict
+	// VerdictMembership reports that owner and claimant have folded different membership offsets.
+	VerdictMembership
+)
+
+// ClaimAnswer is the owner's answer to a claim.
+type ClaimAnswer struct {
+	Verdict Verdict
+	// Membership is the offset of the last membership change that the owner has folded.
+	Membership model.Offset
+}
+
+// Settle tells the owner how a claimed request ended.
+type Settle struct {
+	RequestID string
+	Claimant  Sender
+	// Ran is false when the request certainly did not run, so that it may be claimed again.
+	Ran bool
+}
+
+// Beats answers heartbeats.
+type Beats interface {
+	HandleBeat(ctx context.Context, from Status) (BeatAnswer, error)
+}
+
+// Journal gives peers access to the log and to the folded state.
+type Journal interface {
+	// ReadLog reads from the platform's log itself, never through another peer; with ports.ErrTruncated the batch
+	// still holds First and Next.
+	ReadLog(ctx context.Context, from model.Offset, limit int, wait time.Duration) (ports.Batch, error)
+	// AppendLog appends to the platform's log itself.
+	AppendLog(ctx context.Context, data []byte) (model.Offset, error)
+	// Snapshot returns the folded state, or ErrNotReady.
+	Snapshot(ctx context.Context) (Snapshot, error)
+}
+
+// Requests owns request IDs.
+type Requests interface {
+	HandleClaim(ctx context.Context, claim Claim) (ClaimAnswer, error)
+	HandleSettle(ctx context.Context, settle Settle) error
+}
