--- a/endpt/internal/daemon/admin.go
+++ b/endpt/internal/daemon/admin.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -49,7 +50,9 @@
 
 func (d *Daemon) addFault(ctx *fasthttp.RequestCtx) {
 	var wanted fault.Fault
-	if err := setup.Decode(ctx.PostBody(), &wanted); err != nil {
+	decoder := json.NewDecoder(bytes.NewReader(ctx.PostBody()))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&wanted); err != nil {
 		refuse(ctx, err)
 		return
 	}
--- a/endpt/internal/daemon/daemon.go
+++ b/endpt/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"arbutuswing.example/endpt/internal/setup"
 	"arbutuswing.example/endpt/internal/site"
 	"arbutuswing.example/endpt/internal/tally"
+	"arbutuswing.example/internal/config"
 	"arbutuswing.example/internal/logs"
 	"arbutuswing.example/internal/platf"
 	"arbutuswing.example/internal/ports"
@@ -47,7 +48,7 @@
 
 // Run plays the endpoints of a settings file until ctx ends, then drains; log lines go to out.
 func Run(ctx context.Context, path string, out io.Writer) error {
-	settings, err := setup.Load(path)
+	settings, err := config.Load[setup.Settings](path)
 	if err != nil {
 		return err
 	}
--- a/endpt/internal/site/run.go
+++ b/endpt/internal/site/run.go
@@ -19,7 +19,6 @@
 
 // Headers with which tests choose what a request does; the body's first line can do the same.
 const (
-	HeaderRequest = "Request-Id"
 	// HeaderWork is how long the request works, in milliseconds.
 	HeaderWork = "Work-Ms"
 	// HeaderBytes is the size of the answer; without it the body comes back.
@@ -29,8 +28,9 @@
 // maxAnswer bounds the size of an answer that a request may ask for.
 const maxAnswer = 64 << 20
 
-// Wish is what a request asks for. Entry instances hand on the body but no headers, so callers may write it in JSON as
-// the body's first line.
+// Wish is what a request asks for. Entry instances hand on the body but not these headers, so callers may write it in
+// JSON as the body's first line, which takes precedence: a request ID there names what the caller wants done once,
+// whatever IDs it was sent under.
 type Wish struct {
 	Request string `json:"request-id"`
 	WorkMS  *int   `json:"work-ms,omitempty"`
@@ -38,20 +38,17 @@
 }
 
 func wishOf(req *fasthttp.Request) Wish {
-	var wish Wish
-	line, _, _ := bytes.Cut(req.Body(), []byte("\n"))
-	if len(line) == 0 || line[0] != '{' || json.Unmarshal(line, &wish) != nil {
-		wish = Wish{}
-	}
-	if id := req.Header.Peek(HeaderRequest); len(id) > 0 {
-		wish.Request = string(id)
-	}
+	wish := Wish{Request: string(req.Header.Peek(ephttp.HeaderRequest))}
 	if work, err := strconv.Atoi(string(req.Header.Peek(HeaderWork))); err == nil {
 		wish.WorkMS = &work
 	}
 	if size, err := strconv.Atoi(string(req.Header.Peek(HeaderBytes))); err == nil {
 		wish.Bytes = size
 	}
+	line, _, _ := bytes.Cut(req.Body(), []byte("\n"))
+	if written := wish; len(line) > 0 && line[0] == '{' && json.Unmarshal(line, &written) == nil {
+		wish = written
+	}
 	wish.Bytes = min(max(wish.Bytes, 0), maxAnswer)
 	return wish
 }
--- a/internal/httpc/pool.go
+++ b/internal/httpc/pool.go
@@ -27,10 +27,8 @@
 	defaultProbeTimeout = 200 * time.Millisecond
 	defaultProbePath    = "/ping"
 	defaultMaxBody      = 64 << 20
-	// timeoutsBeforeForget is how many time-outs in a row make the pool drop its idle connections: a device that
-	// lost the state of one connection has probably lost that of the others.
-	timeoutsBeforeForget = 2
-	readBufferBytes      = 16 << 10
+	defaultSilentAfter  = 2
+	readBufferBytes     = 16 << 10
 )
 
 // Config describes a pool.
@@ -46,6 +44,9 @@
 	// ProbeTimeout bounds the check, which is a GET of ProbePath.
 	ProbeTimeout time.Duration
 	ProbePath    string
+	// SilentAfter is how many time-outs in a row make the pool close its idle connections: a device that lost the state
+	// of one connection has probably lost that of the others.
+	SilentAfter int
 	// MaxBody bounds an answer's body in bytes.
 	MaxBody int
 }
@@ -67,6 +68,9 @@
 	if c.ProbePath == "" {
 		c.ProbePath = defaultProbePath
 	}
+	if c.SilentAfter == 0 {
+		c.SilentAfter = defaultSilentAfter
+	}
 	if c.MaxBody == 0 {
 		c.MaxBody = defaultMaxBody
 	}
@@ -175,7 +179,7 @@
 	case errors.Is(ctx.Err(), context.Canceled):
 	case err == nil || !errors.As(err, &failure) || !failure.Timeout():
 		p.timeouts.Store(0)
-	case p.timeouts.Add(1) >= timeoutsBeforeForget:
+	case int(p.timeouts.Add(1)) >= p.cfg.SilentAfter:
 		p.timeouts.Store(0)
 		p.Forget()
 	}
--- a/internal/platf/client.go
+++ b/internal/platf/client.go
@@ -27,7 +27,7 @@
 
 // Config describes the platform.
 type Config struct {
-	// Address is host:port of the log and the list.
+	// Address is host:port of the log and the list; a URL's leading http:// is dropped.
 	Address string
 	// DataCentre is the caller's own data centre.
 	DataCentre model.DataCentreID
@@ -41,6 +41,7 @@
 
 // WithDefaults returns the configuration with defaults for what is unset.
 func (c Config) WithDefaults() Config {
+	c.Address = strings.TrimSuffix(strings.TrimPrefix(c.Address, "http://"), "/")
 	if c.Timeout == 0 {
 		c.Timeout = defaultTimeout
 	}
--- a/standin/internal/daemon/daemon.go
+++ b/standin/internal/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"go.uber.org/dig"
 	"go.uber.org/zap"
 
+	"arbutuswing.example/internal/config"
 	"arbutuswing.example/internal/logs"
 	"arbutuswing.example/standin/internal/fault"
 	"arbutuswing.example/standin/internal/fleet"
@@ -21,7 +22,7 @@
 
 // Run serves with the settings of a file until ctx ends; log lines go to out.
 func Run(ctx context.Context, path string, out io.Writer) error {
-	settings, err := setup.Load(path)
+	settings, err := config.Load[setup.Settings](path)
 	if err != nil {
 		return err
 	}
--- a/standin/internal/setup/rows.go
+++ b/standin/internal/setup/rows.go
@@ -15,6 +15,7 @@
 func (s Settings) Specs() []fleet.Spec {
 	var specs []fleet.Spec
 	for _, group := range s.Workers {
+		group = group.withDefaults()
 		for n := range group.Count {
 			rack := string(group.DataCentre) + "-" + group.Prefix + "rack" + strconv.Itoa(n/group.PerRack+1)
 			specs = append(specs, fleet.Spec{
@@ -30,7 +31,9 @@
 func (s Settings) Rows() []ports.Instance {
 	rows := make([]ports.Instance, 0, len(s.Instances))
 	for _, row := range s.Instances {
-		row.Presence = orElse(row.Presence, ports.PresenceLive)
+		if row.Presence == "" {
+			row.Presence = ports.PresenceLive
+		}
 		rows = append(rows, row)
 	}
 	for _, spec := range s.Specs() {
