--- a/caller/doc.go
+++ b/caller/doc.go
@@ -1,2 +1,2 @@
-// Command aw-caller is built up in later commits.
+// Command aw-caller sends requests and jobs to entry instances and compares the answers with what the stand-ins counted.
 package main
--- /dev/null
+++ b/caller/internal/setup/doc.go
@@ -0,0 +1,2 @@
+// Package setup holds the settings of the load tool.
+package setup
