--- a/internal/httpc/pool.go
+++ b/internal/httpc/pool.go
@@ -28,6 +28,8 @@
 	defaultProbePath    = "/ping"
 	defaultMaxBody      = 64 << 20
 	defaultSilentAfter  = 2
+	dialLimit           = 3 * time.Second
+	waitLimit           = time.Minute
 	readBufferBytes     = 16 << 10
 )
 
@@ -37,6 +39,8 @@
 	Address string
 	// Connections is the most connections that are open at the same time.
 	Connections int
+	// Wait lets calls wait for a connection when all are in use; else they fail at once with ErrNotSent.
+	Wait bool
 	// Idle is how long an unused connection is kept.
 	Idle time.Duration
 	// ProbeAfter is how long a connection is idle before a call with Probe set checks it.
@@ -101,13 +105,22 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	return &Pool{cfg: cfg, host: &fasthttp.HostClient{
+	host := &fasthttp.HostClient{
 		Addr: cfg.Address, MaxConns: cfg.Connections, MaxIdleConnDuration: cfg.Idle,
 		ConnPoolStrategy: fasthttp.LIFO, ReadBufferSize: readBufferBytes, DialTimeout: dial,
-	}}, nil
+	}
+	if cfg.Wait {
+		// A call's own time-out is shorter and ends the wait.
+		host.MaxConnWaitTimeout = waitLimit
+	}
+	return &Pool{cfg: cfg, host: host}, nil
 }
 
+// dial bounds also the connections that the pool opens for waiting calls, for which it gives no time-out.
 func dial(address string, timeout time.Duration) (net.Conn, error) {
+	if timeout <= 0 {
+		timeout = dialLimit
+	}
 	return net.DialTimeout("tcp", address, timeout)
 }
 
--- a/internal/httpc/pool_test.go
+++ b/internal/httpc/pool_test.go
@@ -189,6 +189,32 @@
 	assert.NilError(t, <-first)
 }
 
+// TestWait guards against calls that fail for lack of a connection though the pool is to wait for one, or that wait
+// longer than their time-out.
+func TestWait(t *testing.T) {
+	leave := make(chan struct{})
+	h := newHost(t, func(c net.Conn, _, _ int) bool { <-leave; return say(c, whole) })
+	pool := newPool(t, Config{Address: h.Addr().String(), Connections: 2, Wait: true})
+	const calls = 10
+	results := make(chan error, calls)
+	for range calls {
+		go func() {
+			_, err := do(t.Context(), pool, fasthttp.MethodPost, Call{Timeout: time.Minute})
+			results <- err
+		}()
+	}
+	for h.requests.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := do(t.Context(), pool, fasthttp.MethodPost, Call{Timeout: 20 * time.Millisecond})
+	assert.ErrorIs(t, err, ErrNotSent)
+	close(leave)
+	for range calls {
+		assert.NilError(t, <-results)
+	}
+	assert.Equal(t, h.connections.Load(), int32(2))
+}
+
 // TestReuse guards against reusing a connection that the host closed, that holds bytes of an older answer, or that a
 // time-out left in an unknown state.
 func TestReuse(t *testing.T) {
--- a/internal/platf/client.go
+++ b/internal/platf/client.go
@@ -22,7 +22,7 @@
 
 const (
 	defaultTimeout     = 2 * time.Second
-	defaultConnections = 64
+	defaultConnections = 256
 )
 
 // Config describes the platform.
@@ -35,7 +35,7 @@
 	Timeout time.Duration
 	// CommandTimeout bounds a call to a worker.
 	CommandTimeout time.Duration
-	// Connections is the most connections per host.
+	// Connections is the most connections per host; further calls wait for one.
 	Connections int
 }
 
@@ -103,7 +103,7 @@
 	if pool, ok := c.pools[host]; ok {
 		return pool, nil
 	}
-	pool, err := httpc.New(httpc.Config{Address: host, Connections: c.cfg.Connections})
+	pool, err := httpc.New(httpc.Config{Address: host, Connections: c.cfg.Connections, Wait: true})
 	if err != nil {
 		return nil, err
 	}
