--- a/caller/internal/batch/result.go
+++ b/caller/internal/batch/result.go
@@ -21,6 +21,8 @@
 	Took     model.Duration `json:"took"`
 	// Succeeded maps each accepted job to the number of its tasks that the system says succeeded.
 	Succeeded map[model.JobID]int `json:"-"`
+	// Once holds the accepted jobs whose tasks may not be rerun.
+	Once map[model.JobID]bool `json:"-"`
 }
 
 func (b *Batch) result(took time.Duration) Result {
@@ -28,6 +30,7 @@
 	defer b.mu.Unlock()
 	r := Result{
 		Jobs: len(b.jobs), Outcomes: make(map[string]int), Succeeded: make(map[model.JobID]int),
+		Once: make(map[model.JobID]bool),
 		Took: model.Duration(took.Round(time.Millisecond)),
 	}
 	for _, j := range b.jobs {
@@ -37,6 +40,7 @@
 		}
 		r.Accepted++
 		r.Tasks += j.status.Tasks
+		r.Once[j.spec.ID] = !j.spec.Rerun
 		r.Succeeded[j.spec.ID] = j.status.Outcomes[string(model.OutcomeSucceeded)]
 		for outcome, n := range j.status.Outcomes {
 			r.Outcomes[outcome] += n
--- a/caller/internal/proof/proof.go
+++ b/caller/internal/proof/proof.go
@@ -34,6 +34,7 @@
 type run struct {
 	Completions  int `json:"completions"`
 	Acknowledged int `json:"acknowledged"`
+	AfterLost    int `json:"after-lost"`
 }
 
 // Runs compares requests with the endpoints' counts.
@@ -59,9 +60,11 @@
 	// Doubled counts tasks whose success was acknowledged more than once.
 	Doubled int `json:"doubled"`
 	// CompletedAgain counts tasks that succeeded more than once, also where a crash hid the first time.
-	CompletedAgain int            `json:"completed-again"`
-	Violations     map[string]int `json:"violations"`
-	Examples       []string       `json:"examples,omitempty"`
+	CompletedAgain int `json:"completed-again"`
+	// Rerun counts starts of tasks that may not be rerun after an attempt whose end is unknown.
+	Rerun      int            `json:"rerun-after-unknown"`
+	Violations map[string]int `json:"violations"`
+	Examples   []string       `json:"examples,omitempty"`
 }
 
 const maxExamples = 20
@@ -129,6 +132,9 @@
 		if counts.Acknowledged > 1 {
 			work.Doubled++
 		}
+		if result.Once[task.Job] {
+			work.Rerun += counts.AfterLost
+		}
 	}
 	for job, succeeded := range result.Succeeded {
 		if missing := succeeded - completed[job]; missing > 0 {
@@ -140,7 +146,7 @@
 
 // Problems counts what must never happen.
 func (w Work) Problems() int {
-	problems := w.Lost + w.Doubled
+	problems := w.Lost + w.Doubled + w.Rerun
 	for _, n := range w.Violations {
 		problems += n
 	}
--- a/caller/internal/proof/proof_test.go
+++ b/caller/internal/proof/proof_test.go
@@ -56,13 +56,15 @@
 func TestCheckWork(t *testing.T) {
 	address := serve(t, `{"violations":{"overlapping-runs":1},"tasks":{
 		"lost/0":{"starts":1},"twice/0":{"completions":2,"acknowledged":2},"again/0":{"completions":2,"acknowledged":1},
-		"fine/0":{"completions":1,"acknowledged":1},"foreign/0":{"completions":2,"acknowledged":2}}}`)
+		"fine/0":{"completions":1,"acknowledged":1,"after-lost":1},"once/0":{"after-lost":1},"foreign/0":{"completions":2,"acknowledged":2}}}`)
 	work, err := CheckWork(t.Context(), address, batch.Result{
-		Denied: 1, Succeeded: map[model.JobID]int{"lost": 1, "twice": 1, "again": 1, "fine": 1},
+		Denied: 1, Succeeded: map[model.JobID]int{"lost": 1, "twice": 1, "again": 1, "fine": 1, "once": 0},
+		Once: map[model.JobID]bool{"once": true, "fine": false},
 	})
 	assert.NilError(t, err)
 	assert.Equal(t, work.Lost, 2)
 	assert.Equal(t, work.Doubled, 1)
 	assert.Equal(t, work.CompletedAgain, 2)
-	assert.Equal(t, work.Problems(), 4)
+	assert.Equal(t, work.Rerun, 1)
+	assert.Equal(t, work.Problems(), 5)
 }
--- a/standin/internal/audit/ledger.go
+++ b/standin/internal/audit/ledger.go
@@ -45,6 +45,8 @@
 	running  map[model.TaskID]map[run]Start
 	attempts map[model.AttemptID]int
 	teams    map[model.TeamID]*teamSum
+	// lost holds tasks with an attempt that a worker's crash or a lapsed task lease ended.
+	lost map[model.TaskID]bool
 }
 
 // NewLedger returns an empty ledger.
@@ -56,6 +58,7 @@
 		running:  make(map[model.TaskID]map[run]Start),
 		attempts: make(map[model.AttemptID]int),
 		teams:    make(map[model.TeamID]*teamSum),
+		lost:     make(map[model.TaskID]bool),
 	}
 	for _, name := range violations {
 		l.report.Violations[name] = 0
@@ -69,6 +72,9 @@
 	counts := l.task(task)
 	counts.Starts++
 	l.report.Starts++
+	if l.lost[task] {
+		counts.AfterLost++
+	}
 	l.attempts[s.Attempt]++
 	l.check(RepeatedAttempt, l.attempts[s.Attempt] == 1, s, "attempt started again")
 	l.check(AfterSuccess, counts.Acknowledged == 0, s, "task had already succeeded")
@@ -118,6 +124,9 @@
 	}
 	l.team(started.Team).add(now, model.Resources{}.Minus(started.Reservation), -1)
 	l.report.Outcomes[outcome]++
+	if outcome == model.OutcomeLost {
+		l.lost[task] = true
+	}
 	if outcome == model.OutcomeSucceeded {
 		l.task(task).Completions++
 	}
--- a/standin/internal/audit/report.go
+++ b/standin/internal/audit/report.go
@@ -38,7 +38,10 @@
 	// Acknowledged counts the successful ends that the scheduler acknowledged.
 	Acknowledged int `json:"acknowledged"`
 	Overlaps     int `json:"overlaps,omitempty"`
-	Running      int `json:"running,omitempty"`
+	// AfterLost counts starts that followed an attempt of which no worker could say how it ended. The audit doesn't know
+	// which tasks may be rerun, so these are no violations by themselves.
+	AfterLost int `json:"after-lost,omitempty"`
+	Running   int `json:"running,omitempty"`
 }
 
 // TeamCounts sums up one team's runs.
