feat(ctl): add the operators' command line and the operator API

aw-ctl checks declarations offline, compares them with those in force and applies them on the offset it compared with.

--- a/ctl/doc.go
+++ b/ctl/doc.go
@@ -1,2 +1,2 @@
-// Command aw-ctl is built up in later commits.
+// Command aw-ctl is the operators' command line: it checks declarations and puts them in force.
 package main
--- /dev/null
+++ b/ctl/internal/client/doc.go
@@ -0,0 +1,2 @@
+// Package client calls the operator API of an entry instance.
+package client
--- /dev/null
+++ b/ctl/internal/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds holds the commands of aw-ctl.
+package cmds
--- /dev/null
+++ b/ctl/internal/cmds/override.go
@@ -0,0 +1,20 @@
+package cmds
+
+import (
+	"arbutuswing.example/internal/config"
+	"arbutuswing.example/internal/model"
+)
+
+// override returns the settings with the given options in their place.
+func override(settings config.Ctl, given options) config.Ctl {
+	if given.Server != "" {
+		settings.Server = given.Server
+	}
+	if given.KeyFile != "" {
+		settings.KeyFile = given.KeyFile
+	}
+	if given.Timeout != 0 {
+		settings.Timeout = model.Duration(given.Timeout)
+	}
+	return settings
+}
--- /dev/null
+++ b/ctl/internal/cmds/run.go
@@ -0,0 +1,93 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+
+	"arbutuswing.example/ctl/internal/exits"
+)
+
+// Version is the version of aw-ctl.
+const Version = "0.1.0"
+
+// Config holds what the commands write to.
+type Config struct {
+	Out io.Writer
+	Err io.Writer
+}
+
+// Run carries out the command line and returns the exit code.
+func Run(ctx context.Context, config Config, args []string) int {
+	env := &env{ctx: ctx, out: config.Out}
+	parser, err := newParser(env)
+	if err != nil {
+		return report(config, fmt.Errorf("building the commands: %w", err))
+	}
+	if _, err := parser.ParseArgs(args); err != nil {
+		return report(config, err)
+	}
+	return exits.OK
+}
+
+// report writes an error for people and returns its exit code.
+func report(config Config, err error) int {
+	var usage *flags.Error
+	switch {
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		_, _ = fmt.Fprintln(config.Out, usage.Message)
+		return exits.OK
+	case errors.As(err, &usage):
+		_, _ = fmt.Fprintln(config.Err, "aw-ctl: "+usage.Message)
+		return exits.Usage
+	case errors.Is(err, exits.ErrWaiting):
+		// The command has told what it waits for.
+		return exits.Waiting
+	default:
+		_, _ = fmt.Fprintln(config.Err, err)
+		return exits.Code(err)
+	}
+}
+
+// command is a command with its help; parts are its subcommands.
+type command struct {
+	name, short, long string
+	data              any
+	parts             []command
+}
+
+func newParser(env *env) (*flags.Parser, error) {
+	parser := flags.NewNamedParser("aw-ctl", flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = "operate arbutuswing"
+	parser.LongDescription = "Checks declarations and puts them in force through an entry instance's operator API.\n\n" +
+		exits.Help
+	if _, err := parser.AddGroup("Options for every command", "", &env.options); err != nil {
+		return nil, err
+	}
+	for _, c := range commands(env) {
+		if err := add(parser.Command, c); err != nil {
+			return nil, err
+		}
+	}
+	return parser, nil
+}
+
+func add(parent *flags.Command, c command) error {
+	data := c.data
+	if data == nil {
+		data = &struct{}{}
+	}
+	added, err := parent.AddCommand(c.name, c.short, c.long, data)
+	if err != nil {
+		return err
+	}
+	for _, part := range c.parts {
+		if err := add(added, part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/ctl/internal/files/plan.go
@@ -0,0 +1,44 @@
+package files
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"arbutuswing.example/ctl/internal/exits"
+	"arbutuswing.example/internal/decl"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/strict"
+)
+
+// planMode lets only the operator read a plan, because it shows hashes of keys.
+const planMode = 0o600
+
+// Plan is a change as it was shown to an operator, with the offset that it is based on.
+type Plan struct {
+	Base  model.Offset `json:"base"`
+	Patch decl.Patch   `json:"patch"`
+}
+
+// WritePlan writes a plan to a file.
+func WritePlan(path string, plan Plan) error {
+	data, err := json.MarshalIndent(plan, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encoding a plan: %w", err)
+	}
+	if err := os.WriteFile(path, append(data, '\n'), planMode); err != nil {
+		return fmt.Errorf("%w: writing a plan: %w", exits.ErrInput, err)
+	}
+	return nil
+}
+
+// ReadPlan reads a plan from a file and refuses unknown keys.
+func ReadPlan(path string) (Plan, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Plan{}, fmt.Errorf("%w: reading a plan: %w", exits.ErrInput, err)
+	}
+	plan := Plan{Base: model.NoOffset}
+	_, err = strict.Decode(path, data, &plan)
+	return plan, err
+}
--- /dev/null
+++ b/ctl/internal/pages/doc.go
@@ -0,0 +1,2 @@
+// Package pages renders the reference page of declarations and settings from their schemas.
+package pages
--- /dev/null
+++ b/entry/internal/admin/reply.go
@@ -0,0 +1,87 @@
+package admin
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/opapi"
+	"arbutuswing.example/internal/ports"
+	"arbutuswing.example/internal/strict"
+)
+
+// reply is a status code with the value to be encoded as the body.
+type reply struct {
+	status int
+	body   any
+}
+
+type handler func(ctx *fasthttp.RequestCtx) reply
+
+func ok(body any) reply { return reply{fasthttp.StatusOK, body} }
+
+// refuse answers that nothing was recorded.
+func refuse(status int, kind opapi.ErrorKind, format string, args ...any) reply {
+	return reply{status, opapi.Error{Error: kind, Detail: fmt.Sprintf(format, args...), Outcome: opapi.NotRun}}
+}
+
+func refuseFaults(status int, kind opapi.ErrorKind, detail string, faults []strict.Fault) reply {
+	return reply{status, opapi.Error{Error: kind, Detail: detail, Outcome: opapi.NotRun, Problems: faults}}
+}
+
+func conflict(inForce model.Offset, format string, args ...any) reply {
+	return reply{fasthttp.StatusConflict, opapi.Error{
+		Error: opapi.KindConflict, Detail: fmt.Sprintf(format, args...), Outcome: opapi.NotRun, OffsetInForce: &inForce,
+	}}
+}
+
+// submitFailed answers for operations that were refused or may still be recorded.
+func submitFailed(err error) reply {
+	if errors.Is(err, ports.ErrUnavailable) || errors.Is(err, ports.ErrThrottled) {
+		return refuse(fasthttp.StatusServiceUnavailable, opapi.KindUnavailable, "nothing was recorded: %s", err)
+	}
+	return reply{fasthttp.StatusGatewayTimeout, opapi.Error{
+		Error: opapi.KindUnknown, Detail: fmt.Sprintf("it may still be recorded: %s", err), Outcome: opapi.Unknown,
+	}}
+}
+
+// answer encodes what next returns and counts calls by route.
+func (s *Server) answer(route string, next handler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		result := next(ctx)
+		data, err := json.Marshal(result.body)
+		if err != nil {
+			s.config.Log.Error("encoding an answer failed", zap.String("route", route), zap.Error(err))
+			ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+			return
+		}
+		ctx.SetStatusCode(result.status)
+		ctx.SetContentType("application/json")
+		ctx.SetBody(append(data, '\n'))
+		metrics.GetOrCreateCounter(fmt.Sprintf(`aw_operator_calls_total{route=%q,status="%d"}`, route, result.status)).Inc()
+	}
+}
+
+// decode reads the body strictly into message.
+func decode(ctx *fasthttp.RequestCtx, message any) (reply, bool) {
+	_, err := strict.Decode("", ctx.PostBody(), message)
+	if err == nil {
+		return reply{}, true
+	}
+	var faults strict.Faults
+	errors.As(err, &faults)
+	return refuseFaults(fasthttp.StatusBadRequest, opapi.KindBadRequest, "malformed message", faults), false
+}
+
+func noSuchPath(ctx *fasthttp.RequestCtx) reply {
+	return refuse(fasthttp.StatusNotFound, opapi.KindNotFound, "no such path: %s", ctx.Path())
+}
+
+func wrongMethod(ctx *fasthttp.RequestCtx) reply {
+	return refuse(fasthttp.StatusMethodNotAllowed, opapi.KindBadRequest, "%s is not served on %s", ctx.Method(), ctx.Path())
+}
--- a/internal/config/entry.go
+++ b/internal/config/entry.go
@@ -20,7 +20,7 @@
 	Platform string `json:"platform" jsonschema:"required"`
 	// OperatorKey is the SHA-256 of the operators' key in lower-case hexadecimal.
 	OperatorKey model.KeyHash `json:"operator-key" jsonschema:"required"`
-	// LogLevel is debug, info, warn or error.
+	// LogLevel is the lowest level of the events that are logged.
 	LogLevel string `json:"log-level,omitempty" jsonschema:"enum=debug,enum=info,enum=warn,enum=error"`
 
 	Lease    Lease    `json:"lease,omitzero"`
--- a/internal/decl/check.go
+++ b/internal/decl/check.go
@@ -23,20 +23,20 @@
 func Check(set Set) []Problem {
 	c := &checker{set: set.Indexed()}
 	for i, organisation := range set.Organisations {
-		c.at(organisationsKey, i)
+		c.at(organisationsKey, i, string(organisation.Name))
 		c.organisation(organisation)
 	}
 	c.keys = make(map[model.KeyHash]model.TeamID)
 	for i, team := range set.Teams {
-		c.at(teamsKey, i)
+		c.at(teamsKey, i, string(team.Name))
 		c.team(team)
 	}
 	for i, class := range set.Classes {
-		c.at(classesKey, i)
+		c.at(classesKey, i, string(class.Name))
 		c.class(class)
 	}
 	for i, centre := range set.DataCentres {
-		c.at(dataCentresKey, i)
+		c.at(dataCentresKey, i, string(centre.Name))
 		c.dataCentre(centre)
 	}
 	if len(set.DataCentres) == 0 {
@@ -54,8 +54,13 @@
 	problems []Problem
 }
 
-func (c *checker) at(key string, i int) {
+// at starts the checks of an object. Its path gives its position in its file, or its name if the set was not parsed
+// from files, because the order then means nothing to people.
+func (c *checker) at(key string, i int, name string) {
 	c.path, c.position = fmt.Sprintf("%s[%d]", key, i), i
+	if _, parsed := c.set.index.origins[c.path]; !parsed {
+		c.path = fmt.Sprintf("%s[%s]", key, name)
+	}
 }
 
 func (c *checker) fail(rest, format string, args ...any) {
--- a/internal/decl/types.go
+++ b/internal/decl/types.go
@@ -45,13 +45,13 @@
 	AnsweredWithin model.Duration `json:"answered-within,omitempty"`
 	// StartedWithin applies to jobs.
 	StartedWithin model.Duration `json:"started-within,omitempty"`
-	// DoneBy applies to jobs.
+	// DoneBy applies to jobs: those queued before that time of day must be done by then.
 	DoneBy *DoneBy `json:"done-by,omitempty"`
 }
 
 // DoneBy is a time of day until which work queued before it must be done, once.
 type DoneBy struct {
-	// Time is HH:MM.
+	// Time has the form HH:MM, from 00:00 to 23:59.
 	Time string `json:"time" jsonschema:"required,pattern=^([01][0-9]|2[0-3]):[0-5][0-9]$"`
 	// Zone is a time zone such as "UTC" or "Asia/Kolkata".
 	Zone string `json:"zone" jsonschema:"required"`
@@ -90,10 +90,13 @@
 
 // Patch is a change to a set: objects to add or replace by name, and names to remove.
 type Patch struct {
-	Put    Set   `json:"put,omitzero"`
+	// Put adds objects, or replaces those of the same name.
+	Put Set `json:"put,omitzero"`
+	// Remove lists objects to remove.
 	Remove Names `json:"remove,omitzero"`
-	// GrantKeys and WithdrawKeys alter single keys without restating their teams.
-	GrantKeys    []KeyChange `json:"grant-keys,omitempty"`
+	// GrantKeys adds single keys without restating their teams; a key that is granted already stays.
+	GrantKeys []KeyChange `json:"grant-keys,omitempty"`
+	// WithdrawKeys removes single keys; each must be granted.
 	WithdrawKeys []KeyChange `json:"withdraw-keys,omitempty"`
 }
 
--- a/internal/schema/page.go
+++ b/internal/schema/page.go
@@ -11,18 +11,20 @@
 
 const refPrefix = "#/$defs/"
 
-// Markdown renders a schema from Build as a section of a reference page: one table for the document and one for each
-// object in it.
-func Markdown(text []byte) (string, error) {
-	root := &jsonschema.Schema{}
-	if err := json.Unmarshal(text, root); err != nil {
-		return "", fmt.Errorf("reading a schema: %w", err)
-	}
-	p := &page{root: root}
-	p.section("## "+root.Title, root)
-	for i := 0; i < len(p.pending); i++ {
-		name := p.pending[i]
-		p.section("### "+name, root.Definitions[name])
+// Markdown renders schemas from Build as a reference page: a section for each document, with a table for each object
+// that no earlier document has shown.
+func Markdown(texts ...[]byte) (string, error) {
+	p := &page{shown: make(map[string]bool)}
+	for _, text := range texts {
+		p.root, p.pending = &jsonschema.Schema{}, nil
+		if err := json.Unmarshal(text, p.root); err != nil {
+			return "", fmt.Errorf("reading a schema: %w", err)
+		}
+		p.section("## "+p.root.Title, p.root)
+		for i := 0; i < len(p.pending); i++ {
+			name := p.pending[i]
+			p.section("### "+name, p.root.Definitions[name])
+		}
 	}
 	return p.text.String(), nil
 }
@@ -30,8 +32,9 @@
 type page struct {
 	root *jsonschema.Schema
 	text strings.Builder
-	// pending lists the definitions in the order in which they are first referred to.
+	// pending lists the document's definitions in the order in which they are first referred to.
 	pending []string
+	shown   map[string]bool
 }
 
 func (p *page) section(heading string, part *jsonschema.Schema) {
@@ -54,7 +57,8 @@
 	switch {
 	case s.Ref != "":
 		name := strings.TrimPrefix(s.Ref, refPrefix)
-		if !slices.Contains(p.pending, name) {
+		if !p.shown[name] {
+			p.shown[name] = true
 			p.pending = append(p.pending, name)
 		}
 		return "[" + name + "](#" + strings.ToLower(name) + ")"
