--- a/ctl/internal/cmds/change.go
+++ b/ctl/internal/cmds/change.go
@@ -16,9 +16,9 @@
 type diffCommand struct {
 	*env
 	Args struct {
-		Old string `positional-arg-name:"OLD" description:"file or directory of declarations"`
+		Old string `positional-arg-name:"OLD" required:"yes" description:"file or directory of declarations, or NEW if it is the only one"`
 		New string `positional-arg-name:"NEW" description:"file or directory of declarations"`
-	} `positional-args:"yes" required:"1"`
+	} `positional-args:"yes"`
 }
 
 // Execute shows a difference.
--- a/entry/internal/admin/change.go
+++ b/entry/internal/admin/change.go
@@ -150,7 +150,7 @@
 	defer cancel()
 	results, err := s.config.Submitter.Submit(ctx, operation)
 	if err != nil {
-		return submitFailed(err), false
+		return s.submitFailed(err), false
 	}
 	if len(results) == 1 && results[0] != nil {
 		return s.void(base, results[0]), false
--- a/entry/internal/admin/config.go
+++ b/entry/internal/admin/config.go
@@ -33,19 +33,22 @@
 // Submitter records operations.
 type Submitter interface {
 	// Submit returns once the operations are folded, with nil or the reason for being void for each. An error that
-	// wraps ports.ErrUnavailable or ports.ErrThrottled promises that nothing was recorded; after any other error the
-	// operations may still be recorded.
+	// wraps Config.NotRecorded promises that nothing was recorded; after any other the operations may still be.
 	Submit(ctx context.Context, ops ...record.Op) ([]error, error)
 }
 
 // Dumper is an aggregate that shows its state in a dump.
 type Dumper interface {
-	// Section names the aggregate's part of the dump.
-	Section() string
 	// Dump returns a value to be encoded as JSON; it must not be altered afterwards.
 	Dump() any
 }
 
+// Section is an aggregate's part of the dump.
+type Section struct {
+	Name   string
+	Dumper Dumper
+}
+
 // Config holds what the operator API needs.
 type Config struct {
 	// Address is the IP:port to listen on.
@@ -56,7 +59,10 @@
 	OperatorKey model.KeyHash
 	State       State
 	Submitter   Submitter
-	Dumpers     []Dumper
+	// NotRecorded is the sentinel of the Submitter's errors that promise that nothing was recorded.
+	NotRecorded error
+	// Sections are the parts of the dump, in the order in which they are shown.
+	Sections []Section
 	// Connectivity returns the connectivity state's name.
 	Connectivity func() string
 	// Ready returns why the instance can't serve, or nil.
@@ -100,6 +106,8 @@
 		return fmt.Errorf("%w: state", ErrConfig)
 	case c.Submitter == nil:
 		return fmt.Errorf("%w: submitter", ErrConfig)
+	case c.NotRecorded == nil:
+		return fmt.Errorf("%w: sentinel of operations that were not recorded", ErrConfig)
 	case c.SubmitTimeout < 0:
 		return fmt.Errorf("%w: submit timeout", ErrConfig)
 	}
--- a/entry/internal/admin/reply.go
+++ b/entry/internal/admin/reply.go
@@ -11,7 +11,6 @@
 
 	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/opapi"
-	"arbutuswing.example/internal/ports"
 	"arbutuswing.example/internal/strict"
 )
 
@@ -41,8 +40,8 @@
 }
 
 // submitFailed answers for operations that were refused or may still be recorded.
-func submitFailed(err error) reply {
-	if errors.Is(err, ports.ErrUnavailable) || errors.Is(err, ports.ErrThrottled) {
+func (s *Server) submitFailed(err error) reply {
+	if errors.Is(err, s.config.NotRecorded) {
 		return refuse(fasthttp.StatusServiceUnavailable, opapi.KindUnavailable, "nothing was recorded: %s", err)
 	}
 	return reply{fasthttp.StatusGatewayTimeout, opapi.Error{
--- a/entry/internal/admin/status.go
+++ b/entry/internal/admin/status.go
@@ -82,14 +82,14 @@
 
 // dump encodes one section per registered aggregate, in registered order.
 func (s *Server) dump(*fasthttp.RequestCtx) reply {
-	answer := opapi.Dump{Instance: s.config.Instance, Sections: make([]opapi.Section, 0, len(s.config.Dumpers))}
-	for _, dumper := range s.config.Dumpers {
-		contents, err := json.Marshal(dumper.Dump())
+	answer := opapi.Dump{Instance: s.config.Instance, Sections: make([]opapi.Section, 0, len(s.config.Sections))}
+	for _, section := range s.config.Sections {
+		contents, err := json.Marshal(section.Dumper.Dump())
 		if err != nil {
 			// One aggregate that can't be shown must not hide the others.
 			contents, _ = json.Marshal(fmt.Sprintf("not shown: %s", err))
 		}
-		answer.Sections = append(answer.Sections, opapi.Section{Name: dumper.Section(), Contents: contents})
+		answer.Sections = append(answer.Sections, opapi.Section{Name: section.Name, Contents: contents})
 	}
 	return ok(answer)
 }
--- a/internal/decl/check.go
+++ b/internal/decl/check.go
@@ -21,12 +21,14 @@
 
 // Check returns the faults of a set's contents in the order of its objects; none means the set may be put in force.
 func Check(set Set) []Problem {
-	c := &checker{set: set.Indexed()}
+	c := &checker{
+		set: set.Indexed(), keys: make(map[model.KeyHash]model.TeamID),
+		approvers: make(map[model.KeyHash]model.OrganisationID),
+	}
 	for i, organisation := range set.Organisations {
 		c.at(organisationsKey, i, string(organisation.Name))
 		c.organisation(organisation)
 	}
-	c.keys = make(map[model.KeyHash]model.TeamID)
 	for i, team := range set.Teams {
 		c.at(teamsKey, i, string(team.Name))
 		c.team(team)
@@ -50,8 +52,10 @@
 	set      Set
 	path     string
 	position int
-	keys     map[model.KeyHash]model.TeamID
-	problems []Problem
+	// keys and approvers hold the teams and organisations whose keys were seen so far.
+	keys      map[model.KeyHash]model.TeamID
+	approvers map[model.KeyHash]model.OrganisationID
+	problems  []Problem
 }
 
 // at starts the checks of an object. Its path gives its position in its file, or its name if the set was not parsed
@@ -88,6 +92,11 @@
 func (c *checker) organisation(o Organisation) {
 	c.named(string(o.Name), c.set.index.organisations[o.Name])
 	c.require(ValidKeyHash(o.ApprovalKey), ".approval-key", hashText)
+	// A key that two organisations share would let one approve for the other.
+	if holder, taken := c.approvers[o.ApprovalKey]; taken {
+		c.fail(".approval-key", "the key is already that of organisation %q", holder)
+	}
+	c.approvers[o.ApprovalKey] = o.Name
 }
 
 func (c *checker) team(t Team) {
--- a/internal/decl/render.go
+++ b/internal/decl/render.go
@@ -64,7 +64,7 @@
 	for _, object := range new {
 		i, known := before[object.name()]
 		if !known {
-			lines = append(lines, fmt.Sprintf("+ %s %s: %s", what, object.name(), values(object)))
+			lines = append(lines, strings.TrimSuffix(fmt.Sprintf("+ %s %s: %s", what, object.name(), values(object)), ": "))
 			continue
 		}
 		if changes := changed(old[i], object); len(changes) > 0 {
