--- a/entry/internal/admin/server.go
+++ b/entry/internal/admin/server.go
@@ -56,9 +56,7 @@
 	stopped := make(chan struct{})
 	cancel := context.AfterFunc(ctx, func() {
 		defer close(stopped)
-		if err := server.Shutdown(); err != nil {
-			s.config.Log.Warn("operator API did not close cleanly", zap.Error(err))
-		}
+		s.shutdown(server, listener)
 	})
 	err := server.Serve(listener)
 	if !cancel() {
@@ -70,6 +68,17 @@
 	return nil
 }
 
+// shutdown lets open calls finish, which takes at most the time that a change may wait to be recorded.
+func (s *Server) shutdown(server *fasthttp.Server, listener net.Listener) {
+	ctx, cancel := context.WithTimeout(context.Background(), s.config.SubmitTimeout+readTimeout)
+	defer cancel()
+	if err := server.ShutdownWithContext(ctx); err != nil {
+		s.config.Log.Warn("operator API did not close cleanly", zap.Error(err))
+	}
+	// A shutdown that comes before the server knows its listener does not close it.
+	_ = listener.Close()
+}
+
 // callLog takes the HTTP library's own messages, which are about single connections.
 type callLog struct{ log *zap.SugaredLogger }
 
--- a/entry/internal/admin/server_test.go
+++ b/entry/internal/admin/server_test.go
@@ -185,3 +185,15 @@
 	assert.ErrorIs(t, err, admin.ErrConfig)
 	assert.ErrorContains(t, err, "operator key hash")
 }
+
+// Guards against a server that serves on although its context ended before it began.
+func TestServeAfterEnd(t *testing.T) {
+	f := &fold{set: demo()}
+	api, err := admin.New(admin.Config{
+		Address: "127.0.0.1:1", OperatorKey: model.HashKey(operatorKey), State: f, Submitter: f, NotRecorded: errNotRecorded,
+	})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.NilError(t, api.Serve(ctx, fasthttputil.NewInmemoryListener()))
+}
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 
 	"arbutuswing.example/internal/strict"
 )
@@ -24,7 +23,7 @@
 	if err != nil {
 		return none, fmt.Errorf("reading settings: %w", err)
 	}
-	return Parse[T](filepath.Base(path), data)
+	return Parse[T](path, data)
 }
 
 // Parse decodes and checks settings as Load does; file names the text in errors.
--- /dev/null
+++ b/internal/strict/fuzz_test.go
@@ -0,0 +1,29 @@
+package strict_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"arbutuswing.example/internal/strict"
+)
+
+// Guards against documents on which the decoder panics, and against documents that it accepts although encoding/json
+// refuses them.
+func FuzzDecode(f *testing.F) {
+	for _, seed := range []string{
+		`{"name": "x", "on": true, "part": 1.5, "inner": {"count": 1, "wait": "2s"}, "list": [{"count": 2}, {}]}`,
+		`{"list": [[], null, 7]}`, `{"":{}}`, `[`, `"\ud800"`, "{\"name\": \"\xff\"}", ` {} x`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var into, plain outer
+		doc, err := strict.Decode("f.json", data, &into)
+		if err == nil && json.Unmarshal(data, &plain) != nil {
+			t.Fatalf("accepted a document that encoding/json refuses: %q", data)
+		}
+		if doc != nil {
+			_ = doc.Fault("list[1].count", "bad").Error()
+		}
+	})
+}
