--- a/internal/record/codec.go
+++ b/internal/record/codec.go
@@ -96,6 +96,8 @@
 		return KindJobAccepted
 	case JobCancelled:
 		return KindJobCancelled
+	case JobRefused:
+		return KindJobRefused
 	case WorkerSeen:
 		return KindWorkerSeen
 	case WorkerSuspected:
@@ -133,6 +135,8 @@
 		return decodeBody[JobAccepted](op)
 	case KindJobCancelled:
 		return decodeBody[JobCancelled](op)
+	case KindJobRefused:
+		return decodeBody[JobRefused](op)
 	case KindWorkerSeen:
 		return decodeBody[WorkerSeen](op)
 	case KindWorkerSuspected:
--- a/internal/record/ops.go
+++ b/internal/record/ops.go
@@ -21,6 +21,7 @@
 	KindVerdict         Kind = "verdict"
 	KindJobAccepted     Kind = "job-accepted"
 	KindJobCancelled    Kind = "job-cancelled"
+	KindJobRefused      Kind = "job-refused"
 	KindWorkerSeen      Kind = "worker-seen"
 	KindWorkerSuspected Kind = "worker-suspected"
 	KindWorkerCleared   Kind = "worker-cleared"
@@ -84,6 +85,12 @@
 	Key model.KeyHash `json:"key,omitempty"`
 }
 
+// JobRefused ends all tasks of a job that can never run, unless one of them ran.
+type JobRefused struct {
+	Job    model.JobID `json:"job"`
+	Reason string      `json:"reason"`
+}
+
 // WorkerSeen records a worker's boot and capacity; a new boot ends the attempts of the earlier one.
 type WorkerSeen struct {
 	Worker     model.WorkerID     `json:"worker"`
@@ -158,6 +165,7 @@
 func (Verdict) op()         {}
 func (JobAccepted) op()     {}
 func (JobCancelled) op()    {}
+func (JobRefused) op()      {}
 func (WorkerSeen) op()      {}
 func (WorkerSuspected) op() {}
 func (WorkerCleared) op()   {}
--- /dev/null
+++ b/internal/state/config.go
@@ -0,0 +1,78 @@
+package state
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"arbutuswing.example/internal/decl"
+	"arbutuswing.example/internal/invar"
+	"arbutuswing.example/internal/model"
+)
+
+// ErrConfig reports an unusable Config.
+var ErrConfig = errors.New("unusable state configuration")
+
+// Defaults of Config.
+const (
+	// DefaultDoneJobs covers about five hours at 91,000 jobs a day.
+	DefaultDoneJobs = 20_000
+	// DefaultKeepIDs is longer than any submitter repeats a submission.
+	DefaultKeepIDs = model.Duration(48 * time.Hour)
+	// DefaultMaxFailures is the number of failed attempts after which a task is done.
+	DefaultMaxFailures = 3
+	// DefaultMaxTasks bounds the memory that one record can take.
+	DefaultMaxTasks = 100_000
+)
+
+// Config holds the functions and bounds of a machine; all instances that fold one log must use the same ones.
+type Config struct {
+	// ParsePatch decodes the contents of a change.
+	ParsePatch func(data []byte) (decl.Patch, error)
+	// ApplyPatch returns the set with the patch applied.
+	ApplyPatch func(set decl.Set, patch decl.Patch) (decl.Set, error)
+	// CheckSet returns an error for a set that must not come into force.
+	CheckSet func(set decl.Set) error
+	// Touches lists the organisations that must approve the change from old to changed.
+	Touches func(old, changed decl.Set) []model.OrganisationID
+	// Invariants counts violations.
+	Invariants *invar.Checker
+	// DoneJobs is the number of finished jobs kept in full.
+	DoneJobs int
+	// KeepIDs is how long the ID and outcome of a finished job are kept after that, in record time.
+	KeepIDs model.Duration
+	// MaxFailures is the number of failed attempts after which a task is done.
+	MaxFailures int
+	// MaxTasks is the largest number of tasks of one job.
+	MaxTasks int
+}
+
+// WithDefaults returns the configuration with unset bounds filled in.
+func (c Config) WithDefaults() Config {
+	if c.DoneJobs == 0 {
+		c.DoneJobs = DefaultDoneJobs
+	}
+	if c.KeepIDs == 0 {
+		c.KeepIDs = DefaultKeepIDs
+	}
+	if c.MaxFailures == 0 {
+		c.MaxFailures = DefaultMaxFailures
+	}
+	if c.MaxTasks == 0 {
+		c.MaxTasks = DefaultMaxTasks
+	}
+	return c
+}
+
+// Check returns ErrConfig for a missing function or a bound out of range.
+func (c Config) Check() error {
+	switch {
+	case c.ParsePatch == nil || c.ApplyPatch == nil || c.CheckSet == nil || c.Touches == nil:
+		return fmt.Errorf("%w: a declarations function is missing", ErrConfig)
+	case c.Invariants == nil:
+		return fmt.Errorf("%w: the invariant checker is missing", ErrConfig)
+	case c.DoneJobs < 1 || c.KeepIDs < 1 || c.MaxFailures < 1 || c.MaxTasks < 1:
+		return fmt.Errorf("%w: bounds must be positive", ErrConfig)
+	}
+	return nil
+}
--- a/internal/state/events.go
+++ b/internal/state/events.go
@@ -3,6 +3,7 @@
 import (
 	"arbutuswing.example/internal/decl"
 	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/record"
 )
 
 // TaskPhase is where a task stands.
@@ -26,11 +27,16 @@
 	Phase TaskPhase    `json:"phase"`
 	// Attempt is the number of the current attempt, or of the last one; zero before the first.
 	Attempt int `json:"attempt"`
-	// Worker, Boot, Reservation and Behind are set while the task is bound.
+	// Worker, Boot, Reservation and Behind are set while the task is bound; Reservation also while it is pulled.
 	Worker      model.WorkerID  `json:"worker,omitempty"`
 	Boot        model.BootID    `json:"boot,omitempty"`
 	Reservation model.Resources `json:"reservation,omitzero"`
 	Behind      bool            `json:"behind,omitempty"`
+	// BoundAt is the writer's wall clock of the envelope that bound or handed out the current attempt, in nanoseconds
+	// since 1970.
+	BoundAt int64 `json:"bound-at,omitempty"`
+	// Lease is how long the team's own runner may keep a pulled task without reporting.
+	Lease model.Duration `json:"lease,omitempty"`
 	// Outcome is set once the task is done; empty with PhaseDone means cancelled before it ran.
 	Outcome model.Outcome `json:"outcome,omitempty"`
 	// Checkpoint is the run time that the last checkpoint covers.
@@ -60,11 +66,20 @@
 	Accepted  model.Offset `json:"accepted"`
 	Submitted int64        `json:"submitted"`
 	Cancelled bool         `json:"cancelled,omitempty"`
+	// Refused is the reason for which the job can never run, or empty.
+	Refused string `json:"refused,omitempty"`
+	// Outcome summarises a finished job: lost or failed if any task was, stopped if it was cancelled, never-started if
+	// it was refused, else succeeded.
+	Outcome model.Outcome `json:"outcome,omitempty"`
 	// Done counts tasks that ended for good.
-	Done  int    `json:"done"`
-	Tasks []Task `json:"tasks"`
+	Done int `json:"done"`
+	// Tasks is empty for a finished job of which only the outcome is still kept.
+	Tasks []Task `json:"tasks,omitempty"`
 }
 
+// Finished reports whether every task ended for good.
+func (j Job) Finished() bool { return j.Outcome != "" }
+
 // Worker is a copy of a worker's state.
 type Worker struct {
 	ID         model.WorkerID     `json:"id"`
@@ -92,6 +107,18 @@
 	Joined model.Offset `json:"joined"`
 }
 
+// Proposal is a change that waits for approval.
+type Proposal struct {
+	Change record.Change `json:"change"`
+	// Recorded is the offset of the proposal's record.
+	Recorded model.Offset `json:"recorded"`
+	// Time is the writer's wall clock of that record, in nanoseconds since 1970.
+	Time int64 `json:"time"`
+	// Needed and Approved list organisations in name order.
+	Needed   []model.OrganisationID `json:"needed"`
+	Approved []model.OrganisationID `json:"approved,omitempty"`
+}
+
 // Usage is what a team has bound or pulled.
 type Usage struct {
 	Resources model.Resources `json:"resources"`
--- /dev/null
+++ b/internal/state/table.go
@@ -0,0 +1,92 @@
+package state
+
+import "sync"
+
+// shardCount spreads readers and the fold over locks; the fold holds one shard's lock at a time.
+const shardCount = 32
+
+// table is a map in shards, each under its own lock. The fold is the only writer, so it reads without a lock.
+type table[K ~string, V any] struct {
+	shards [shardCount]shard[K, V]
+}
+
+type shard[K ~string, V any] struct {
+	mu   sync.RWMutex
+	rows map[K]V
+}
+
+func newTable[K ~string, V any]() *table[K, V] {
+	t := &table[K, V]{}
+	for i := range t.shards {
+		t.shards[i].rows = make(map[K]V)
+	}
+	return t
+}
+
+// shard returns the shard of the key by its FNV-1a hash.
+func (t *table[K, V]) shard(key K) *shard[K, V] {
+	return &t.shards[hashKey(string(key))%shardCount]
+}
+
+func hashKey(key string) uint32 {
+	const offset, prime = 2166136261, 16777619
+	hash := uint32(offset)
+	for i := range len(key) {
+		hash = (hash ^ uint32(key[i])) * prime
+	}
+	return hash
+}
+
+// get reads a row for the fold.
+func (t *table[K, V]) get(key K) (V, bool) {
+	row, ok := t.shard(key).rows[key]
+	return row, ok
+}
+
+// lock takes the lock under which the fold alters the row of key.
+func (t *table[K, V]) lock(key K) *sync.RWMutex {
+	mu := &t.shard(key).mu
+	mu.Lock()
+	return mu
+}
+
+func (t *table[K, V]) put(key K, row V) {
+	s := t.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows[key] = row
+}
+
+func (t *table[K, V]) remove(key K) {
+	s := t.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.rows, key)
+}
+
+// view calls visit with the row under the read lock, and reports whether there is one.
+func (t *table[K, V]) view(key K, visit func(V)) bool {
+	s := t.shard(key)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	row, ok := s.rows[key]
+	if ok {
+		visit(row)
+	}
+	return ok
+}
+
+// each calls visit with every row, in no order, under the read lock of its shard.
+func (t *table[K, V]) each(visit func(K, V)) {
+	for i := range t.shards {
+		t.shards[i].each(visit)
+	}
+}
+
+func (s *shard[K, V]) each(visit func(K, V)) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for key, row := range s.rows {
+		visit(key, row)
+	}
+}
--- /dev/null
+++ b/internal/state/void.go
@@ -0,0 +1,20 @@
+package state
+
+import "errors"
+
+// Reasons for which an operation is void.
+var (
+	ErrConflict       = errors.New("another change came first")
+	ErrInvalid        = errors.New("the declarations fail their checks")
+	ErrUnknown        = errors.New("no such object")
+	ErrKeyNotGranted  = errors.New("the key is not granted to the team")
+	ErrDuplicate      = errors.New("already recorded")
+	ErrNotQueued      = errors.New("the task is not queued or the attempt is not its next one")
+	ErrNoRoom         = errors.New("the worker has no room")
+	ErrWorkerUnusable = errors.New("the worker is suspected, lost or has another boot")
+	ErrOverLimit      = errors.New("the team's upper limit is reached")
+	ErrOutOfService   = errors.New("the data centre is out of service")
+	ErrGangIncomplete = errors.New("an all-at-once job must be taken whole")
+	ErrNotCurrent     = errors.New("the attempt is not current")
+	ErrNeedsApproval  = errors.New("the change touches terms that need an organisation's approval")
+)
--- /dev/null
+++ b/internal/state/writer.go
@@ -0,0 +1,44 @@
+package state
+
+import (
+	"maps"
+
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/record"
+)
+
+// writers is the aggregate of the writers' sequence numbers; only the fold uses it.
+type writers struct {
+	rows map[model.InstanceID]writer
+}
+
+type writer struct {
+	Incarnation model.Incarnation `json:"incarnation"`
+	Sequence    int64             `json:"sequence"`
+	// Time is the record time of the writer's last envelope.
+	Time int64 `json:"time"`
+}
+
+func newWriters() *writers { return &writers{rows: make(map[model.InstanceID]writer)} }
+
+// admit reports whether the envelope is the writer's next one, and remembers it. Envelopes of an older incarnation
+// count as repeats: nobody waits for them, and only the latest incarnation's sequence number is kept.
+func (w *writers) admit(env record.Envelope, clock int64) bool {
+	last, known := w.rows[env.Writer]
+	if known && env.Incarnation < last.Incarnation {
+		return false
+	}
+	if known && env.Incarnation == last.Incarnation && env.Sequence <= last.Sequence {
+		return false
+	}
+	w.rows[env.Writer] = writer{Incarnation: env.Incarnation, Sequence: env.Sequence, Time: clock}
+	return true
+}
+
+// prune forgets writers that are no members and wrote nothing since the time.
+func (w *writers) prune(before int64, members *members) {
+	maps.DeleteFunc(w.rows, func(id model.InstanceID, last writer) bool {
+		_, member := members.rows[id]
+		return !member && last.Time < before
+	})
+}
