--- /dev/null
+++ b/internal/member/config.go
@@ -0,0 +1,160 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/peer"
+	"arbutuswing.example/internal/ports"
+	"arbutuswing.example/internal/record"
+	"arbutuswing.example/internal/stream"
+)
+
+// Errors of the package.
+var (
+	// ErrConfig reports settings that cannot be used.
+	ErrConfig = errors.New("invalid member settings")
+	// ErrReplaced reports that a newer incarnation of this instance has joined, so that this process must end.
+	ErrReplaced = errors.New("a newer incarnation of this instance has joined")
+)
+
+// Self describes this instance.
+type Self struct {
+	peer.Sender
+	DataCentre   model.DataCentreID
+	PeerAddress  string
+	AdminAddress string
+}
+
+// TableConfig configures a Table.
+type TableConfig struct {
+	Clock clockwork.Clock
+	Self  Self
+	// DeadAfter is the time without an answer after which a peer is dead.
+	DeadAfter time.Duration
+	// FreshBound is the age up to which a read of the log counts as fresh.
+	FreshBound time.Duration
+	// Grace is how long a cut-off instance goes on with duties that need the newest state. FreshBound plus Grace is the
+	// time within which an operator's change is in force at instances that cannot see it.
+	Grace time.Duration
+	// IsolationLimit is how long a cut-off instance goes on renewing the leases of running tasks.
+	IsolationLimit time.Duration
+	// PeerLimit bounds the peers that are followed.
+	PeerLimit int
+}
+
+// WithDefaults fills in what is not set.
+func (c TableConfig) WithDefaults() TableConfig {
+	if c.Clock == nil {
+		c.Clock = clockwork.NewRealClock()
+	}
+	setDefault(&c.DeadAfter, 2*time.Second)
+	setDefault(&c.FreshBound, 2*time.Second)
+	setDefault(&c.Grace, 3*time.Second)
+	setDefault(&c.IsolationLimit, 90*time.Minute)
+	setDefault(&c.PeerLimit, 1024)
+	return c
+}
+
+// Check returns ErrConfig for settings that cannot be used.
+func (c TableConfig) Check() error {
+	if c.Self.Instance == "" || c.Self.DataCentre == "" {
+		return fmt.Errorf("%w: instance and data centre must be set", ErrConfig)
+	}
+	for _, d := range []time.Duration{c.DeadAfter, c.FreshBound, c.Grace, c.IsolationLimit} {
+		if d <= 0 {
+			return fmt.Errorf("%w: durations must be positive", ErrConfig)
+		}
+	}
+	if c.PeerLimit < 1 {
+		return fmt.Errorf("%w: peer-limit must be positive", ErrConfig)
+	}
+	return nil
+}
+
+// Journal is the stream as far as membership needs it; *stream.Stream implements it.
+type Journal interface {
+	Submit(ctx context.Context, ops ...record.Op) ([]error, error)
+	Status() stream.Status
+	Subscribe() *stream.Subscription
+}
+
+// Caller sends heartbeats; *peer.Client implements it.
+type Caller interface {
+	Beat(ctx context.Context, address string, own peer.Status) (peer.BeatAnswer, error)
+	Retain(addresses []string)
+}
+
+// Config configures a Service.
+type Config struct {
+	Logger  *zap.Logger
+	Clock   clockwork.Clock
+	Table   *Table
+	Journal Journal
+	Caller  Caller
+	Lister  ports.Lister
+	// Load returns the number of requests in flight, for the status given to peers.
+	Load func() int64
+	// BeatInterval is the interval between heartbeats.
+	BeatInterval time.Duration
+	// FarPeers is the number of members of each other data centre that get heartbeats.
+	FarPeers int
+	// ListInterval is the interval between reads of the platform's list.
+	ListInterval time.Duration
+	// ReapInterval is the interval between checks for dead members.
+	ReapInterval time.Duration
+	// ReapAfter is the time without an answer after which a member is removed although the list still shows it.
+	ReapAfter time.Duration
+	// SubmitTimeout bounds the recording of a join or a removal.
+	SubmitTimeout time.Duration
+	// RejoinPause is the pause before joining again, after a failure or after a removal by others.
+	RejoinPause time.Duration
+}
+
+// WithDefaults fills in what is not set.
+func (c Config) WithDefaults() Config {
+	if c.Logger == nil {
+		c.Logger = zap.NewNop()
+	}
+	if c.Clock == nil {
+		c.Clock = clockwork.NewRealClock()
+	}
+	setDefault(&c.BeatInterval, 500*time.Millisecond)
+	setDefault(&c.FarPeers, 2)
+	setDefault(&c.ListInterval, 2*time.Second)
+	setDefault(&c.ReapInterval, time.Second)
+	setDefault(&c.ReapAfter, 10*time.Second)
+	setDefault(&c.SubmitTimeout, 5*time.Second)
+	setDefault(&c.RejoinPause, time.Second)
+	return c
+}
+
+// Check returns ErrConfig for settings that cannot be used.
+func (c Config) Check() error {
+	if c.Table == nil || c.Journal == nil || c.Caller == nil || c.Lister == nil {
+		return fmt.Errorf("%w: table, journal, caller and lister must be set", ErrConfig)
+	}
+	for _, d := range []time.Duration{
+		c.BeatInterval, c.ListInterval, c.ReapInterval, c.ReapAfter, c.SubmitTimeout, c.RejoinPause,
+	} {
+		if d <= 0 {
+			return fmt.Errorf("%w: durations must be positive", ErrConfig)
+		}
+	}
+	if c.FarPeers < 1 {
+		return fmt.Errorf("%w: far-peers must be positive", ErrConfig)
+	}
+	return nil
+}
+
+func setDefault[T ~int | ~int64](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -23,7 +23,7 @@
 	return &peerpb.Status{
 		Sender: senderToWire(s.Sender), DataCentre: string(s.DataCentre), PeerAddress: s.PeerAddress,
 		Applied: int64(s.Applied), LogAnswers: s.LogAnswers, Ready: s.Ready, Load: s.Load, Leaving: s.Leaving,
-		Age: int64(s.Age),
+		Age: int64(s.Age), CurrentAge: int64(s.CurrentAge),
 	}
 }
 
@@ -32,6 +32,7 @@
 		Sender: senderFromWire(s.GetSender()), DataCentre: model.DataCentreID(s.GetDataCentre()),
 		PeerAddress: s.GetPeerAddress(), Applied: model.Offset(s.GetApplied()), LogAnswers: s.GetLogAnswers(),
 		Ready: s.GetReady(), Load: s.GetLoad(), Leaving: s.GetLeaving(), Age: time.Duration(max(s.GetAge(), 0)),
+		CurrentAge: time.Duration(max(s.GetCurrentAge(), int64(NeverCurrent))),
 	}
 }
 
--- a/internal/peer/types.go
+++ b/internal/peer/types.go
@@ -42,8 +42,14 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Age is how old the information was when it was sent; zero for the sender's own status.
 	Age time.Duration `json:"age,omitempty"`
+	// CurrentAge tells how long before the time of this status the state at Applied was last known to contain
+	// everything recorded; NeverCurrent if it never was.
+	CurrentAge time.Duration `json:"current-age"`
 }
 
+// NeverCurrent is the CurrentAge of an instance whose state was never known to be the newest.
+const NeverCurrent time.Duration = -1
+
 // BeatAnswer is the answer to a heartbeat.
 type BeatAnswer struct {
 	Status Status `json:"status"`
