--- /dev/null
+++ b/entry/internal/front/reply.go
@@ -0,0 +1,124 @@
+package front
+
+import (
+	"encoding/json"
+	"errors"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/route"
+	"arbutuswing.example/internal/state"
+)
+
+// Outcome tells a caller whether its call had an effect.
+type Outcome string
+
+// Outcomes of calls that were not answered.
+const (
+	OutcomeNotRun   Outcome = "not-run"
+	OutcomeUnknown  Outcome = "unknown"
+	OutcomeConflict Outcome = "conflict"
+)
+
+// Reason names why a call was not answered.
+type Reason string
+
+// Reasons.
+const (
+	reasonNoRoute     Reason = "no-such-path"
+	reasonNotReady    Reason = "not-ready"
+	reasonBadRequest  Reason = "bad-request"
+	reasonKey         Reason = "key-refused"
+	reasonUnknown     Reason = "unknown-object"
+	reasonOverloaded  Reason = "overloaded"
+	reasonNoEndpoint  Reason = "no-endpoint"
+	reasonDeadline    Reason = "deadline"
+	reasonDraining    Reason = "draining"
+	reasonUnreachable Reason = "endpoints-refused"
+	reasonCutOff      Reason = "cut-off"
+	reasonNoLog       Reason = "log-unavailable"
+	reasonIDInUse     Reason = "request-id-in-use"
+	reasonNoAnswer    Reason = "no-answer"
+	reasonConflict    Reason = "already-exists"
+)
+
+const (
+	contentJSON = "application/json"
+	// retryAfterSeconds is a hint for callers; they should add jitter to it.
+	retryAfterSeconds = 1
+)
+
+// Failure is the body of every answer that is not a success.
+type Failure struct {
+	Outcome Outcome `json:"outcome"`
+	Reason  Reason  `json:"reason"`
+	Detail  string  `json:"detail"`
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		ctx.Error("encoding the answer failed", fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType(contentJSON)
+	ctx.SetBody(append(data, '\n'))
+}
+
+// refuse answers that the call had no effect.
+func refuse(ctx *fasthttp.RequestCtx, status int, reason Reason, detail string) {
+	if status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(retryAfterSeconds))
+	}
+	writeJSON(ctx, status, Failure{Outcome: OutcomeNotRun, Reason: reason, Detail: detail})
+}
+
+func unknown(ctx *fasthttp.RequestCtx, reason Reason, detail string) {
+	writeJSON(ctx, fasthttp.StatusGatewayTimeout, Failure{Outcome: OutcomeUnknown, Reason: reason, Detail: detail})
+}
+
+// requestFailure answers a request that ended with an error of the router.
+func requestFailure(ctx *fasthttp.RequestCtx, err error) {
+	switch {
+	case errors.Is(err, route.ErrConflict):
+		writeJSON(ctx, fasthttp.StatusConflict,
+			Failure{Outcome: OutcomeConflict, Reason: reasonIDInUse, Detail: err.Error()})
+	case !errors.Is(err, route.ErrNotRun):
+		unknown(ctx, reasonNoAnswer, err.Error())
+	case errors.Is(err, route.ErrOverloaded):
+		refuse(ctx, fasthttp.StatusTooManyRequests, reasonOverloaded, err.Error())
+	case errors.Is(err, route.ErrNoEndpoint):
+		refuse(ctx, fasthttp.StatusServiceUnavailable, reasonNoEndpoint, err.Error())
+	case errors.Is(err, route.ErrDeadline):
+		refuse(ctx, fasthttp.StatusServiceUnavailable, reasonDeadline, err.Error())
+	case errors.Is(err, route.ErrDraining):
+		refuse(ctx, fasthttp.StatusServiceUnavailable, reasonDraining, err.Error())
+	default:
+		refuse(ctx, fasthttp.StatusServiceUnavailable, reasonUnreachable, err.Error())
+	}
+}
+
+// voidFailure answers a call whose operation the fold ignored.
+func voidFailure(ctx *fasthttp.RequestCtx, err error) {
+	switch {
+	case errors.Is(err, state.ErrKeyNotGranted):
+		refuse(ctx, fasthttp.StatusForbidden, reasonKey, err.Error())
+	case errors.Is(err, state.ErrUnknown):
+		refuse(ctx, fasthttp.StatusNotFound, reasonUnknown, err.Error())
+	default:
+		writeJSON(ctx, fasthttp.StatusConflict,
+			Failure{Outcome: OutcomeConflict, Reason: reasonConflict, Detail: err.Error()})
+	}
+}
+
+// teamKey returns the hash of the caller's key, or nothing if none came.
+func teamKey(ctx *fasthttp.RequestCtx) model.KeyHash {
+	key := ctx.Request.Header.Peek("Team-Key")
+	if len(key) == 0 {
+		return ""
+	}
+	return model.HashKey(string(key))
+}
--- a/internal/once/handoff.go
+++ b/internal/once/handoff.go
@@ -32,7 +32,7 @@
 	offset := s.history.current().Offset
 	for _, member := range s.history.awaited() {
 		call, cancel := context.WithTimeout(ctx, settleTimeout)
-		handoff, err := s.cfg.Peers.Handoff(call, member, offset)
+		handoff, err := s.cfg.Peers.Handoff(call, member, s.cfg.Self, offset)
 		cancel()
 		if err != nil {
 			s.cfg.Log.Debug("handoff of request IDs failed", zap.String("member", string(member.Instance)),
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -54,19 +54,14 @@
 	return nil
 }
 
-func (f *fleet) Handoff(_ context.Context, from Member, offset model.Offset) (Handoff, error) {
+func (f *fleet) Handoff(_ context.Context, from, self Member, offset model.Offset) (Handoff, error) {
 	s, ok := f.alive[from]
 	if !ok {
 		return Handoff{}, errUnreachable
 	}
-	return s.Handoff(f.owner(offset), offset)
+	return s.Handoff(self, offset)
 }
 
-// collector is the member on whose behalf Handoff is called; the fleet runs one collection at a time.
-var collector Member
-
-func (f *fleet) owner(model.Offset) Member { return collector }
-
 func (f *fleet) record(members []Member) {
 	f.memberships = append(f.memberships, Membership{Offset: model.Offset(len(f.memberships)), Members: members})
 }
@@ -116,7 +111,6 @@
 }
 
 func (f *fleet) collect(m Member) {
-	collector = m
 	f.alive[m].Collect(context.Background())
 }
 
--- a/internal/once/service.go
+++ b/internal/once/service.go
@@ -82,7 +82,8 @@
 type Peers interface {
 	Claim(ctx context.Context, to Member, req ClaimRequest) (Status, error)
 	Settle(ctx context.Context, to Member, req SettleRequest) error
-	Handoff(ctx context.Context, from Member, offset model.Offset) (Handoff, error)
+	// Handoff asks from for the entries of the IDs that self owns under the membership at offset.
+	Handoff(ctx context.Context, from, self Member, offset model.Offset) (Handoff, error)
 }
 
 // Config builds a Service.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -87,29 +87,6 @@
 	}, nil
 }
 
-// Claim asks the owner of a request ID for the right to run it; after ErrUnreachable the claim may have been granted.
-func (c *Client) Claim(ctx context.Context, address string, claim Claim) (ClaimAnswer, error) {
-	req := &peerpb.ClaimRequest{
-		RequestId: claim.RequestID, Claimant: senderToWire(claim.Claimant), Membership: int64(claim.Membership),
-	}
-	out, err := call(ctx, c, "Claim", address, c.cfg.CallTimeout, req, peerpb.Peer.Claim)
-	if err != nil {
-		return ClaimAnswer{}, err
-	}
-	return ClaimAnswer{
-		Verdict: verdictFromWire(out.GetVerdict()), Membership: model.Offset(out.GetMembership()),
-	}, nil
-}
-
-// Settle tells the owner of a request ID how the request ended; it may be repeated.
-func (c *Client) Settle(ctx context.Context, address string, settle Settle) error {
-	req := &peerpb.SettleRequest{
-		RequestId: settle.RequestID, Claimant: senderToWire(settle.Claimant), Ran: settle.Ran,
-	}
-	_, err := call(ctx, c, "Settle", address, c.cfg.CallTimeout, req, peerpb.Peer.Settle)
-	return err
-}
-
 // Retain closes the connections to all peers but those at addresses, so that replaced instances leave nothing behind.
 func (c *Client) Retain(addresses []string) { c.pool.retain(addresses) }
 
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -67,30 +67,3 @@
 	}
 	return out
 }
-
-func verdictToWire(v Verdict) peerpb.Verdict {
-	switch v {
-	case VerdictGranted:
-		return peerpb.Verdict_VERDICT_GRANTED
-	case VerdictConflict:
-		return peerpb.Verdict_VERDICT_CONFLICT
-	case VerdictMembership:
-		return peerpb.Verdict_VERDICT_MEMBERSHIP
-	case VerdictUnknown:
-	}
-	return peerpb.Verdict_VERDICT_UNKNOWN
-}
-
-// verdictFromWire maps verdicts of a newer version to VerdictUnknown, which never lets a request run twice.
-func verdictFromWire(v peerpb.Verdict) Verdict {
-	switch v {
-	case peerpb.Verdict_VERDICT_GRANTED:
-		return VerdictGranted
-	case peerpb.Verdict_VERDICT_CONFLICT:
-		return VerdictConflict
-	case peerpb.Verdict_VERDICT_MEMBERSHIP:
-		return VerdictMembership
-	case peerpb.Verdict_VERDICT_UNSPECIFIED, peerpb.Verdict_VERDICT_UNKNOWN:
-	}
-	return VerdictUnknown
-}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -119,26 +119,3 @@
 		At: int64(snap.At), Data: snap.Data, Recorded: int64(snap.Recorded), RecordedAge: int64(snap.RecordedAge),
 	}, nil
 }
-
-func (s service) Claim(ctx context.Context, req *peerpb.ClaimRequest) (*peerpb.ClaimResponse, error) {
-	answer, err := s.cfg.Requests.HandleClaim(ctx, Claim{
-		RequestID: req.GetRequestId(), Claimant: senderFromWire(req.GetClaimant()),
-		Membership: model.Offset(req.GetMembership()),
-	})
-	if err != nil {
-		return nil, errorToWire(err)
-	}
-	return &peerpb.ClaimResponse{
-		Verdict: verdictToWire(answer.Verdict), Membership: int64(answer.Membership),
-	}, nil
-}
-
-func (s service) Settle(ctx context.Context, req *peerpb.SettleRequest) (*peerpb.SettleResponse, error) {
-	err := s.cfg.Requests.HandleSettle(ctx, Settle{
-		RequestID: req.GetRequestId(), Claimant: senderFromWire(req.GetClaimant()), Ran: req.GetRan(),
-	})
-	if err != nil {
-		return nil, errorToWire(err)
-	}
-	return &peerpb.SettleResponse{}, nil
-}
--- a/internal/peer/types.go
+++ b/internal/peer/types.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/once"
 	"arbutuswing.example/internal/ports"
 )
 
@@ -67,44 +68,6 @@
 	RecordedAge time.Duration
 }
 
-// Claim asks the owner of a request ID for the right to run the request.
-type Claim struct {
-	RequestID string
-	Claimant  Sender
-	// Membership is the offset of the last membership change that the claimant has folded.
-	Membership model.Offset
-}
-
-// Verdict is the owner's decision on a claim.
-type Verdict int
-
-// Verdicts on claims.
-const (
-	// VerdictUnknown reports that the owner cannot tell whether the request ran.
-	VerdictUnknown Verdict = iota
-	// VerdictGranted lets the claimant run the request.
-	VerdictGranted
-	// VerdictConflict reports that the request ran already or is running.
-	VerdictConflict
-	// VerdictMembership reports that owner and claimant have folded different membership offsets.
-	VerdictMembership
-)
-
-// ClaimAnswer is the owner's answer to a claim.
-type ClaimAnswer struct {
-	Verdict Verdict
-	// Membership is the offset of the last membership change that the owner has folded.
-	Membership model.Offset
-}
-
-// Settle tells the owner how a claimed request ended.
-type Settle struct {
-	RequestID string
-	Claimant  Sender
-	// Ran is false when the request certainly did not run, so that it may be claimed again.
-	Ran bool
-}
-
 // Beats answers heartbeats.
 type Beats interface {
 	HandleBeat(ctx context.Context, from Status) (BeatAnswer, error)
@@ -121,8 +84,10 @@
 	Snapshot(ctx context.Context) (Snapshot, error)
 }
 
-// Requests owns request IDs.
+// Requests owns request IDs; *once.Service implements it.
 type Requests interface {
-	HandleClaim(ctx context.Context, claim Claim) (ClaimAnswer, error)
-	HandleSettle(ctx context.Context, settle Settle) error
+	Decide(req once.ClaimRequest) once.Status
+	Finish(req once.SettleRequest)
+	// Handoff returns once.ErrBehind unless this instance holds the membership at offset.
+	Handoff(to once.Member, offset model.Offset) (once.Handoff, error)
 }
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -71,7 +71,7 @@
 	return ports.ErrUnreachable
 }
 
-func (noPeers) Handoff(context.Context, once.Member, model.Offset) (once.Handoff, error) {
+func (noPeers) Handoff(context.Context, once.Member, once.Member, model.Offset) (once.Handoff, error) {
 	return once.Handoff{}, ports.ErrUnreachable
 }
 
