--- a/internal/decl/change_test.go
+++ b/internal/decl/change_test.go
@@ -44,6 +44,13 @@
 			"organisation of a team", func(s *decl.Set) { s.Teams[0].Organisation = "orchard" },
 			[]model.OrganisationID{"harbour", "orchard"},
 		},
+		{
+			"organisation of a team, to a new one", func(s *decl.Set) {
+				s.Organisations = append(s.Organisations, decl.Organisation{Name: "new", ApprovalKey: keyA})
+				s.Teams[0].Organisation = "new"
+			},
+			[]model.OrganisationID{"harbour"},
+		},
 		{
 			"target", func(s *decl.Set) { s.Classes[0].Target.AnsweredWithin++ },
 			[]model.OrganisationID{"harbour", "orchard"},
--- a/internal/decl/diff.go
+++ b/internal/decl/diff.go
@@ -1,6 +1,7 @@
 package decl
 
 import (
+	"maps"
 	"reflect"
 	"slices"
 
@@ -101,8 +102,9 @@
 		if targets || !ok || !sameTerms(team, after) {
 			touched[team.Organisation] = true
 		}
-		if ok {
-			touched[after.Organisation] = touched[after.Organisation] || after.Organisation != team.Organisation
+		// An organisation that the change itself declares has no key yet with which it could approve.
+		if _, declared := old.Organisation(after.Organisation); declared && after.Organisation != team.Organisation {
+			touched[after.Organisation] = true
 		}
 	}
 	for _, before := range old.Organisations {
@@ -122,14 +124,7 @@
 }
 
 func sortedKeys(set map[model.OrganisationID]bool) []model.OrganisationID {
-	var out []model.OrganisationID
-	for name, in := range set {
-		if in {
-			out = append(out, name)
-		}
-	}
-	slices.Sort(out)
-	return out
+	return slices.Sorted(maps.Keys(set))
 }
 
 // Split divides a patch made by Diff into the part that never waits for approval (keys of existing teams and data
