feat(sched): place tasks, hold worker leases and record ends

First version of the packages policy, place, lease and sched: queued tasks are taken in order, started on workers under leases, and their ends recorded.

A rapid state machine drives two instances through pauses, lost and late calls, reboots, outages and stale views against workers that count double runs and overcommitted starts (go test ./internal/sched -run Faults).

--- /dev/null
+++ b/internal/place/config.go
@@ -0,0 +1,75 @@
+package place
+
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrBadConfig reports settings that the book can't work with.
+var ErrBadConfig = errors.New("bad place settings")
+
+// Strategy selects how a worker is chosen among those with room.
+type Strategy string
+
+// Strategies; all but Dominant exist for comparison.
+const (
+	// FirstFit takes the first worker with room, in the order in which workers were added.
+	FirstFit Strategy = "first-fit"
+	// BestFit takes the worker that keeps the least free capacity, summed over processors and memory.
+	BestFit Strategy = "best-fit"
+	// Dominant takes the worker that keeps the least of the task's dominant dimension and the best balance.
+	Dominant Strategy = "dominant"
+)
+
+const (
+	defaultShards = 8
+	defaultScan   = 4
+	maxShards     = 256
+)
+
+// Config holds the settings of a book.
+type Config struct {
+	// Shards is the number of separately locked parts of the book.
+	Shards int `json:"shards"`
+	// Scan bounds the workers that are compared within one cell of the index.
+	Scan int `json:"scan"`
+	// Strategy selects among the workers with room.
+	Strategy Strategy `json:"strategy"`
+	// Balance weighs the imbalance of what stays free against the amount that stays free.
+	Balance float64 `json:"balance"`
+}
+
+// WithDefaults returns the settings with zero values replaced.
+func (c Config) WithDefaults() Config {
+	if c.Shards == 0 {
+		c.Shards = defaultShards
+	}
+	if c.Scan == 0 {
+		c.Scan = defaultScan
+	}
+	if c.Strategy == "" {
+		c.Strategy = Dominant
+	}
+	if c.Balance == 0 {
+		c.Balance = defaultBalance
+	}
+	return c
+}
+
+// Check returns ErrBadConfig for settings out of range.
+func (c Config) Check() error {
+	if c.Shards < 1 || c.Shards > maxShards {
+		return fmt.Errorf("%w: shards %d is not between 1 and %d", ErrBadConfig, c.Shards, maxShards)
+	}
+	if c.Scan < 1 {
+		return fmt.Errorf("%w: scan %d is below 1", ErrBadConfig, c.Scan)
+	}
+	if c.Balance < 0 {
+		return fmt.Errorf("%w: balance %g is negative", ErrBadConfig, c.Balance)
+	}
+	switch c.Strategy {
+	case FirstFit, BestFit, Dominant:
+		return nil
+	}
+	return fmt.Errorf("%w: strategy %q", ErrBadConfig, c.Strategy)
+}
--- /dev/null
+++ b/internal/place/score.go
@@ -0,0 +1,42 @@
+package place
+
+import "arbutuswing.example/internal/model"
+
+const (
+	// defaultBalance is the weight of the imbalance between free processors and free memory.
+	defaultBalance = 0.5
+	// spreadPenalty exceeds every other score, so that services go to the rack with the fewest of their tasks.
+	spreadPenalty = 16.0
+)
+
+// scorer rates what a worker would keep free; lower is better.
+type scorer struct {
+	strategy Strategy
+	balance  float64
+}
+
+func (s scorer) rate(n *node, size model.Resources) float64 {
+	cores := float64(n.free.Cores-size.Cores) / float64(max(1, n.capacity.Cores))
+	memory := float64(n.free.Memory-size.Memory) / float64(max(1, n.capacity.Memory))
+	switch s.strategy {
+	case FirstFit:
+		return float64(n.index)
+	case BestFit:
+		return cores + memory
+	default:
+		return s.dominant(n, size, cores, memory)
+	}
+}
+
+// dominant rates by the dimension of which the task takes the largest fraction; the imbalance term keeps workers from
+// running out of one dimension while the other stays free.
+func (s scorer) dominant(n *node, size model.Resources, cores, memory float64) float64 {
+	rest := memory
+	if size.Cores*model.MilliCores(n.capacity.Memory) >= model.MilliCores(size.Memory)*n.capacity.Cores {
+		rest = cores
+	}
+	if size.Accelerators > 0 {
+		rest += float64(n.free.Accelerators-size.Accelerators) / float64(max(1, n.capacity.Accelerators))
+	}
+	return rest + s.balance*max(cores-memory, memory-cores)
+}
--- /dev/null
+++ b/internal/policy/config.go
@@ -0,0 +1,92 @@
+package policy
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// ErrBadConfig reports settings that the policy can't work with.
+var ErrBadConfig = errors.New("bad policy settings")
+
+const (
+	defaultLearnAfter     = 5
+	defaultSamples        = 64
+	defaultPercentile     = 0.95
+	defaultMargin         = 0.10
+	defaultRise           = 10 * time.Minute
+	defaultLotsPerTeam    = 8
+	defaultQuarantineRuns = 5
+	defaultQuarantineJobs = 3
+	defaultQuarantine     = time.Minute
+	defaultQuarantineMax  = time.Hour
+	defaultOfferStep      = 500 * time.Millisecond
+	defaultSettle         = 2 * time.Minute
+)
+
+// Config holds the settings of the policy.
+type Config struct {
+	// LearnAfter is the number of ended attempts from which on reservations are learned.
+	LearnAfter int
+	// Samples is the number of ended attempts that are remembered per profile.
+	Samples int
+	// Percentile of the remembered attempts that a reservation must cover.
+	Percentile float64
+	// Margin is added to the percentile, as a fraction of it.
+	Margin float64
+	// Rise is the slack below which work with a "done by" time goes ahead of the shares.
+	Rise time.Duration
+	// LotsPerTeam bounds the jobs of one team that one round tries without success.
+	LotsPerTeam int
+	// QuarantineRuns and QuarantineJobs are the consecutive failures, and the jobs they must span, that put a worker
+	// into quarantine for Quarantine, doubled each time up to QuarantineMax.
+	QuarantineRuns int
+	QuarantineJobs int
+	Quarantine     time.Duration
+	QuarantineMax  time.Duration
+	// OfferStep is how long a task waits for each data centre that ranks before another one.
+	OfferStep time.Duration
+	// Settle is how long a job must be larger than every worker before it is refused.
+	Settle time.Duration
+}
+
+// WithDefaults returns the settings with zero values replaced.
+func (c Config) WithDefaults() Config {
+	setDefault(&c.LearnAfter, defaultLearnAfter)
+	setDefault(&c.Samples, defaultSamples)
+	setDefault(&c.Percentile, defaultPercentile)
+	setDefault(&c.Margin, defaultMargin)
+	setDefault(&c.Rise, defaultRise)
+	setDefault(&c.LotsPerTeam, defaultLotsPerTeam)
+	setDefault(&c.QuarantineRuns, defaultQuarantineRuns)
+	setDefault(&c.QuarantineJobs, defaultQuarantineJobs)
+	setDefault(&c.Quarantine, defaultQuarantine)
+	setDefault(&c.QuarantineMax, defaultQuarantineMax)
+	setDefault(&c.OfferStep, defaultOfferStep)
+	setDefault(&c.Settle, defaultSettle)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Check returns ErrBadConfig for settings out of range.
+func (c Config) Check() error {
+	if c.LearnAfter < 1 || c.Samples < c.LearnAfter {
+		return fmt.Errorf("%w: %d samples cannot hold the %d that learning needs", ErrBadConfig, c.Samples, c.LearnAfter)
+	}
+	if c.Percentile <= 0 || c.Percentile > 1 || c.Margin < 0 {
+		return fmt.Errorf("%w: percentile %g or margin %g", ErrBadConfig, c.Percentile, c.Margin)
+	}
+	if c.LotsPerTeam < 1 || c.QuarantineRuns < 1 || c.QuarantineJobs < 1 {
+		return fmt.Errorf("%w: counts must be at least 1", ErrBadConfig)
+	}
+	if c.Rise < 0 || c.Quarantine <= 0 || c.QuarantineMax < c.Quarantine || c.OfferStep < 0 || c.Settle < 0 {
+		return fmt.Errorf("%w: durations must not be negative", ErrBadConfig)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/sched/attempt.go
@@ -0,0 +1,99 @@
+package sched
+
+import (
+	"time"
+
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/ports"
+	"arbutuswing.example/internal/state"
+)
+
+// eviction tells why an attempt has to end.
+type eviction string
+
+// Reasons for evictions, as they appear in metrics.
+const (
+	evictNone    eviction = ""
+	evictPreempt eviction = "preempt"
+	evictCentre  eviction = "data-centre-out"
+	evictLimit   eviction = "upper-limit"
+	evictUsage   eviction = "usage"
+	evictGang    eviction = "gang"
+	evictBacklog eviction = "backlog"
+)
+
+// attempt is a bound attempt in the fold, on any worker.
+type attempt struct {
+	id          model.AttemptID
+	spec        model.JobSpec
+	worker      model.WorkerID
+	boot        model.BootID
+	reservation model.Resources
+	resume      model.Duration
+	// seq orders attempts by when they were bound; since is when this instance learned of it.
+	seq   int64
+	since time.Time
+	// queued is when the task was queued, in nanoseconds since 1970.
+	queued int64
+
+	behind   bool
+	stopping bool
+	// pulled is set for attempts with a team's own runner; they are on no worker.
+	pulled bool
+
+	evict eviction
+	// saved is set once the attempt was checkpointed for its eviction.
+	saved bool
+	// tried is set once a start was sent; unknown while a start may or may not have taken effect.
+	tried   bool
+	unknown bool
+	// ending is set while the attempt's end is on its way to the log.
+	ending bool
+}
+
+// movable reports whether the attempt may be preempted for other work. Stopping a service or one member of a gang costs
+// more than the progress of one attempt, so only single batch tasks are.
+func (a *attempt) movable() bool {
+	return a.spec.Kind == model.KindBatch && !a.behind && !a.stopping && a.evict == evictNone
+}
+
+// failure remembers where a task failed, so that its next attempt goes elsewhere if it can: a worker is put into
+// quarantine only after failures of several jobs, and a task has few attempts.
+type failure struct{ workers []model.WorkerID }
+
+// session is a worker as the holder of its lease sees it.
+type session struct {
+	id     model.WorkerID
+	worker state.Worker
+	// bound lists the attempts that the fold has bound to the worker, behind ones included.
+	bound map[model.AttemptID]*attempt
+
+	// held is set from the first report under a lease until the lease is dropped.
+	held     bool
+	acquired time.Time
+	reported time.Time
+	boot     model.BootID
+	capacity model.Resources
+	leaving  bool
+	tasks    map[model.AttemptID]ports.TaskReport
+	// stopped holds when a stop was last sent.
+	stopped map[model.AttemptID]time.Time
+}
+
+func newSession(id model.WorkerID) *session {
+	return &session{
+		id: id, bound: make(map[model.AttemptID]*attempt),
+		tasks: make(map[model.AttemptID]ports.TaskReport), stopped: make(map[model.AttemptID]time.Time),
+	}
+}
+
+// running returns the report of an attempt that runs.
+func (s *session) running(id model.AttemptID) (ports.TaskReport, bool) {
+	r, ok := s.tasks[id]
+	return r, ok && r.Phase == ports.PhaseRunning
+}
+
+// loss returns the run time of a running attempt since its last checkpoint.
+func loss(r ports.TaskReport) time.Duration {
+	return max(0, r.Usage.RunTime.Std()-r.Checkpoint.Std())
+}
--- /dev/null
+++ b/internal/sched/claim.go
@@ -0,0 +1,230 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/policy"
+	"arbutuswing.example/internal/state"
+)
+
+// maxScanned bounds the workers that are searched for victims for one task.
+const maxScanned = 512
+
+// claim holds room on a worker for a task until the attempts that give way have ended. The book counts the claimed size
+// as reserved from the start, so that nothing else takes the room.
+type claim struct {
+	task   model.TaskID
+	worker model.WorkerID
+	size   model.Resources
+	since  time.Time
+}
+
+// claim has patient work give way to the candidate; it reports whether the candidate now waits for that.
+func (r *round) claim(c policy.Candidate, size model.Resources) bool {
+	p := r.p
+	if p.claims[c.Tasks[0].ID] != nil {
+		return true
+	}
+	allowed := r.mayPreempt(c, size)
+	if allowed == nil || len(p.claims)+len(c.Tasks) > p.cfg.Claims {
+		return false
+	}
+	var made []*claim
+	var victims []*attempt
+	for _, task := range c.Tasks {
+		worker, chosen, ok := p.findVictims(size, allowed, p.avoid(r.now))
+		if !ok {
+			for _, m := range made {
+				p.unclaim(m)
+			}
+			for _, v := range victims {
+				v.evict = evictNone
+			}
+			return false
+		}
+		m := &claim{task: task.ID, worker: worker, size: size, since: r.now}
+		p.book.Reserve(worker, size)
+		p.claims[task.ID] = m
+		made = append(made, m)
+		for _, v := range chosen {
+			v.evict = evictPreempt
+		}
+		victims = append(victims, chosen...)
+	}
+	for _, v := range victims {
+		countEviction(evictPreempt)
+		p.kick(v.worker)
+	}
+	r.stats.Claims += len(made)
+	return true
+}
+
+// mayPreempt returns which attempts may give way to the candidate, or nil for none. Urgent work takes any patient work,
+// but only where it was offered first or waited for its turn, so that not every data centre preempts for it. Other work
+// must be at the head of the order, have waited, and take only from teams that stay above the share that its own team
+// reaches.
+func (r *round) mayPreempt(c policy.Candidate, size model.Resources) func(*attempt) bool {
+	p := r.p
+	queued := time.Unix(0, c.Tasks[0].QueuedAt)
+	waited := r.now.Sub(queued)
+	if c.Band == policy.Urgent {
+		if waited < p.turn(c.Tasks[0].ID, c.Spec) {
+			return nil
+		}
+		return p.patient
+	}
+	if r.claimed || waited < max(p.cfg.StarveAfter, p.turn(c.Tasks[0].ID, c.Spec)) {
+		return nil
+	}
+	r.claimed = true
+	if c.Band == policy.Due && c.Start.Sub(r.now) < p.cfg.Policy.Rise {
+		return p.patient
+	}
+	reached := p.queue.ShareWith(c.Spec.Team, size.Times(len(c.Tasks)))
+	return func(a *attempt) bool {
+		if !p.patient(a) || a.spec.Team == c.Spec.Team {
+			return false
+		}
+		return p.queue.ShareWith(a.spec.Team, model.Resources{}.Minus(a.reservation)) >= reached
+	}
+}
+
+// turn returns how long other data centres have the first choice of the task.
+func (p *Placer) turn(id model.TaskID, spec model.JobSpec) time.Duration {
+	rank := slices.Index(policy.Rank(id, spec, p.inService()), p.cfg.DataCentre)
+	return time.Duration(max(0, rank)) * p.cfg.Policy.OfferStep
+}
+
+// patient reports whether the attempt is patient work that may be preempted.
+func (p *Placer) patient(a *attempt) bool {
+	return a.movable() && p.queue.Band(a.spec.Class) == policy.Patient
+}
+
+// findVictims returns the worker on which the least progress is lost when size is made to fit there, and the attempts
+// that give way.
+func (p *Placer) findVictims(
+	size model.Resources, allowed func(*attempt) bool, avoid func(model.WorkerID) bool,
+) (model.WorkerID, []*attempt, bool) {
+	var worker model.WorkerID
+	var best []policy.Running
+	least := time.Duration(0)
+	found := false
+	for _, s := range p.scan() {
+		if !s.held || s.leaving || !usable(s.worker) || !size.Fits(s.worker.Capacity) || (avoid != nil && avoid(s.id)) {
+			continue
+		}
+		free, _ := p.book.Free(s.id)
+		victims, lost, ok := policy.Victims(size, free.Plus(s.ending()), s.preemptible(allowed))
+		if !ok {
+			continue
+		}
+		if !found || lost < least || (lost == least && len(victims) < len(best)) {
+			worker, best, least, found = s.id, victims, lost, true
+		}
+	}
+	out := make([]*attempt, 0, len(best))
+	for _, v := range best {
+		out = append(out, p.attempts[v.Attempt])
+	}
+	return worker, out, found
+}
+
+// scan returns the next workers in turn, at most maxScanned of them.
+func (p *Placer) scan() []*session {
+	ids := make([]model.WorkerID, 0, len(p.sessions))
+	for id := range p.sessions {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	out := make([]*session, 0, min(len(ids), maxScanned))
+	for i := range min(len(ids), maxScanned) {
+		out = append(out, p.sessions[ids[(p.cursor+i)%len(ids)]])
+	}
+	p.cursor += len(out)
+	return out
+}
+
+// ending sums what comes free on the worker without further victims.
+func (s *session) ending() model.Resources {
+	sum := model.Resources{}
+	for _, a := range s.bound {
+		if !a.behind && (a.stopping || a.evict != evictNone) {
+			sum = sum.Plus(a.reservation)
+		}
+	}
+	return sum
+}
+
+// preemptible lists the worker's attempts that may give way.
+func (s *session) preemptible(allowed func(*attempt) bool) []policy.Running {
+	var out []policy.Running
+	for _, a := range s.bound {
+		if !allowed(a) {
+			continue
+		}
+		running := policy.Running{Attempt: a.id, Team: a.spec.Team, Reservation: a.reservation}
+		if report, ok := s.running(a.id); ok {
+			running.Loss = loss(report)
+		}
+		out = append(out, running)
+	}
+	return out
+}
+
+// fulfilClaims binds the tasks whose room has come free.
+func (r *round) fulfilClaims() {
+	p := r.p
+	for id, c := range p.claims {
+		task, spec, ok := p.deps.View.Task(id)
+		if !ok || task.Phase != state.PhaseQueued || !p.queue.Has(id) {
+			p.unclaim(c)
+			continue
+		}
+		free, known := p.book.Free(c.worker)
+		if !known || !usable(p.workers[c.worker]) || r.now.Sub(c.since) > p.cfg.ClaimTTL {
+			p.unclaim(c)
+			continue
+		}
+		if free.Negative() || p.hasBacklog(c.worker) {
+			continue
+		}
+		if spec.Kind == model.KindGang {
+			r.fulfilGang(spec)
+			continue
+		}
+		delete(p.claims, id)
+		r.bind(policy.Candidate{Spec: spec, Tasks: []state.Task{task}}, task, c.size, c.worker, false)
+	}
+}
+
+// fulfilGang binds the gang once the room of all its claims is free.
+func (r *round) fulfilGang(spec model.JobSpec) {
+	p := r.p
+	var claims []*claim
+	var tasks []state.Task
+	for index := range spec.Tasks {
+		c := p.claims[model.TaskID{Job: spec.ID, Index: index}]
+		if c == nil {
+			continue
+		}
+		task, _, ok := p.deps.View.Task(c.task)
+		free, _ := p.book.Free(c.worker)
+		if !ok || free.Negative() || p.hasBacklog(c.worker) {
+			return
+		}
+		claims, tasks = append(claims, c), append(tasks, task)
+	}
+	for i, c := range claims {
+		delete(p.claims, c.task)
+		r.bind(policy.Candidate{Spec: spec, Tasks: tasks}, tasks[i], c.size, c.worker, false)
+	}
+}
+
+// unclaim gives the claimed room back.
+func (p *Placer) unclaim(c *claim) {
+	delete(p.claims, c.task)
+	p.book.Release(c.worker, c.size)
+	p.changed = true
+}
--- /dev/null
+++ b/internal/sched/command.go
@@ -0,0 +1,250 @@
+package sched
+
+import (
+	"errors"
+	"time"
+
+	"arbutuswing.example/internal/invar"
+	"arbutuswing.example/internal/lease"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/ports"
+)
+
+// stopAgain is how long a stop waits for its effect before it is sent again.
+const stopAgain = 2 * time.Second
+
+// Commands returns what to send to the worker: acknowledgements, ends of attempts, limits, then starts.
+func (p *Placer) Commands(id model.WorkerID) []lease.Command {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.sessions[id]
+	if s == nil || !s.held {
+		return nil
+	}
+	var out []lease.Command
+	out = append(out, p.acknowledgements(s)...)
+	out = append(out, p.stops(s)...)
+	out = append(out, p.throttles(s)...)
+	return append(out, p.starts(s)...)
+}
+
+// acknowledgements lets the worker forget attempts whose end the fold holds.
+func (p *Placer) acknowledgements(s *session) []lease.Command {
+	var over []model.AttemptID
+	for id, t := range s.tasks {
+		if t.Phase == ports.PhaseEnded && p.over(s, id) {
+			over = append(over, id)
+		}
+	}
+	if len(over) == 0 {
+		return nil
+	}
+	return []lease.Command{lease.Acknowledge{Attempts: over}}
+}
+
+// stops ends attempts that were cancelled, evicted, or are over for the fold though they still run. Running ones are
+// checkpointed before they give way. The worker decides whether an attempt that it doesn't run never started.
+func (p *Placer) stops(s *session) []lease.Command {
+	var out []lease.Command
+	var cancelled, evicted []model.AttemptID
+	for _, a := range s.inOrder() {
+		if a.boot != s.boot || a.ending || !p.stopDue(s, a.id) {
+			continue
+		}
+		switch {
+		case a.stopping:
+			cancelled = append(cancelled, a.id)
+		case a.evict != evictNone:
+			if _, ok := s.running(a.id); ok && !a.saved && a.spec.Kind != model.KindService {
+				out = append(out, lease.Checkpoint{Attempt: a.id})
+			}
+			evicted = append(evicted, a.id)
+		}
+	}
+	for id, t := range s.tasks {
+		if s.bound[id] == nil && t.Phase == ports.PhaseRunning && p.stopDue(s, id) && p.fresh(s) && p.over(s, id) {
+			cancelled = append(cancelled, id)
+		}
+	}
+	if len(cancelled) > 0 {
+		out = append(out, lease.Stop{Outcome: model.OutcomeStopped, Attempts: cancelled})
+	}
+	if len(evicted) > 0 {
+		out = append(out, lease.Stop{Outcome: model.OutcomePreempted, Attempts: evicted})
+	}
+	return out
+}
+
+// stopDue reports whether no stop of the attempt is under way.
+func (p *Placer) stopDue(s *session, id model.AttemptID) bool {
+	if t, ok := s.tasks[id]; ok && t.Phase == ports.PhaseEnded {
+		return false
+	}
+	sent, ok := s.stopped[id]
+	return !ok || p.deps.Clock.Since(sent) >= stopAgain
+}
+
+func (p *Placer) throttles(s *session) []lease.Command {
+	var out []lease.Command
+	for id, t := range s.tasks {
+		a := s.bound[id]
+		if a == nil || t.Phase != ports.PhaseRunning || a.evict != evictNone || a.stopping {
+			continue
+		}
+		if fraction, ok := throttle(a, t); ok {
+			out = append(out, lease.Throttle{Attempt: id, Fraction: fraction})
+		}
+	}
+	return out
+}
+
+// starts returns the bound attempts that the worker neither runs nor has ended, as far as they fit.
+func (p *Placer) starts(s *session) []lease.Command {
+	if !p.mayStartOn(s) {
+		return nil
+	}
+	used := p.used(s)
+	outage := p.outage()
+	var requests []ports.StartRequest
+	for _, a := range s.inOrder() {
+		if len(requests) == p.cfg.StartBatch {
+			break
+		}
+		if a.behind && !outage || !p.mayStart(s, a) {
+			continue
+		}
+		next := used
+		if !a.tried {
+			next = used.Plus(a.reservation)
+		}
+		if !next.Fits(s.capacity) {
+			if a.behind {
+				// The fold promotes in order, so what is behind doesn't overtake.
+				break
+			}
+			continue
+		}
+		used = next
+		p.checkStart(s, a, used)
+		a.tried, a.unknown = true, true
+		requests = append(requests, p.startRequest(a))
+	}
+	if len(requests) == 0 {
+		return nil
+	}
+	return []lease.Command{lease.Start{Requests: requests}}
+}
+
+func (p *Placer) startRequest(a *attempt) ports.StartRequest {
+	return ports.StartRequest{
+		Attempt: a.id, Team: a.spec.Team, Reservation: a.reservation, Declared: a.spec.RunTime,
+		Service: a.spec.Kind == model.KindService, Payload: a.spec.Payload, Resume: a.resume,
+		TaskTTL: model.Duration(p.cfg.TaskTTL),
+	}
+}
+
+// outage reports whether the log is out for everyone, so that the last state is still in force.
+func (p *Placer) outage() bool {
+	_, connected := p.deps.Links.ConnectedSince()
+	return !connected && p.deps.Links.MayStart()
+}
+
+// mayStartOn reports whether anything may be started on the worker.
+func (p *Placer) mayStartOn(s *session) bool {
+	return p.deps.Links.MayStart() && p.serves() && usable(s.worker) && s.worker.Boot == s.boot && p.fresh(s)
+}
+
+// mayStart reports whether the attempt is to be started: bound here for the fold, and unknown to the worker.
+func (p *Placer) mayStart(s *session, a *attempt) bool {
+	if _, reported := s.tasks[a.id]; reported || a.unknown || a.stopping || a.evict != evictNone {
+		return false
+	}
+	return a.boot == s.boot && p.isCurrent(s, a) && p.queue.Within(a.spec.Team) && !p.runsElsewhere(s, a)
+}
+
+// runsElsewhere reports whether another worker's last report, not older than a task lease, shows the task as running.
+func (p *Placer) runsElsewhere(s *session, a *attempt) bool {
+	for _, id := range p.seenOn[a.id.Task] {
+		other := p.sessions[id]
+		if id == s.id || other == nil || !other.held || p.deps.Clock.Since(other.reported) > p.cfg.TaskTTL {
+			continue
+		}
+		for number := 1; number < a.id.Number; number++ {
+			if _, ok := other.running(model.AttemptID{Task: a.id.Task, Number: number}); ok {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// used sums what runs on the worker and what may have been started since its last report.
+func (p *Placer) used(s *session) model.Resources {
+	sum := model.Resources{}
+	for id, t := range s.tasks {
+		if t.Phase != ports.PhaseRunning {
+			continue
+		}
+		if a := s.bound[id]; a != nil {
+			sum = sum.Plus(a.reservation)
+		} else {
+			sum = sum.Plus(t.Usage.Peak)
+		}
+	}
+	for _, a := range s.bound {
+		// A start whose answer was lost may still be on its way.
+		if _, reported := s.tasks[a.id]; a.tried && !reported {
+			sum = sum.Plus(a.reservation)
+		}
+	}
+	return sum
+}
+
+// checkStart checks the invariants at the point of a start.
+func (p *Placer) checkStart(s *session, a *attempt, used model.Resources) {
+	starts.Inc()
+	waiting.Update(p.deps.Clock.Since(time.Unix(0, a.queued)).Seconds())
+	if p.deps.Invar == nil {
+		return
+	}
+	check := p.deps.Invar.Check
+	check(invar.Capacity, used.Fits(s.capacity), "worker %s: %+v on %+v", s.id, used, s.capacity)
+	check(invar.SingleRun, !p.runsElsewhere(s, a), "task %s also runs on another worker", a.id.Task)
+	check(invar.DataCentreOut, p.serves() || p.deps.Clock.Since(p.outSince) <= outGrace,
+		"attempt %s starts in %s, out of service since %s", a.id, p.cfg.DataCentre, p.outSince)
+	check(invar.UpperLimit, p.queue.Within(a.spec.Team), "team %s is over its upper limit", a.spec.Team)
+}
+
+// Sent takes over the result of a command.
+func (p *Placer) Sent(id model.WorkerID, c lease.Command, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.sessions[id]
+	if s == nil {
+		return
+	}
+	switch c := c.(type) {
+	case lease.Acknowledge:
+		if err == nil {
+			for _, a := range c.Attempts {
+				delete(s.tasks, a)
+			}
+		}
+	case lease.Stop:
+		if err == nil {
+			for _, a := range c.Attempts {
+				s.stopped[a] = p.deps.Clock.Now()
+			}
+		}
+	case lease.Checkpoint:
+		// An attempt that can't be checkpointed gives way all the same; one whose answer was lost is tried again.
+		if a := s.bound[c.Attempt]; a != nil && !errors.Is(err, ports.ErrUnreachable) {
+			a.saved = true
+		}
+	case lease.Throttle:
+		if err == nil {
+			throttles.Inc()
+		}
+	case lease.Start:
+	}
+}
--- /dev/null
+++ b/internal/sched/events.go
@@ -0,0 +1,277 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"arbutuswing.example/internal/decl"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/policy"
+	"arbutuswing.example/internal/state"
+)
+
+// Apply follows one envelope of the fold.
+func (p *Placer) Apply(u Update) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if u.Reset {
+		if err := p.reset(); err != nil {
+			p.deps.Log.Error("resetting the placer failed", zap.Error(err))
+			return
+		}
+	}
+	for _, e := range u.Events {
+		p.apply(e)
+	}
+	p.changed = true
+}
+
+func (p *Placer) apply(e state.Event) {
+	switch e := e.(type) {
+	case state.TaskQueued:
+		p.taskQueued(e.Task, e.Spec)
+	case state.TaskBound:
+		p.taskBound(e.Task, e.Spec)
+	case state.TaskPromoted:
+		p.taskPromoted(e.Task)
+	case state.TaskPulled:
+		p.taskPulled(e.Task)
+	case state.TaskStopping:
+		p.taskStopping(e.Task)
+	case state.AttemptEnded:
+		p.attemptEnded(e)
+	case state.TaskDone:
+		p.taskDone(e.Task)
+	case state.WorkerChanged:
+		p.workerChanged(e.Worker)
+	case state.DeclarationsChanged:
+		p.declared(e.Set)
+	case state.MembersChanged:
+	}
+}
+
+// taskQueued queues the task, or holds it back while other data centres have the first choice of it.
+func (p *Placer) taskQueued(task state.Task, spec model.JobSpec) {
+	if task.Attempt > 0 && spec.Kind == model.KindGang {
+		p.evictGang(task.ID, spec)
+	}
+	p.offer(task, spec)
+}
+
+// never is later than any time that a placer sees.
+var never = time.Unix(1<<40, 0)
+
+func (p *Placer) offer(task state.Task, spec model.JobSpec) {
+	if len(spec.DataCentres) > 0 && !slices.Contains(spec.DataCentres, p.cfg.DataCentre) {
+		return
+	}
+	order := policy.Rank(task.ID, spec, p.inService())
+	rank := -1
+	for i, dc := range order {
+		if dc == p.cfg.DataCentre {
+			rank = i
+		}
+	}
+	if rank < 0 || p.queue.Open(spec.Class) {
+		// Kept for the time when the data centre or the class is declared otherwise.
+		p.offers.Put(policy.Offer{Task: task, Spec: spec, At: never})
+		return
+	}
+	wait := p.cfg.Policy.OfferStep * time.Duration(rank)
+	if rank == 0 || p.queue.Band(spec.Class) == policy.Urgent || p.isFull(order[0]) {
+		p.queue.Put(task, spec, wait)
+		return
+	}
+	p.offers.Put(policy.Offer{Task: task, Spec: spec, First: order[0], Delay: wait, At: p.deps.Clock.Now().Add(wait)})
+}
+
+func (p *Placer) isFull(dc model.DataCentreID) bool {
+	return p.deps.Loads != nil && p.deps.Loads.Full(dc)
+}
+
+// inService lists the data centres that may start tasks.
+func (p *Placer) inService() []model.DataCentreID {
+	var out []model.DataCentreID
+	for _, dc := range p.set.DataCentres {
+		if dc.Service == decl.InService {
+			out = append(out, dc.Name)
+		}
+	}
+	return out
+}
+
+func (p *Placer) unqueue(id model.TaskID) {
+	p.queue.Remove(id)
+	p.offers.Remove(id)
+}
+
+// taskBound takes over a binding, of this placer or of another.
+func (p *Placer) taskBound(task state.Task, spec model.JobSpec) {
+	p.unqueue(task.ID)
+	delete(p.voids, task.ID)
+	delete(p.returned, task.ID)
+	id := task.CurrentAttempt()
+	if t := p.taking[id]; t != nil {
+		p.release(t)
+	}
+	if c := p.claims[task.ID]; c != nil {
+		p.unclaim(c)
+	}
+	a := p.newAttempt(task, spec)
+	a.worker, a.boot, a.behind, a.stopping = task.Worker, task.Boot, task.Behind, task.Stopping
+	p.charge(a, 1)
+	if w, ok := p.workers[a.worker]; !ok || w.DataCentre != p.cfg.DataCentre {
+		return
+	}
+	s := p.session(a.worker)
+	s.bound[id] = a
+	if !a.behind {
+		p.book.Reserve(a.worker, a.reservation)
+	}
+	p.countRack(a, 1)
+	p.enforceLimit(spec.Team)
+	p.kick(a.worker)
+}
+
+func (p *Placer) newAttempt(task state.Task, spec model.JobSpec) *attempt {
+	p.seq++
+	a := &attempt{
+		id: task.CurrentAttempt(), spec: spec, reservation: task.Reservation, resume: task.Checkpoint,
+		seq: p.seq, since: p.deps.Clock.Now(), queued: task.QueuedAt,
+	}
+	p.attempts[a.id], p.current[task.ID] = a, a
+	return a
+}
+
+func (p *Placer) charge(a *attempt, sign int) {
+	p.queue.Charge(a.spec.Team, a.reservation.Times(sign), sign)
+}
+
+func (p *Placer) countRack(a *attempt, by int) {
+	if a.spec.Kind != model.KindService {
+		return
+	}
+	racks := p.racks[a.spec.ID]
+	if racks == nil {
+		racks = make(map[model.RackID]int)
+		p.racks[a.spec.ID] = racks
+	}
+	rack := p.workers[a.worker].Rack
+	if racks[rack] += by; racks[rack] <= 0 {
+		delete(racks, rack)
+	}
+	if len(racks) == 0 {
+		delete(p.racks, a.spec.ID)
+	}
+}
+
+func (p *Placer) taskPromoted(task state.Task) {
+	a := p.attempts[task.CurrentAttempt()]
+	if a == nil || !a.behind {
+		return
+	}
+	a.behind = false
+	if s := p.sessions[a.worker]; s != nil {
+		if _, stopped := s.stopped[a.id]; !stopped && a.evict == evictBacklog {
+			a.evict = evictNone
+		}
+		p.book.Reserve(a.worker, a.reservation)
+		p.kick(a.worker)
+	}
+}
+
+func (p *Placer) taskPulled(task state.Task) {
+	p.unqueue(task.ID)
+	spec := model.JobSpec{}
+	if _, found, ok := p.deps.View.Task(task.ID); ok {
+		spec = found
+	}
+	a := p.newAttempt(task, spec)
+	a.pulled = true
+	p.charge(a, 1)
+}
+
+func (p *Placer) taskStopping(task state.Task) {
+	if a := p.attempts[task.CurrentAttempt()]; a != nil {
+		a.stopping = true
+		p.kick(a.worker)
+	}
+}
+
+// attemptEnded gives back what the attempt held and learns from its end.
+func (p *Placer) attemptEnded(e state.AttemptEnded) {
+	a := p.attempts[e.Attempt]
+	if a == nil {
+		return
+	}
+	delete(p.attempts, a.id)
+	if p.current[a.id.Task] == a {
+		delete(p.current, a.id.Task)
+	}
+	p.charge(a, -1)
+	p.learner.Ended(e.Spec, a.id.Task, a.reservation, e.Outcome, e.Usage)
+	p.queue.Refresh(a.id.Task.Job)
+	s := p.sessions[a.worker]
+	if a.pulled || s == nil {
+		return
+	}
+	delete(s.bound, a.id)
+	if !a.behind {
+		p.book.Release(a.worker, a.reservation)
+	}
+	p.countRack(a, -1)
+	if e.Outcome == model.OutcomeFailed {
+		f := p.failed[a.id.Task]
+		p.failed[a.id.Task] = failure{workers: append(f.workers, a.worker)}
+	}
+	if p.quarantine.Ended(a.worker, a.id.Task.Job, e.Outcome, p.deps.Clock.Now()) {
+		quarantines.Inc()
+		p.deps.Log.Warn("worker put into quarantine", zap.String("worker", string(a.worker)))
+	}
+	p.kick(a.worker)
+}
+
+func (p *Placer) taskDone(task state.Task) {
+	p.offers.Remove(task.ID)
+	p.queue.Done(task.ID)
+	p.learner.Forget(task.ID)
+	p.never.Forget(task.ID.Job)
+	delete(p.voids, task.ID)
+	delete(p.failed, task.ID)
+	delete(p.returned, task.ID)
+	delete(p.refused, task.ID.Job)
+}
+
+func (p *Placer) workerChanged(w state.Worker) {
+	old, known := p.workers[w.ID]
+	if known && usable(old) != usable(w) || !known || old.Capacity != w.Capacity {
+		p.count(old, known, -1)
+		p.count(w, true, 1)
+	}
+	p.workers[w.ID] = w
+	p.deps.Leases.WorkerChanged(w)
+	if w.DataCentre != p.cfg.DataCentre {
+		return
+	}
+	s := p.session(w.ID)
+	s.worker = w
+	p.setBook(s)
+	p.kick(w.ID)
+}
+
+func (p *Placer) session(id model.WorkerID) *session {
+	s := p.sessions[id]
+	if s == nil {
+		s = newSession(id)
+		p.sessions[id] = s
+	}
+	return s
+}
+
+func (p *Placer) kick(id model.WorkerID) {
+	if p.sessions[id] != nil {
+		p.deps.Leases.Kick(id)
+	}
+}
--- /dev/null
+++ b/internal/sched/fault_test.go
@@ -0,0 +1,156 @@
+package sched
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"arbutuswing.example/internal/decl"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/state"
+)
+
+// faults drives two instances of one data centre through faults; the workers count what must not happen.
+type faults struct {
+	*world
+	jobs int
+}
+
+func (f *faults) host(t *rapid.T) *host {
+	return f.fleet.hosts[string(workerName(rapid.IntRange(0, len(f.fleet.hosts)-1).Draw(t, "host")))]
+}
+
+func (f *faults) node(t *rapid.T) *node { return f.nodes[rapid.IntRange(0, 1).Draw(t, "node")] }
+
+func (f *faults) submit(t *rapid.T) {
+	f.jobs++
+	spec := job(model.JobID(fmt.Sprint("j", f.jobs)), rapid.SampledFrom([]model.TeamID{"a", "b", "c"}).Draw(t, "team"),
+		rapid.SampledFrom([]model.ClassID{"patient", "patient", "urgent", "nightly"}).Draw(t, "class"),
+		rapid.IntRange(1, 6).Draw(t, "tasks"), cores(rapid.IntRange(1, 4).Draw(t, "cores")))
+	if rapid.IntRange(0, 4).Draw(t, "gang") == 0 {
+		spec.Kind = model.KindGang
+	}
+	f.fold.accept(spec)
+}
+
+func (f *faults) pass(t *rapid.T) {
+	f.advance(time.Duration(rapid.IntRange(1, 40).Draw(t, "steps")) * 200 * time.Millisecond)
+}
+
+// pauseInCall lets time pass for everyone else while a call to a worker is under way.
+func (f *faults) pauseInCall(t *rapid.T) {
+	steps := time.Duration(rapid.IntRange(1, 200).Draw(t, "steps"))
+	f.fleet.pause = func() {
+		for i := range f.nodes {
+			f.nodes[i].paused = true
+		}
+		f.nodes[1].paused = !f.nodes[0].links.placer
+		f.advance(steps * 200 * time.Millisecond)
+		for _, n := range f.nodes {
+			n.paused = false
+		}
+	}
+}
+
+func (f *faults) roles(t *rapid.T) {
+	roles := rapid.SampledFrom([][2]bool{{true, false}, {false, true}, {true, true}}).Draw(t, "placers")
+	f.nodes[0].links.placer, f.nodes[1].links.placer = roles[0], roles[1]
+}
+
+func (f *faults) outage() {
+	f.fold.out = !f.fold.out
+	for _, n := range f.nodes {
+		n.links.outage, n.links.since = f.fold.out, f.clock.Now()
+	}
+}
+
+// freeze lets a node's view fall behind for at most the freshness bound, or brings it up to date.
+func (f *faults) freeze(t *rapid.T) {
+	n := f.node(t)
+	n.links.frozen = f.clock.Now()
+	f.advance(time.Duration(rapid.IntRange(1, 10).Draw(t, "steps")) * 200 * time.Millisecond)
+	n.links.frozen = time.Time{}
+}
+
+func (f *faults) declare(t *rapid.T) {
+	set := declared(testCentre)
+	if rapid.IntRange(0, 3).Draw(t, "out") == 0 {
+		set.DataCentres[0].Service = decl.OutOfService
+	}
+	set.Teams[0].Limit.Tasks = rapid.IntRange(0, 3).Draw(t, "limit")
+	f.fold.declare(set)
+}
+
+func (f *faults) check(t *rapid.T) {
+	assert.Equal(t, f.fleet.doubles, 0, "tasks running twice")
+	assert.Equal(t, f.fleet.over, 0, "overcommitted starts")
+	for id, n := range f.fold.ended {
+		assert.Assert(t, n <= 1, "%s ended %d times", id, n)
+	}
+}
+
+func (f *faults) heal(t *rapid.T) {
+	f.fold.out = false
+	f.nodes[0].links.placer, f.nodes[1].links.placer = true, false
+	for _, n := range f.nodes {
+		n.links.outage, n.links.cut, n.links.since = false, false, f.clock.Now()
+	}
+	for _, h := range f.fleet.hosts {
+		h.cut, h.mute, h.slow = false, false, false
+	}
+	f.fold.declare(declared(testCentre))
+	f.advance(90 * time.Second)
+	for range 10 {
+		f.advance(30 * time.Second)
+	}
+	for id, task := range f.fold.tasks {
+		assert.Assert(t, task.Phase == state.PhaseDone, "%s is %+v", id, *task)
+	}
+}
+
+// Guards against tasks that run twice, overcommitted workers and lost work under faults in any order: pauses past the
+// leases, two holders, lost and late calls, reboots, outages, stale views, changes of service and limits.
+func TestPlacementUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &faults{world: newWorld(t, 3, cores(8))}
+		f.addNode(t, testCentre)
+		f.fold.declare(declared(testCentre))
+		f.nodes[1].links.placer = false
+		t.Repeat(map[string]func(*rapid.T){
+			"":              f.check,
+			"submit":        f.submit,
+			"submit-more":   f.submit,
+			"pass":          f.pass,
+			"pass-more":     f.pass,
+			"pause-in-call": f.pauseInCall,
+			"roles":         f.roles,
+			"outage":        func(*rapid.T) { f.outage() },
+			"freeze":        f.freeze,
+			"declare":       f.declare,
+			"cut-host":      func(t *rapid.T) { h := f.host(t); h.cut = !h.cut },
+			"mute-host":     func(t *rapid.T) { h := f.host(t); h.mute = !h.mute },
+			"slow-host":     func(t *rapid.T) { h := f.host(t); h.slow = !h.slow },
+			"deliver":       func(t *rapid.T) { f.fleet.deliver(f.host(t)) },
+			"reboot":        func(t *rapid.T) { f.fleet.reboot(f.host(t)) },
+			"cut-node": func(t *rapid.T) {
+				n := f.node(t)
+				n.links.cut, n.links.since = !n.links.cut, f.clock.Now()
+			},
+			"cancel": func(t *rapid.T) {
+				ids := make([]model.JobID, 0, len(f.fold.specs))
+				for id := range f.fold.specs {
+					ids = append(ids, id)
+				}
+				if slices.Sort(ids); len(ids) > 0 {
+					f.fold.cancel(rapid.SampledFrom(ids).Draw(t, "job"))
+				}
+			},
+		})
+		f.heal(t)
+		f.check(t)
+	})
+}
--- /dev/null
+++ b/internal/sched/iface.go
@@ -0,0 +1,61 @@
+package sched
+
+import (
+	"context"
+	"time"
+
+	"arbutuswing.example/internal/decl"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/record"
+	"arbutuswing.example/internal/state"
+)
+
+// Links tells how the instance is connected to the log and to other instances.
+type Links interface {
+	// IsPlacer reports whether the instance is the placer of its data centre.
+	IsPlacer() bool
+	// MayStart reports whether bound tasks may be started.
+	MayStart() bool
+	// ConnectedSince returns since when the instance has been connected or relayed without a break; ok is false while
+	// it is neither.
+	ConnectedSince() (since time.Time, ok bool)
+	// FreshAt returns a time for which the fold surely holds every record that was in the log then.
+	FreshAt() time.Time
+}
+
+// Submitter records operations in the log.
+type Submitter interface {
+	// Submit returns one result per operation: nil, or the reason for which it is void. An error means that it is
+	// unknown whether the operations were recorded.
+	Submit(ctx context.Context, ops ...record.Op) ([]error, error)
+}
+
+// View reads the fold.
+type View interface {
+	Task(id model.TaskID) (state.Task, model.JobSpec, bool)
+}
+
+// Leases holds the worker leases.
+type Leases interface {
+	Kick(id model.WorkerID)
+	WorkerChanged(w state.Worker)
+	Declared(set decl.Set)
+}
+
+// Loads exchanges with other placers whether their data centres are full.
+type Loads interface {
+	Full(dc model.DataCentreID) bool
+	ReportFull(full bool)
+}
+
+// Refuser ends jobs that can never run.
+type Refuser interface {
+	Refuse(ctx context.Context, job model.JobID, reason string) error
+}
+
+// Update is what one envelope changed.
+type Update struct {
+	// Reset is set when the events describe the whole state instead of a change, as after a snapshot was restored.
+	Reset  bool
+	Events []state.Event
+}
--- /dev/null
+++ b/internal/sched/submit.go
@@ -0,0 +1,156 @@
+package sched
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/policy"
+	"arbutuswing.example/internal/record"
+	"arbutuswing.example/internal/state"
+)
+
+const (
+	// maxBackoff bounds the doubling of Retry for a task whose bindings stay void.
+	maxBackoff = 6
+	// refusalQueue bounds the jobs that wait to be refused; one that finds no room is found again later.
+	refusalQueue = 64
+	// refuseAgain is how long a refusal waits before it is tried again.
+	refuseAgain = time.Minute
+)
+
+func (p *Placer) runSubmit(ctx context.Context, batch []*taking, done *sync.WaitGroup) {
+	defer done.Done()
+	defer func() { <-p.slots }()
+	p.submit(ctx, batch)
+}
+
+// submit records the bindings and releases those that had no effect.
+func (p *Placer) submit(ctx context.Context, batch []*taking) {
+	ops := make([]record.Op, len(batch))
+	for i, t := range batch {
+		ops[i] = t.op
+	}
+	results, err := p.deps.Submit.Submit(ctx, ops...)
+	if err != nil {
+		p.deps.Log.Warn("bindings may not be recorded", zap.Int("bindings", len(batch)), zap.Error(err))
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, t := range batch {
+		result := err
+		if err == nil {
+			result = results[i]
+		}
+		if result != nil {
+			p.void(t, result)
+		}
+	}
+}
+
+// void releases a binding without effect. The fold decides whether its task still waits; if it does, the task is tried
+// again after a pause that grows with each failure.
+func (p *Placer) void(t *taking, reason error) {
+	countVoid(reason)
+	if p.taking[t.op.Attempt] == t {
+		p.release(t)
+		p.quarantine.Returned(t.op.Worker)
+	}
+	task, spec, ok := p.deps.View.Task(t.task.ID)
+	if !ok || task.Phase != state.PhaseQueued || p.queue.Has(task.ID) || p.taking[task.NextAttempt()] != nil {
+		return
+	}
+	tries := p.voids[task.ID]
+	p.voids[task.ID] = min(tries+1, maxBackoff)
+	wait := p.cfg.Retry << tries
+	p.offers.Put(policy.Offer{Task: task, Spec: spec, At: p.deps.Clock.Now().Add(wait)})
+}
+
+// runEnds records the ends that workers reported.
+func (p *Placer) runEnds(ctx context.Context, done *sync.WaitGroup) {
+	defer done.Done()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.wakeEnds:
+			p.flushEnds(ctx)
+		}
+	}
+}
+
+// flushEnds submits the gathered ends; one that had no effect is gathered again from the worker's next report, unless
+// the fold holds the end by then.
+func (p *Placer) flushEnds(ctx context.Context) {
+	p.mu.Lock()
+	ends := p.ends
+	p.ends = nil
+	p.mu.Unlock()
+	if len(ends) == 0 {
+		return
+	}
+	ops := make([]record.Op, len(ends))
+	for i, e := range ends {
+		ops[i] = e
+	}
+	results, err := p.deps.Submit.Submit(ctx, ops...)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, e := range ends {
+		if err == nil && results[i] == nil {
+			endings.Inc()
+			continue
+		}
+		if err == nil && !errors.Is(results[i], state.ErrNotCurrent) {
+			countVoid(results[i])
+		}
+		if a := p.attempts[e.Attempt]; a != nil {
+			a.ending = false
+		}
+	}
+}
+
+// refusal is a job that can never run.
+type refusal struct {
+	job    model.JobID
+	reason string
+}
+
+// checkNever has a job refused that is too large for every worker it may use.
+func (p *Placer) checkNever(spec model.JobSpec, size model.Resources, now time.Time) {
+	if !p.never.Check(spec, size, p.allCapacities(), now) || now.Before(p.refused[spec.ID]) {
+		return
+	}
+	p.refused[spec.ID] = now.Add(refuseAgain)
+	select {
+	case p.refusals <- refusal{job: spec.ID, reason: "larger than every worker of the data centres it may use"}:
+	default:
+	}
+}
+
+func (p *Placer) runRefusals(ctx context.Context, done *sync.WaitGroup) {
+	defer done.Done()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-p.refusals:
+			p.refuse(ctx, r)
+		}
+	}
+}
+
+func (p *Placer) refuse(ctx context.Context, r refusal) {
+	refusedJobs.Inc()
+	p.deps.Log.Warn("job can never run", zap.String("job", string(r.job)), zap.String("reason", r.reason))
+	if p.deps.Refuse == nil {
+		return
+	}
+	if err := p.deps.Refuse.Refuse(ctx, r.job, r.reason); err != nil {
+		p.deps.Log.Warn("refusing the job failed", zap.String("job", string(r.job)), zap.Error(err))
+	}
+}
