--- a/entry/doc.go
+++ b/entry/doc.go
@@ -1,2 +1,2 @@
-// Command aw-entry is built up in later commits.
+// Command aw-entry is an entry instance: it serves callers and operators, places work and keeps membership.
 package main
--- a/entry/internal/admin/server.go
+++ b/entry/internal/admin/server.go
@@ -37,6 +37,9 @@
 	return &Server{config: config}, nil
 }
 
+// Sections returns the parts of the state dump.
+func (s *Server) Sections() []Section { return s.config.Sections }
+
 // Run serves until ctx ends and then lets open calls finish; it returns an error only if the address can't be used.
 func (s *Server) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", s.config.Address)
--- /dev/null
+++ b/entry/internal/daemon/feed.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+
+	"arbutuswing.example/internal/ephttp"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/once"
+	"arbutuswing.example/internal/sched"
+	"arbutuswing.example/internal/state"
+	"arbutuswing.example/internal/stream"
+)
+
+// feedDepth is the number of updates that may wait for the placer before the feed waits too.
+const feedDepth = 64
+
+// feed hands the updates of the fold to the placer and the memberships to the at-most-once table.
+type feed struct {
+	stream  *stream.Stream
+	once    *once.Service
+	updates chan sched.Update
+	// empty is set while no membership has ever been recorded.
+	empty bool
+}
+
+func newFeed(journal *stream.Stream, claims *once.Service) *feed {
+	return &feed{stream: journal, once: claims, updates: make(chan sched.Update, feedDepth), empty: true}
+}
+
+// runUpdates hands updates on until ctx ends.
+func (f *feed) runUpdates(ctx context.Context) error {
+	sub := f.stream.Subscribe()
+	defer sub.Close()
+	for {
+		update, err := sub.Next(ctx)
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return errors.Join(errFeed, err)
+		}
+		f.members(update)
+		select {
+		case <-ctx.Done():
+			return nil
+		case f.updates <- sched.Update{Reset: update.Resync, Events: update.Events}:
+		}
+	}
+}
+
+// errFeed reports that the updates of the fold ended.
+var errFeed = errors.New("following the folded state failed")
+
+func (f *feed) members(update stream.Update) {
+	for _, event := range update.Events {
+		changed, ok := event.(state.MembersChanged)
+		if !ok || changed.Offset == model.NoOffset {
+			continue
+		}
+		// A description of the whole state shows only the latest membership, so earlier ones may have existed.
+		f.once.Advance(membership(changed), f.empty && !update.Resync)
+		f.empty = false
+	}
+}
+
+func membership(changed state.MembersChanged) once.Membership {
+	out := once.Membership{Offset: changed.Offset}
+	for _, m := range changed.Members {
+		out.Members = append(out.Members, onceMember(m.Instance, m.Incarnation, m.PeerAddress))
+	}
+	return out
+}
+
+// connections keeps the connections per endpoint within this instance's part of what an endpoint accepts.
+type connections struct {
+	endpoint *ephttp.Client
+	limit    int
+	count    func() int
+}
+
+func (c connections) adjust() { c.endpoint.SetConnections(max(c.limit/max(c.count(), 1), 1)) }
--- /dev/null
+++ b/entry/internal/daemon/parts.go
@@ -0,0 +1,244 @@
+package daemon
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/dig"
+	"go.uber.org/zap"
+
+	"arbutuswing.example/entry/internal/admin"
+	"arbutuswing.example/entry/internal/front"
+	"arbutuswing.example/internal/config"
+	"arbutuswing.example/internal/decl"
+	"arbutuswing.example/internal/ephttp"
+	"arbutuswing.example/internal/invar"
+	"arbutuswing.example/internal/lease"
+	"arbutuswing.example/internal/logs"
+	"arbutuswing.example/internal/member"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/once"
+	"arbutuswing.example/internal/peer"
+	"arbutuswing.example/internal/platf"
+	"arbutuswing.example/internal/route"
+	"arbutuswing.example/internal/sched"
+	"arbutuswing.example/internal/state"
+	"arbutuswing.example/internal/stream"
+)
+
+// Version is the version of aw-entry.
+const Version = "0.1.0"
+
+// parts are the components of an entry instance that are run and stopped.
+type parts struct {
+	dig.In
+
+	Settings config.Entry
+	Log      *zap.Logger
+	Machine  *state.Machine
+	Stream   *stream.Stream
+	Members  *member.Service
+	Peers    *peer.Server
+	Once     *once.Service
+	Router   *route.Router
+	Endpoint *ephttp.Client
+	Front    *front.Server
+	Admin    *admin.Server
+	Leases   *lease.Manager
+	Placer   *sched.Placer
+	Feed     *feed
+	Health   *health
+}
+
+// build returns the container with the providers of all parts.
+func build(settings config.Entry) (*dig.Container, error) {
+	c := dig.New()
+	providers := []any{
+		func() config.Entry { return settings },
+		newLog, newChecker, newSelf, newPlatform, newEndpoint, newMachine, newPeerClient, newTable, newStream,
+		newMembers, newOnce, newRouter, newPeerServer, newFeed, newLinks, newPlacer, newLeases, newHealth, newFront,
+		newAdmin,
+		clockwork.NewRealClock,
+	}
+	for _, provider := range providers {
+		if err := c.Provide(provider); err != nil {
+			return nil, fmt.Errorf("wiring the entry instance: %w", err)
+		}
+	}
+	return c, nil
+}
+
+func newLog(settings config.Entry) (*zap.Logger, error) {
+	log, err := logs.New(os.Stderr, settings.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	return log.With(zap.String("instance", string(settings.Instance)),
+		zap.String("data-centre", string(settings.DataCentre))), nil
+}
+
+func newChecker(log *zap.Logger) *invar.Checker { return invar.New(log, false) }
+
+func newSelf(settings config.Entry, clock clockwork.Clock) member.Self {
+	return member.Self{
+		Sender: peer.Sender{
+			Instance: settings.Instance, Incarnation: model.Incarnation(clock.Now().UnixNano()),
+		},
+		DataCentre: settings.DataCentre, PeerAddress: settings.PeerAddress, AdminAddress: settings.AdminAddress,
+	}
+}
+
+func newPlatform(settings config.Entry) (*platf.Client, error) {
+	address, err := url.Parse(settings.Platform)
+	if err != nil {
+		return nil, fmt.Errorf("reading the platform's URL: %w", err)
+	}
+	return platf.New(platf.Config{Address: address.Host, DataCentre: settings.DataCentre})
+}
+
+func newEndpoint(settings config.Entry) (*ephttp.Client, error) {
+	return ephttp.New(ephttp.Config{Connections: settings.Route.Connections})
+}
+
+func newMachine(checker *invar.Checker) (*state.Machine, error) {
+	return state.New(state.Config{
+		ParsePatch: func(data []byte) (decl.Patch, error) { return decl.ParsePatch("change", data) },
+		ApplyPatch: func(set decl.Set, patch decl.Patch) (decl.Set, error) { return set.Apply(patch) },
+		CheckSet:   checkSet, Touches: decl.Touches, Invariants: checker,
+	})
+}
+
+// checkSet returns the first fault of a set of declarations.
+func checkSet(set decl.Set) error {
+	for _, problem := range decl.Check(set) {
+		return fmt.Errorf("%w: %w", state.ErrInvalid, problem)
+	}
+	return nil
+}
+
+func newPeerClient(settings config.Entry, log *zap.Logger, clock clockwork.Clock) (*peer.Client, error) {
+	return peer.NewClient(peer.ClientConfig{Logger: log, Clock: clock, BeatTimeout: settings.Member.Timeout.Std()})
+}
+
+func newTable(settings config.Entry, self member.Self, clock clockwork.Clock) (*member.Table, error) {
+	return member.NewTable(member.TableConfig{
+		Clock: clock, Self: self, DeadAfter: settings.Member.Dead.Std(), FreshBound: settings.Lease.Freshness.Std(),
+		Grace: settings.Member.CutOff.Std(), IsolationLimit: settings.Lease.Isolation.Std(),
+	})
+}
+
+func newStream(
+	settings config.Entry, self member.Self, platform *platf.Client, machine *state.Machine, table *member.Table,
+	client *peer.Client, log *zap.Logger, clock clockwork.Clock,
+) (*stream.Stream, error) {
+	s := settings.Stream
+	return stream.New(stream.Config{
+		Logger: log, Clock: clock, Instance: self.Instance, Incarnation: self.Incarnation, Log: platform,
+		Folder: machine, Peers: table, Relay: client, CommitUnit: s.Commit.Std(), CommitMax: s.CommitMax.Std(),
+		PollWait: s.ReadWait.Std(), RetryMin: s.RetryFirst.Std(), RetryMax: s.RetryMax.Std(),
+		FreshBound: settings.Lease.Freshness.Std(), Retention: s.Retention.Std(), SnapshotRecords: s.SnapshotRecords,
+		QueueOps: s.Pending,
+	})
+}
+
+func newMembers(
+	settings config.Entry, table *member.Table, journal *stream.Stream, client *peer.Client, platform *platf.Client,
+	log *zap.Logger, clock clockwork.Clock,
+) (*member.Service, error) {
+	return member.New(member.Config{
+		Logger: log, Clock: clock, Table: table, Journal: journal, Caller: client, Lister: platform,
+		BeatInterval: settings.Member.Beat.Std(),
+	})
+}
+
+func newOnce(
+	settings config.Entry, self member.Self, client *peer.Client, members *member.Service, log *zap.Logger,
+	clock clockwork.Clock,
+) (*once.Service, error) {
+	return once.New(once.Config{
+		Self: onceMember(self.Instance, self.Incarnation, self.PeerAddress), Peers: client, Clock: clock, Log: log,
+		Retention: settings.Once.Kept.Std(), Validity: settings.Once.Issued.Std(), Capacity: settings.Once.Entries,
+		MayDecide: func() bool { return members.Connectivity().State != member.CutOff },
+	})
+}
+
+func newRouter(
+	settings config.Entry, platform *platf.Client, endpoint *ephttp.Client, claims *once.Service,
+	members *member.Service, machine *state.Machine, checker *invar.Checker, log *zap.Logger, clock clockwork.Clock,
+) (*route.Router, error) {
+	return route.New(route.Config{
+		Instance: settings.Instance, DataCentre: settings.DataCentre, Endpoint: endpoint, Lister: platform,
+		Claims: claims, Clock: clock, Log: log, Invariants: checker, LocalOnly: members.LocalOnly,
+		QueueLimit: settings.Route.Queue, RefreshInterval: settings.Route.List.Std(), Share: shareOf(machine),
+	})
+}
+
+func shareOf(machine *state.Machine) func(model.TeamID) float64 {
+	return func(id model.TeamID) float64 {
+		set, _ := machine.Declarations()
+		if team, ok := set.Team(id); ok {
+			return team.Share
+		}
+		return 0
+	}
+}
+
+func newPeerServer(
+	settings config.Entry, members *member.Service, journal *stream.Stream, claims *once.Service, log *zap.Logger,
+) (*peer.Server, error) {
+	listener, err := net.Listen("tcp4", settings.PeerAddress)
+	if err != nil {
+		return nil, fmt.Errorf("listening for peers: %w", err)
+	}
+	return peer.NewServer(peer.ServerConfig{
+		Logger: log, Listener: listener, Beats: members, Journal: journal, Requests: claims,
+	})
+}
+
+func newPlacer(
+	settings config.Entry, feed *feed, journal *stream.Stream, links *links, machine *state.Machine,
+	checker *invar.Checker, log *zap.Logger, clock clockwork.Clock,
+) (*sched.Placer, error) {
+	return sched.New(sched.Config{
+		DataCentre: settings.DataCentre, Interval: settings.Sched.Round.Std(), Backlog: settings.Sched.Backlog.Std(),
+		TaskTTL: settings.Lease.Task.Std(),
+	}, sched.Deps{
+		Updates: feed.updates, Submit: journal, Links: links, View: machine, Refuse: refuser{journal},
+		Invar: checker, Clock: clock, Log: log,
+	})
+}
+
+func newLeases(
+	settings config.Entry, self member.Self, platform *platf.Client, links *links, journal *stream.Stream,
+	placer *sched.Placer, log *zap.Logger, clock clockwork.Clock,
+) (*lease.Manager, error) {
+	manager, err := lease.New(lease.Config{
+		Instance: self.Instance, Incarnation: self.Incarnation, DataCentre: settings.DataCentre,
+		TTL: settings.Lease.Worker.Std(), Interval: settings.Lease.Renew.Std(), TaskTTL: settings.Lease.Task.Std(),
+		Freshness: settings.Lease.Freshness.Std(), Drift: settings.Lease.Margin.Std(),
+	}, lease.Deps{
+		Workers: platform, List: platform, Links: links, Submit: journal, Handler: placer, Clock: clock, Log: log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	placer.SetLeases(manager)
+	return manager, nil
+}
+
+func newFront(
+	settings config.Entry, router *route.Router, claims *once.Service, journal *stream.Stream,
+	machine *state.Machine, health *health, log *zap.Logger,
+) (*front.Server, error) {
+	return front.New(front.Config{
+		Address: settings.CallerAddress, Requests: router, Issuer: claims, Recorder: journal, View: machine,
+		Connectivity: health, NotRecorded: stream.ErrNotRecorded, Log: log, SubmitTimeout: submitTimeout,
+	})
+}
+
+// submitTimeout is how long callers wait for a record; it covers a failover of the log's relay.
+const submitTimeout = 5 * time.Second
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/fasthttp/router"
@@ -107,6 +108,8 @@
 type Server struct {
 	cfg  Config
 	http *fasthttp.Server
+	// leaving is set once this instance is about to stop.
+	leaving atomic.Bool
 }
 
 // New returns a server that listens once Run is called.
@@ -117,7 +120,7 @@
 	}
 	s := &Server{cfg: cfg}
 	s.http = &fasthttp.Server{
-		Handler: s.routes().Handler, MaxRequestBodySize: cfg.MaxBody, ReadTimeout: readTimeout,
+		Handler: s.handler(s.routes()), MaxRequestBodySize: cfg.MaxBody, ReadTimeout: readTimeout,
 		IdleTimeout: idleTimeout, Name: "arbutuswing", NoDefaultServerHeader: true, CloseOnShutdown: true,
 	}
 	return s, nil
@@ -142,6 +145,20 @@
 	return r
 }
 
+// handler answers by the routes; while this instance is leaving it asks callers to open their next connection
+// elsewhere, so that closing the listener later cuts off no request.
+func (s *Server) handler(routes *router.Router) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if s.leaving.Load() {
+			ctx.SetConnectionClose()
+		}
+		routes.Handler(ctx)
+	}
+}
+
+// Leave announces to callers that this instance is about to stop; it goes on serving them.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
 // Run listens until Shutdown is called.
 func (s *Server) Run() error {
 	listener, err := net.Listen("tcp4", s.cfg.Address)
@@ -168,8 +185,11 @@
 }
 
 func (s *Server) handleHealth(ctx *fasthttp.RequestCtx) {
-	if !s.cfg.Connectivity.Ready() {
-		refuse(ctx, fasthttp.StatusServiceUnavailable, reasonNotReady, "this instance has no state yet")
+	if s.leaving.Load() {
+		refuse(ctx, fasthttp.StatusServiceUnavailable, reasonDraining, "this instance is shutting down")
+		return
+	}
+	if !s.ready(ctx) {
 		return
 	}
 	ctx.SetBodyString("{\"status\":\"ready\"}\n")
--- a/entry/main.go
+++ b/entry/main.go
@@ -1,3 +1,9 @@
 package main
 
-func main() {}
+import (
+	"os"
+
+	"arbutuswing.example/entry/internal/cmds"
+)
+
+func main() { os.Exit(cmds.Run(os.Stdout, os.Stderr, os.Args[1:])) }
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -35,7 +35,7 @@
 
 func defaultStream() Stream {
 	return Stream{
-		Commit: ms(10), CommitMax: ms(500), ReadWait: seconds(1), RetryFirst: ms(50), RetryMax: seconds(2),
+		Commit: ms(10), CommitMax: ms(500), ReadWait: ms(500), RetryFirst: ms(20), RetryMax: ms(500),
 		Retention: minutes(60), SnapshotRecords: 20_000, SnapshotPart: 64 << 10, Pending: 20_000,
 	}
 }
@@ -43,7 +43,7 @@
 func defaultRoute() Route {
 	return Route{
 		Connections: 60, Slots: 8, RetryShare: 0.1, RetryBurst: 20, ProbeIdle: seconds(1), ProbeTimeout: ms(200),
-		SilentAfter: 2, Timeout: seconds(10), Queue: 4_000, List: seconds(1),
+		SilentAfter: 2, Timeout: seconds(10), Queue: 4_000, List: ms(500),
 	}
 }
 
