--- /dev/null
+++ b/internal/state/decls_test.go
@@ -0,0 +1,220 @@
+package state_test
+
+import (
+	"maps"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"arbutuswing.example/internal/decl"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/record"
+	"arbutuswing.example/internal/state"
+)
+
+// terms are what the oracle of the declarations knows of a team.
+type terms struct {
+	limit int
+	key   bool
+}
+
+type openProposal struct {
+	put, before terms
+	team        model.TeamID
+}
+
+// operators is a machine with several operators who work on states that may be old.
+type operators struct {
+	rig   *rig
+	teams map[model.TeamID]terms
+	outs  map[model.DataCentreID]bool
+	base  model.Offset
+	open  map[string]openProposal
+	// bases and snapshots are earlier ones.
+	bases     []model.Offset
+	snapshots [][]byte
+}
+
+var (
+	keysOf = map[model.TeamID]model.KeyHash{"red": redKey, "blue": blueKey}
+	orgsOf = map[model.TeamID]model.OrganisationID{"red": "north", "blue": "south"}
+)
+
+// TestDeclarations guards against changes that overwrite one that the author had not seen, that come into force
+// without approval, or that are rolled back, while operators race and old snapshots turn up.
+func TestDeclarations(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		o := &operators{
+			rig: newBaseRig(t), teams: map[model.TeamID]terms{"red": {0, true}, "blue": {2, true}},
+			outs: map[model.DataCentreID]bool{"c": true}, open: make(map[string]openProposal), bases: []model.Offset{-1, 0},
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"centre": o.centre, "withdraw": o.withdraw, "terms": o.terms, "verdict": o.verdict, "restore": o.restore,
+			"": o.check,
+		})
+	})
+}
+
+func drawTeam(t *rapid.T) model.TeamID {
+	return rapid.SampledFrom([]model.TeamID{"blue", "red"}).Draw(t, "team")
+}
+
+// change records a change on the newest base or an older one, and reports whether the base was the one in force.
+func (o *operators) change(t *rapid.T, p decl.Patch) (record.Change, bool) {
+	base := o.base
+	if rapid.IntRange(0, 3).Draw(t, "stale") == 0 {
+		base = rapid.SampledFrom(o.bases).Draw(t, "base")
+	}
+	return record.Change{ID: "c", Base: base, Contents: patch(p)}, base == o.base
+}
+
+// inForce notes that the last envelope's change took effect.
+func (o *operators) inForce() {
+	o.base = o.rig.offset
+	o.bases = append(o.bases, o.base)
+}
+
+func (o *operators) centre(t *rapid.T) {
+	name := rapid.SampledFrom([]model.DataCentreID{"a", "c"}).Draw(t, "centre")
+	out := rapid.Bool().Draw(t, "out")
+	service := map[bool]decl.Service{true: decl.OutOfService, false: decl.InService}[out]
+	op, fresh := o.change(t, decl.Patch{Put: decl.Set{DataCentres: []decl.DataCentre{{Name: name, Service: service}}}})
+	err := o.rig.apply(op)[0]
+	if !fresh {
+		assert.ErrorIs(t, err, state.ErrConflict)
+		return
+	}
+	assert.NilError(t, err)
+	o.outs[name] = out
+	o.inForce()
+}
+
+func (o *operators) withdraw(t *rapid.T) {
+	name := drawTeam(t)
+	op, fresh := o.change(t, decl.Patch{WithdrawKeys: []decl.KeyChange{{Team: name, Key: keysOf[name]}}})
+	err := o.rig.apply(op)[0]
+	assert.Equal(t, err == nil, fresh)
+	if fresh {
+		o.teams[name] = terms{limit: o.teams[name].limit}
+		o.inForce()
+	}
+}
+
+// terms changes a team's limit by a change, which is void, or a proposal, which waits.
+func (o *operators) terms(t *rapid.T) {
+	name := drawTeam(t)
+	put := terms{limit: rapid.IntRange(0, 3).Draw(t, "limit"), key: true}
+	op, fresh := o.change(t, decl.Patch{Put: decl.Set{Teams: []decl.Team{
+		team(name, orgsOf[name], keysOf[name], put.limit),
+	}}})
+	op.ID = rapid.SampledFrom([]string{"p1", "p2", "p3"}).Draw(t, "id")
+	_, known := o.open[op.ID]
+	proposed := rapid.IntRange(0, 3).Draw(t, "proposed") > 0
+	var err error
+	if proposed {
+		err = o.rig.apply(record.Proposal{Change: op})[0]
+	} else {
+		err = o.rig.apply(op)[0]
+	}
+	waits := put.limit != o.teams[name].limit
+	switch {
+	case proposed && known:
+		assert.ErrorIs(t, err, state.ErrDuplicate)
+	case !fresh:
+		assert.ErrorIs(t, err, state.ErrConflict)
+	case waits && !proposed:
+		assert.ErrorIs(t, err, state.ErrNeedsApproval)
+	case waits:
+		assert.NilError(t, err)
+		o.open[op.ID] = openProposal{put: put, before: o.teams[name], team: name}
+	default:
+		assert.NilError(t, err)
+		o.teams[name] = put
+		o.inForce()
+	}
+}
+
+func (o *operators) verdict(t *rapid.T) {
+	id := rapid.SampledFrom([]string{"p1", "p2", "p3"}).Draw(t, "id")
+	org := rapid.SampledFrom([]model.OrganisationID{"north", "south"}).Draw(t, "organisation")
+	key := map[model.OrganisationID]model.KeyHash{"north": northKey, "south": southKey}[org]
+	wrong := rapid.IntRange(0, 4).Draw(t, "wrong") == 0
+	if wrong {
+		key = redKey
+	}
+	approve := rapid.IntRange(0, 3).Draw(t, "approve") > 0
+	err := o.rig.apply(record.Verdict{Proposal: id, Organisation: org, Key: key, Approve: approve})[0]
+	p, known := o.open[id]
+	switch {
+	case !known:
+		assert.ErrorIs(t, err, state.ErrUnknown)
+		return
+	case wrong || orgsOf[p.team] != org:
+		assert.ErrorIs(t, err, state.ErrKeyNotGranted)
+		return
+	case !approve:
+		assert.NilError(t, err)
+	case p.before != o.teams[p.team]:
+		assert.ErrorIs(t, err, state.ErrConflict)
+	default:
+		assert.NilError(t, err)
+		o.teams[p.team] = p.put
+		o.inForce()
+	}
+	delete(o.open, id)
+}
+
+// restore goes on from a snapshot of now; every older one must be refused.
+func (o *operators) restore(t *rapid.T) {
+	o.rig.apply()
+	for _, old := range o.snapshots {
+		_, err := o.rig.machine.Restore(old)
+		assert.ErrorIs(t, err, state.ErrOldSnapshot)
+	}
+	snapshot, err := o.rig.machine.Snapshot()
+	assert.NilError(t, err)
+	o.rig.machine, err = state.New(testConfig())
+	assert.NilError(t, err)
+	_, err = o.rig.machine.Restore(snapshot)
+	assert.NilError(t, err)
+	o.snapshots = append(o.snapshots, snapshot)
+	o.rig.apply()
+}
+
+func (o *operators) check(t *rapid.T) {
+	o.rig.machine.CheckAll()
+	set, offset := o.rig.machine.Declarations()
+	assert.Equal(t, offset, o.base)
+	for _, declared := range set.Teams {
+		assert.Equal(t, terms{declared.Limit.Tasks, len(declared.Keys) > 0}, o.teams[declared.Name])
+	}
+	for _, centre := range set.DataCentres {
+		assert.Equal(t, centre.Service == decl.OutOfService, o.outs[centre.Name], "data centre %s", centre.Name)
+	}
+	var ids []string
+	for _, p := range o.rig.machine.Proposals() {
+		ids = append(ids, p.Change.ID)
+	}
+	slices.Sort(ids)
+	assert.DeepEqual(t, ids, slices.Sorted(maps.Keys(o.open)))
+}
+
+// TestApprovals guards against a change that comes into force before every organisation that it touches approved.
+func TestApprovals(t *testing.T) {
+	r := newBaseRig(t)
+	moved := patch(decl.Patch{Put: decl.Set{Teams: []decl.Team{team("red", "south", redKey, 0)}}})
+	r.must(record.Proposal{Change: record.Change{ID: "move", Contents: moved}})
+	assert.DeepEqual(t, r.machine.Proposals()[0].Needed, []model.OrganisationID{"north", "south"})
+	north := record.Verdict{Proposal: "move", Organisation: "north", Key: northKey, Approve: true}
+	r.must(north)
+	assert.ErrorIs(t, r.apply(north)[0], state.ErrDuplicate)
+	_, offset := r.machine.Declarations()
+	assert.Equal(t, offset, model.Offset(0))
+	r.must(record.Verdict{Proposal: "move", Organisation: "south", Key: southKey, Approve: true})
+	set, offset := r.machine.Declarations()
+	assert.Equal(t, offset, r.offset)
+	assert.Equal(t, set.Teams[len(set.Teams)-1].Organisation, model.OrganisationID("south"))
+	assert.Equal(t, len(r.machine.Proposals()), 0)
+}
--- a/internal/state/task.go
+++ b/internal/state/task.go
@@ -198,7 +198,7 @@
 // endAttempt takes the task off its worker and finishes it or queues it again.
 func (f *fold) endAttempt(j *job, index int, end ending) {
 	t := &j.Tasks[index]
-	attempt, workerID := t.CurrentAttempt(), t.Worker
+	attempt, workerID, resumed := t.CurrentAttempt(), t.Worker, t.Checkpoint
 	f.release(j, t)
 	again := f.runsAgain(j, t, end.outcome)
 	f.alterJob(j, func() {
@@ -224,7 +224,8 @@
 		f.emit(TaskDone{Task: *t})
 	}
 	if end.outcome == model.OutcomeSucceeded {
-		f.learned.learn(j.Spec, end.usage)
+		// An attempt that resumed from a checkpoint ran only the rest of the task.
+		f.learned.learn(j.Spec, model.Usage{Peak: end.usage.Peak, RunTime: resumed + end.usage.RunTime})
 	}
 	f.settle(j)
 }
