feat(sched): follow the real fold and its estimates

Reservations rest on the fold's estimates, which survive a restart; the learner only adds the margin, the floors of single tasks and the cut to a worker's capacity. Members of a gang that was broken are taken together with all queued ones, as the fold requires.

--- a/internal/place/gang.go
+++ b/internal/place/gang.go
@@ -52,7 +52,7 @@
 			if n.capacity.Accelerators > 0 && d.Size.Accelerators == 0 && !accelerated {
 				continue
 			}
-			slots := min(count, fits(n.free, d.Size))
+			slots := min(count, Slots(n.free, d.Size))
 			if slots == 0 {
 				continue
 			}
@@ -126,8 +126,8 @@
 	return out
 }
 
-// fits returns how many tasks of size go into free.
-func fits(free, size model.Resources) int {
+// Slots returns how many tasks of size go into free.
+func Slots(free, size model.Resources) int {
 	count := int64(1 << 30)
 	if size.Cores > 0 {
 		count = min(count, int64(free.Cores/size.Cores))
--- a/internal/policy/lot.go
+++ b/internal/policy/lot.go
@@ -22,8 +22,6 @@
 	// home and away list the indices of tasks in the order in which they were queued, those that are offered to this
 	// data centre first and the others; some may have left.
 	home, away []int
-	// done counts tasks that ended for good; a gang is whole when it holds all others.
-	done int
 
 	owner                   *team
 	inUrgent, inDue, inTeam int
@@ -69,14 +67,6 @@
 	return out
 }
 
-// ready reports whether the lot has something to place; a gang must be whole.
-func (l *lot) ready() bool {
-	if l.spec.Kind == model.KindGang {
-		return len(l.tasks) > 0 && len(l.tasks)+l.done >= l.spec.Tasks
-	}
-	return len(l.tasks) > 0
-}
-
 // add puts a task at the end of its list; delay is what it is set back for the sake of other data centres.
 func (l *lot) add(task state.Task, delay time.Duration) {
 	if _, ok := l.tasks[task.ID.Index]; !ok {
--- a/internal/policy/never.go
+++ b/internal/policy/never.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/place"
 )
 
 // Never finds jobs that no worker can ever run; it is not safe for concurrent use.
@@ -19,11 +20,11 @@
 	return &Never{settle: cfg.WithDefaults().Settle, since: make(map[model.JobID]time.Time)}
 }
 
-// Check reports whether the job has been too large for every worker of its data centres for longer than the settle
-// time. sizes lists the capacities of workers by data centre; a data centre without workers says nothing, because its
-// workers may come back.
+// Check reports whether the job has been too large for every worker of its data centres, or as a gang for each whole
+// data centre, for longer than the settle time. sizes counts workers by data centre and capacity; a data centre without
+// workers says nothing, because its workers may come back.
 func (n *Never) Check(
-	spec model.JobSpec, size model.Resources, sizes map[model.DataCentreID][]model.Resources, now time.Time,
+	spec model.JobSpec, size model.Resources, sizes map[model.DataCentreID]map[model.Resources]int, now time.Time,
 ) bool {
 	if fitsAnywhere(spec, size, sizes) {
 		delete(n.since, spec.ID)
@@ -40,17 +41,25 @@
 // Forget drops what is remembered of a job.
 func (n *Never) Forget(job model.JobID) { delete(n.since, job) }
 
-func fitsAnywhere(spec model.JobSpec, size model.Resources, sizes map[model.DataCentreID][]model.Resources) bool {
+func fitsAnywhere(
+	spec model.JobSpec, size model.Resources, sizes map[model.DataCentreID]map[model.Resources]int,
+) bool {
+	need := 1
+	if spec.Kind == model.KindGang {
+		need = spec.Tasks
+	}
 	seen := false
 	for id, capacities := range sizes {
 		if len(spec.DataCentres) > 0 && !slices.Contains(spec.DataCentres, id) {
 			continue
 		}
-		for _, capacity := range capacities {
+		slots := 0
+		for capacity, workers := range capacities {
 			seen = true
-			if size.Fits(capacity) {
-				return true
-			}
+			slots += workers * place.Slots(capacity, size)
+		}
+		if slots >= need {
+			return true
 		}
 	}
 	return !seen
--- a/internal/policy/queue.go
+++ b/internal/policy/queue.go
@@ -87,28 +87,14 @@
 	return true
 }
 
-// Done counts a task of a job as ended for good, so that the rest of a gang is known to be whole.
-func (q *Queue) Done(id model.TaskID) {
-	q.Remove(id)
-	if l := q.lots[id.Job]; l != nil {
-		l.done++
-		q.settle(l)
-	}
-}
-
 // settle puts the lot where its tasks and band want it, and forgets it when it is empty.
 func (q *Queue) settle(l *lot) {
 	if l.aside {
 		return
 	}
-	if !l.ready() {
+	if len(l.tasks) == 0 {
 		q.takeOut(l)
-		if len(l.tasks) == 0 && l.spec.Kind != model.KindGang {
-			delete(q.lots, l.spec.ID)
-		}
-		if l.done >= l.spec.Tasks {
-			delete(q.lots, l.spec.ID)
-		}
+		delete(q.lots, l.spec.ID)
 		return
 	}
 	if l.band == Urgent {
@@ -153,7 +139,7 @@
 	l.band = q.classes.Band(l.spec.Class)
 	l.start = q.classes.Deadline(l.spec.Class, l.arrived)
 	if l.band == Due {
-		l.start = l.start.Add(-q.learner.RunTime(l.spec))
+		l.start = l.start.Add(-q.learner.LongRunTime(l.spec))
 	}
 }
 
--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -18,7 +18,6 @@
 	evictCentre  eviction = "data-centre-out"
 	evictLimit   eviction = "upper-limit"
 	evictUsage   eviction = "usage"
-	evictGang    eviction = "gang"
 	evictBacklog eviction = "backlog"
 )
 
@@ -33,8 +32,8 @@
 	// seq orders attempts by when they were bound; since is when this instance learned of it.
 	seq   int64
 	since time.Time
-	// queued is when the task was queued, in nanoseconds since 1970.
-	queued int64
+	// queued and at are when the task was queued and bound, in nanoseconds since 1970 by the writers' clocks.
+	queued, at int64
 
 	behind   bool
 	stopping bool
@@ -93,7 +92,7 @@
 	return r, ok && r.Phase == ports.PhaseRunning
 }
 
-// loss returns the run time of a running attempt since its last checkpoint.
-func loss(r ports.TaskReport) time.Duration {
-	return max(0, r.Usage.RunTime.Std()-r.Checkpoint.Std())
+// loss returns the run time of a running attempt that no checkpoint covers.
+func (a *attempt) loss(r ports.TaskReport) time.Duration {
+	return max(0, a.resume.Std()+r.Usage.RunTime.Std()-r.Checkpoint.Std())
 }
--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -166,7 +166,7 @@
 		}
 		running := policy.Running{Attempt: a.id, Team: a.spec.Team, Reservation: a.reservation}
 		if report, ok := s.running(a.id); ok {
-			running.Loss = loss(report)
+			running.Loss = a.loss(report)
 		}
 		out = append(out, running)
 	}
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -130,6 +130,9 @@
 func (r *round) take(c policy.Candidate) bool {
 	p := r.p
 	decisions.Inc()
+	if c.Spec.Kind == model.KindGang {
+		c.Tasks = p.queuedMembers(c)
+	}
 	size := p.learner.Reserve(c.Spec, c.Tasks[0].ID, p.capacities())
 	if !p.queue.Allows(c.Spec.Team, size.Times(len(c.Tasks)), len(c.Tasks)) {
 		return false
@@ -148,6 +151,21 @@
 	return r.takeBehind(c, size)
 }
 
+// queuedMembers returns all queued members of a gang, since the fold takes only all of them together; some may wait
+// outside the queue.
+func (p *Placer) queuedMembers(c policy.Candidate) []state.Task {
+	var out []state.Task
+	for index := range c.Spec.Tasks {
+		if task, _, ok := p.deps.View.Task(model.TaskID{Job: c.Spec.ID, Index: index}); ok && task.Phase == state.PhaseQueued {
+			out = append(out, task)
+		}
+	}
+	if len(out) == 0 {
+		return c.Tasks
+	}
+	return out
+}
+
 // place reserves room for the candidate in the book.
 func (r *round) place(c policy.Candidate, size model.Resources) ([]model.WorkerID, bool) {
 	if slices.ContainsFunc(r.failed, func(f model.Resources) bool { return f.Fits(size) }) {
--- a/internal/sched/events.go
+++ b/internal/sched/events.go
@@ -10,13 +10,14 @@
 	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/policy"
 	"arbutuswing.example/internal/state"
+	"arbutuswing.example/internal/stream"
 )
 
 // Apply follows one envelope of the fold.
-func (p *Placer) Apply(u Update) {
+func (p *Placer) Apply(u stream.Update) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if u.Reset {
+	if u.Resync {
 		if err := p.reset(); err != nil {
 			p.deps.Log.Error("resetting the placer failed", zap.Error(err))
 			return
@@ -54,8 +55,11 @@
 
 // taskQueued queues the task, or holds it back while other data centres have the first choice of it.
 func (p *Placer) taskQueued(task state.Task, spec model.JobSpec) {
-	if task.Attempt > 0 && spec.Kind == model.KindGang {
-		p.evictGang(task.ID, spec)
+	if spec.Kind == model.KindService && task.Failures > 0 {
+		// The fold queues a failed service for ever, so one that fails at once must not come back at once.
+		wait := min(serviceRetry<<min(task.Failures, maxBackoff), serviceRetryMax)
+		p.offers.Put(policy.Offer{Task: task, Spec: spec, At: p.deps.Clock.Now().Add(wait)})
+		return
 	}
 	p.offer(task, spec)
 }
@@ -139,7 +143,7 @@
 	p.seq++
 	a := &attempt{
 		id: task.CurrentAttempt(), spec: spec, reservation: task.Reservation, resume: task.Checkpoint,
-		seq: p.seq, since: p.deps.Clock.Now(), queued: task.QueuedAt,
+		seq: p.seq, since: p.deps.Clock.Now(), queued: task.QueuedAt, at: task.BoundAt,
 	}
 	p.attempts[a.id], p.current[task.ID] = a, a
 	return a
@@ -211,7 +215,7 @@
 		delete(p.current, a.id.Task)
 	}
 	p.charge(a, -1)
-	p.learner.Ended(e.Spec, a.id.Task, a.reservation, e.Outcome, e.Usage)
+	p.learner.Ended(a.id.Task, a.reservation, e.Outcome, e.Usage)
 	p.queue.Refresh(a.id.Task.Job)
 	s := p.sessions[a.worker]
 	if a.pulled || s == nil {
@@ -235,7 +239,7 @@
 
 func (p *Placer) taskDone(task state.Task) {
 	p.offers.Remove(task.ID)
-	p.queue.Done(task.ID)
+	p.queue.Remove(task.ID)
 	p.learner.Forget(task.ID)
 	p.never.Forget(task.ID.Job)
 	delete(p.voids, task.ID)
@@ -246,11 +250,18 @@
 
 func (p *Placer) workerChanged(w state.Worker) {
 	old, known := p.workers[w.ID]
-	if known && usable(old) != usable(w) || !known || old.Capacity != w.Capacity {
+	if !known || old.Lost != w.Lost || old.Capacity != w.Capacity || old.DataCentre != w.DataCentre {
 		p.count(old, known, -1)
 		p.count(w, true, 1)
 	}
+	w.Bound = nil
+	same := known && old.Boot == w.Boot && old.Suspicion == w.Suspicion && old.Lost == w.Lost && old.Capacity == w.Capacity &&
+		old.DataCentre == w.DataCentre && old.Rack == w.Rack
 	p.workers[w.ID] = w
+	if same {
+		// Every binding and end changes the worker; they have events of their own.
+		return
+	}
 	p.deps.Leases.WorkerChanged(w)
 	if w.DataCentre != p.cfg.DataCentre {
 		return
--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -1,8 +1,10 @@
 package sched
 
 import (
+	"cmp"
 	"maps"
 	"slices"
+	"strings"
 
 	"go.uber.org/zap"
 
@@ -51,15 +53,6 @@
 	return slices.Collect(maps.Keys(p.sizes[p.cfg.DataCentre]))
 }
 
-// allCapacities lists the different capacities of workers by data centre.
-func (p *Placer) allCapacities() map[model.DataCentreID][]model.Resources {
-	out := make(map[model.DataCentreID][]model.Resources, len(p.sizes))
-	for dc, sizes := range p.sizes {
-		out[dc] = slices.Collect(maps.Keys(sizes))
-	}
-	return out
-}
-
 func (p *Placer) setBook(s *session) {
 	p.book.Set(place.Worker{
 		ID: s.id, Rack: s.worker.Rack, Capacity: s.worker.Capacity,
@@ -204,16 +197,6 @@
 	p.kick(a.worker)
 }
 
-// evictGang ends the members of a gang that still run when one of them is queued again, since they start together.
-func (p *Placer) evictGang(queued model.TaskID, spec model.JobSpec) {
-	for index := range spec.Tasks {
-		id := model.TaskID{Job: spec.ID, Index: index}
-		if a := p.current[id]; a != nil && id != queued {
-			p.evict(a, evictGang)
-		}
-	}
-}
-
 // enforceLimit evicts the youngest attempts of a team that has more bound than its upper limit. Every placer finds the
 // same attempts, and each ends those on its own workers.
 func (p *Placer) enforceLimit(team model.TeamID) {
@@ -228,7 +211,9 @@
 			sum = sum.Plus(a.reservation)
 		}
 	}
-	slices.SortFunc(bound, func(a, b *attempt) int { return int(b.seq - a.seq) })
+	slices.SortFunc(bound, func(a, b *attempt) int {
+		return cmp.Or(cmp.Compare(b.at, a.at), strings.Compare(a.id.String(), b.id.String()))
+	})
 	tasks := len(bound)
 	for _, a := range bound {
 		if a.pulled {
--- a/internal/sched/iface.go
+++ b/internal/sched/iface.go
@@ -8,6 +8,7 @@
 	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/record"
 	"arbutuswing.example/internal/state"
+	"arbutuswing.example/internal/stream"
 )
 
 // Links tells how the instance is connected to the log and to other instances.
@@ -33,6 +34,12 @@
 // View reads the fold.
 type View interface {
 	Task(id model.TaskID) (state.Task, model.JobSpec, bool)
+	Estimate(spec model.JobSpec) (state.Estimate, bool)
+}
+
+// Feed delivers what envelopes changed, in order; the first update describes the whole state.
+type Feed interface {
+	Next(ctx context.Context) (stream.Update, error)
 }
 
 // Leases holds the worker leases.
@@ -47,15 +54,3 @@
 	Full(dc model.DataCentreID) bool
 	ReportFull(full bool)
 }
-
-// Refuser ends jobs that can never run.
-type Refuser interface {
-	Refuse(ctx context.Context, job model.JobID, reason string) error
-}
-
-// Update is what one envelope changed.
-type Update struct {
-	// Reset is set when the events describe the whole state instead of a change, as after a snapshot was restored.
-	Reset  bool
-	Events []state.Event
-}
--- a/internal/sched/placer.go
+++ b/internal/sched/placer.go
@@ -18,18 +18,17 @@
 	"arbutuswing.example/internal/state"
 )
 
-// Deps are the parts that the placer works with; Loads and Refuse may be nil.
+// Deps are the parts that the placer works with; Loads may be nil.
 type Deps struct {
-	Updates <-chan Update
-	Submit  Submitter
-	Links   Links
-	View    View
-	Leases  Leases
-	Loads   Loads
-	Refuse  Refuser
-	Invar   *invar.Checker
-	Clock   clockwork.Clock
-	Log     *zap.Logger
+	Feed   Feed
+	Submit Submitter
+	Links  Links
+	View   View
+	Leases Leases
+	Loads  Loads
+	Invar  *invar.Checker
+	Clock  clockwork.Clock
+	Log    *zap.Logger
 }
 
 // Placer decides which task runs where in one data centre. It is the handler of the data centre's leases.
@@ -122,7 +121,7 @@
 		return fmt.Errorf("making the book: %w", err)
 	}
 	p.book, p.fold = book, newFold()
-	p.learner = policy.NewLearner(p.cfg.Policy)
+	p.learner = policy.NewLearner(p.cfg.Policy, p.deps.View)
 	p.queue = policy.NewQueue(p.cfg.Policy, p.learner)
 	p.offers = policy.NewOffers()
 	p.quarantine = policy.NewQuarantine(p.cfg.Policy)
@@ -156,15 +155,11 @@
 func (p *Placer) runUpdates(ctx context.Context, done *sync.WaitGroup) {
 	defer done.Done()
 	for {
-		select {
-		case <-ctx.Done():
+		u, err := p.deps.Feed.Next(ctx)
+		if err != nil {
 			return
-		case u, ok := <-p.deps.Updates:
-			if !ok {
-				return
-			}
-			p.Apply(u)
 		}
+		p.Apply(u)
 	}
 }
 
@@ -201,26 +196,11 @@
 	}
 }
 
-// Step does one round of everything in the caller's goroutine; programs use Run instead.
+// Step does one round of duties and decisions in the caller's goroutine; programs use Run instead.
 func (p *Placer) Step(ctx context.Context) {
-	p.drain()
 	p.tick()
 	p.flushEnds(ctx)
-	p.drain()
 	if batch := p.decide(); len(batch) > 0 {
 		p.submit(ctx, batch)
 	}
-	p.drain()
-}
-
-// drain applies the updates that are there.
-func (p *Placer) drain() {
-	for {
-		select {
-		case u := <-p.deps.Updates:
-			p.Apply(u)
-		default:
-			return
-		}
-	}
 }
--- a/internal/sched/submit.go
+++ b/internal/sched/submit.go
@@ -19,6 +19,9 @@
 	maxBackoff = 6
 	// refusalQueue bounds the jobs that wait to be refused; one that finds no room is found again later.
 	refusalQueue = 64
+	// serviceRetry is doubled with each failure of a service's task, up to serviceRetryMax.
+	serviceRetry    = time.Second
+	serviceRetryMax = time.Minute
 	// refuseAgain is how long a refusal waits before it is tried again.
 	refuseAgain = time.Minute
 )
@@ -122,12 +125,12 @@
 
 // checkNever has a job refused that is too large for every worker it may use.
 func (p *Placer) checkNever(spec model.JobSpec, size model.Resources, now time.Time) {
-	if !p.never.Check(spec, size, p.allCapacities(), now) || now.Before(p.refused[spec.ID]) {
+	if !p.never.Check(spec, size, p.sizes, now) || now.Before(p.refused[spec.ID]) {
 		return
 	}
 	p.refused[spec.ID] = now.Add(refuseAgain)
 	select {
-	case p.refusals <- refusal{job: spec.ID, reason: "larger than every worker of the data centres it may use"}:
+	case p.refusals <- refusal{job: spec.ID, reason: "it does not fit into any data centre that it may use"}:
 	default:
 	}
 }
@@ -147,10 +150,11 @@
 func (p *Placer) refuse(ctx context.Context, r refusal) {
 	refusedJobs.Inc()
 	p.deps.Log.Warn("job can never run", zap.String("job", string(r.job)), zap.String("reason", r.reason))
-	if p.deps.Refuse == nil {
-		return
+	results, err := p.deps.Submit.Submit(ctx, record.JobRefused{Job: r.job, Reason: r.reason})
+	if err == nil {
+		err = results[0]
 	}
-	if err := p.deps.Refuse.Refuse(ctx, r.job, r.reason); err != nil {
+	if err != nil {
 		p.deps.Log.Warn("refusing the job failed", zap.String("job", string(r.job)), zap.Error(err))
 	}
 }
--- a/internal/sched/usage.go
+++ b/internal/sched/usage.go
@@ -52,7 +52,7 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(within(ra, a), within(rb, b)), cmp.Compare(loss(ra), loss(rb)), cmp.Compare(a.seq, b.seq))
+	return cmp.Or(cmp.Compare(within(ra, a), within(rb, b)), cmp.Compare(a.loss(ra), b.loss(rb)), cmp.Compare(a.seq, b.seq))
 }
 
 // throttle returns the fraction that brings an attempt back to its reserved processors, if it used more and isn't
