--- a/internal/decl/check.go
+++ b/internal/decl/check.go
@@ -21,22 +21,24 @@
 
 // Check returns the faults of a set's contents in the order of its objects; none means the set may be put in force.
 func Check(set Set) []Problem {
-	c := &checker{set: set.Indexed()}
+	c := &checker{
+		set: set.Indexed(), keys: make(map[model.KeyHash]model.TeamID),
+		approvers: make(map[model.KeyHash]model.OrganisationID),
+	}
 	for i, organisation := range set.Organisations {
-		c.at(organisationsKey, i)
+		c.at(organisationsKey, i, string(organisation.Name))
 		c.organisation(organisation)
 	}
-	c.keys = make(map[model.KeyHash]model.TeamID)
 	for i, team := range set.Teams {
-		c.at(teamsKey, i)
+		c.at(teamsKey, i, string(team.Name))
 		c.team(team)
 	}
 	for i, class := range set.Classes {
-		c.at(classesKey, i)
+		c.at(classesKey, i, string(class.Name))
 		c.class(class)
 	}
 	for i, centre := range set.DataCentres {
-		c.at(dataCentresKey, i)
+		c.at(dataCentresKey, i, string(centre.Name))
 		c.dataCentre(centre)
 	}
 	if len(set.DataCentres) == 0 {
@@ -50,12 +52,19 @@
 	set      Set
 	path     string
 	position int
-	keys     map[model.KeyHash]model.TeamID
-	problems []Problem
+	// keys and approvers hold the teams and organisations whose keys were seen so far.
+	keys      map[model.KeyHash]model.TeamID
+	approvers map[model.KeyHash]model.OrganisationID
+	problems  []Problem
 }
 
-func (c *checker) at(key string, i int) {
+// at starts the checks of an object. Its path gives its position in its file, or its name if the set was not parsed
+// from files, because the order then means nothing to people.
+func (c *checker) at(key string, i int, name string) {
 	c.path, c.position = fmt.Sprintf("%s[%d]", key, i), i
+	if _, parsed := c.set.index.origins[c.path]; !parsed {
+		c.path = fmt.Sprintf("%s[%s]", key, name)
+	}
 }
 
 func (c *checker) fail(rest, format string, args ...any) {
@@ -83,6 +92,11 @@
 func (c *checker) organisation(o Organisation) {
 	c.named(string(o.Name), c.set.index.organisations[o.Name])
 	c.require(ValidKeyHash(o.ApprovalKey), ".approval-key", hashText)
+	// A key that two organisations share would let one approve for the other.
+	if holder, taken := c.approvers[o.ApprovalKey]; taken {
+		c.fail(".approval-key", "the key is already that of organisation %q", holder)
+	}
+	c.approvers[o.ApprovalKey] = o.Name
 }
 
 func (c *checker) team(t Team) {
