--- a/entry/internal/daemon/feed.go
+++ b/entry/internal/daemon/feed.go
@@ -7,28 +7,23 @@
 	"arbutuswing.example/internal/ephttp"
 	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/once"
-	"arbutuswing.example/internal/sched"
 	"arbutuswing.example/internal/state"
 	"arbutuswing.example/internal/stream"
 )
 
-// feedDepth is the number of updates that may wait for the placer before the feed waits too.
-const feedDepth = 64
-
-// feed hands the updates of the fold to the placer and the memberships to the at-most-once table.
+// feed hands the memberships of the fold to the at-most-once table.
 type feed struct {
-	stream  *stream.Stream
-	once    *once.Service
-	updates chan sched.Update
+	stream *stream.Stream
+	once   *once.Service
 	// empty is set while no membership has ever been recorded.
 	empty bool
 }
 
 func newFeed(journal *stream.Stream, claims *once.Service) *feed {
-	return &feed{stream: journal, once: claims, updates: make(chan sched.Update, feedDepth), empty: true}
+	return &feed{stream: journal, once: claims, empty: true}
 }
 
-// runUpdates hands updates on until ctx ends.
+// runUpdates follows the fold until ctx ends.
 func (f *feed) runUpdates(ctx context.Context) error {
 	sub := f.stream.Subscribe()
 	defer sub.Close()
@@ -41,11 +36,6 @@
 			return errors.Join(errFeed, err)
 		}
 		f.members(update)
-		select {
-		case <-ctx.Done():
-			return nil
-		case f.updates <- sched.Update{Reset: update.Resync, Events: update.Events}:
-		}
 	}
 }
 
--- a/entry/internal/daemon/links.go
+++ b/entry/internal/daemon/links.go
@@ -1,9 +1,7 @@
 package daemon
 
 import (
-	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -13,7 +11,6 @@
 	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/once"
 	"arbutuswing.example/internal/opapi"
-	"arbutuswing.example/internal/record"
 	"arbutuswing.example/internal/state"
 	"arbutuswing.example/internal/stream"
 )
@@ -84,18 +81,6 @@
 	return nil
 }
 
-// refuser records that a job can never run.
-type refuser struct{ stream *stream.Stream }
-
-// Refuse ends the job with a reason for its submitter.
-func (r refuser) Refuse(ctx context.Context, job model.JobID, reason string) error {
-	results, err := r.stream.Submit(ctx, record.JobRefused{Job: job, Reason: reason})
-	if err = errors.Join(append(results, err)...); err != nil {
-		return fmt.Errorf("recording that job %s can't run: %w", job, err)
-	}
-	return nil
-}
-
 // shown is the folded state as the operator API shows it.
 type shown struct{ *state.Machine }
 
--- a/entry/internal/daemon/parts.go
+++ b/entry/internal/daemon/parts.go
@@ -200,15 +200,14 @@
 }
 
 func newPlacer(
-	settings config.Entry, feed *feed, journal *stream.Stream, links *links, machine *state.Machine,
+	settings config.Entry, journal *stream.Stream, links *links, machine *state.Machine,
 	checker *invar.Checker, log *zap.Logger, clock clockwork.Clock,
 ) (*sched.Placer, error) {
 	return sched.New(sched.Config{
 		DataCentre: settings.DataCentre, Interval: settings.Sched.Round.Std(), Backlog: settings.Sched.Backlog.Std(),
 		TaskTTL: settings.Lease.Task.Std(),
 	}, sched.Deps{
-		Updates: feed.updates, Submit: journal, Links: links, View: machine, Refuse: refuser{journal},
-		Invar: checker, Clock: clock, Log: log,
+		Feed: journal.Subscribe(), Submit: journal, Links: links, View: machine, Invar: checker, Clock: clock, Log: log,
 	})
 }
 
