fix(sched): place the work of open classes; derive real peaks from declared sizes

Cause: the demo left an all-at-once job queued for ever, because placers held back work of open classes for runners to pull; and reservations grew to whole workers, because the stand-in derived peaks from learned reservations. Ruled out: the gang's size (8 x 16 cores fit on two workers) and its team's limit.

--- a/internal/policy/class.go
+++ b/internal/policy/class.go
@@ -49,9 +49,6 @@
 	return c
 }
 
-// Open reports whether teams pull the class's work themselves.
-func (c Classes) Open(class model.ClassID) bool { return c.byName[class].Open }
-
 // Band returns the band of a class; undeclared classes are patient.
 func (c Classes) Band(class model.ClassID) Band {
 	target := c.byName[class].Target
--- a/internal/policy/queue.go
+++ b/internal/policy/queue.go
@@ -202,9 +202,6 @@
 // Band returns the band of a class.
 func (q *Queue) Band(class model.ClassID) Band { return q.classes.Band(class) }
 
-// Open reports whether teams pull the class's work themselves.
-func (q *Queue) Open(class model.ClassID) bool { return q.classes.Open(class) }
-
 // Share returns the team's weighted dominant share.
 func (q *Queue) Share(id model.TeamID) float64 { return q.team(id).share(q.total) }
 
--- a/internal/ports/worker.go
+++ b/internal/ports/worker.go
@@ -72,10 +72,12 @@
 	Attempt     model.AttemptID `json:"attempt"`
 	Team        model.TeamID    `json:"team"`
 	Reservation model.Resources `json:"reservation"`
-	// Declared lets stand-ins derive a run time; workers of a real platform ignore it.
-	Declared model.Duration `json:"declared"`
-	Service  bool           `json:"service,omitempty"`
-	Payload  string         `json:"payload,omitempty"`
+	// Size and Declared are the submitter's estimates, from which stand-ins derive what the attempt really needs; workers
+	// of a real platform ignore them.
+	Size     model.Resources `json:"size,omitzero"`
+	Declared model.Duration  `json:"declared"`
+	Service  bool            `json:"service,omitempty"`
+	Payload  string          `json:"payload,omitempty"`
 	// Resume is the run time that an earlier attempt's checkpoint covers.
 	Resume  model.Duration `json:"resume,omitempty"`
 	TaskTTL model.Duration `json:"task-ttl"`
--- a/internal/sched/command.go
+++ b/internal/sched/command.go
@@ -137,7 +137,7 @@
 
 func (p *Placer) startRequest(a *attempt) ports.StartRequest {
 	return ports.StartRequest{
-		Attempt: a.id, Team: a.spec.Team, Reservation: a.reservation, Declared: a.spec.RunTime,
+		Attempt: a.id, Team: a.spec.Team, Reservation: a.reservation, Size: a.spec.Size, Declared: a.spec.RunTime,
 		Service: a.spec.Kind == model.KindService, Payload: a.spec.Payload, Resume: a.resume,
 		TaskTTL: model.Duration(p.cfg.TaskTTL),
 	}
--- a/internal/sched/events.go
+++ b/internal/sched/events.go
@@ -78,8 +78,8 @@
 			rank = i
 		}
 	}
-	if rank < 0 || p.queue.Open(spec.Class) {
-		// Kept for the time when the data centre or the class is declared otherwise.
+	if rank < 0 {
+		// Kept for the time when the data centre is declared otherwise.
 		p.offers.Put(policy.Offer{Task: task, Spec: spec, At: never})
 		return
 	}
--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -66,7 +66,7 @@
 // declared takes over the declarations in force.
 func (p *Placer) declared(set decl.Set) {
 	served := p.serves()
-	before, open := p.inService(), p.openClasses()
+	before := p.inService()
 	p.set = set
 	clear(p.centres)
 	for _, dc := range set.DataCentres {
@@ -75,7 +75,7 @@
 	p.queue.Declare(set)
 	p.queue.SetTotal(p.total())
 	p.deps.Leases.Declared(set)
-	if !slices.Equal(before, p.inService()) || !slices.Equal(open, p.openClasses()) {
+	if !slices.Equal(before, p.inService()) {
 		p.offerAgain()
 	}
 	if served != p.serves() {
@@ -86,18 +86,6 @@
 	}
 }
 
-// openClasses lists the classes whose work teams pull themselves.
-func (p *Placer) openClasses() []model.ClassID {
-	var out []model.ClassID
-	for _, c := range p.set.Classes {
-		if c.Open {
-			out = append(out, c.Name)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
 // offerAgain ranks the data centres for every waiting task anew.
 func (p *Placer) offerAgain() {
 	waiting := p.queue.All()
--- a/standin/internal/fleet/attempt.go
+++ b/standin/internal/fleet/attempt.go
@@ -55,7 +55,7 @@
 	task := req.Attempt.Task
 	factor := cfg.RunTime.factor(cfg.Seed, "run-time "+task.String())
 	a.total = time.Duration(float64(req.Declared) * factor * cfg.Scale)
-	a.peak = scaled(w.fleet.base(task.Job, req.Reservation), cfg.Peak.factor(cfg.Seed, "peak "+task.String()))
+	a.peak = scaled(w.fleet.base(task.Job, req), cfg.Peak.factor(cfg.Seed, "peak "+task.String()))
 	a.override(req.Payload)
 	if cfg.Rules.Failing(w.spec.ID) {
 		a.natural = model.OutcomeFailed
@@ -82,13 +82,17 @@
 	}
 }
 
-// base returns the first reservation that was seen for a job.
-func (f *Fleet) base(job model.JobID, reservation model.Resources) model.Resources {
+// base returns the declared size, or the first reservation that was seen for the job. It must not follow learned
+// reservations: they would grow with the peaks that are derived from it.
+func (f *Fleet) base(job model.JobID, req ports.StartRequest) model.Resources {
+	if !req.Size.Zero() {
+		return req.Size
+	}
 	if first, ok := f.bases[job]; ok {
 		return first
 	}
-	f.bases[job] = reservation
-	return reservation
+	f.bases[job] = req.Reservation
+	return req.Reservation
 }
 
 // factor draws from the range, evenly in its logarithm; the same task always gets the same factor.
