--- a/internal/state/config.go
+++ b/internal/state/config.go
@@ -8,6 +8,7 @@
 	"arbutuswing.example/internal/decl"
 	"arbutuswing.example/internal/invar"
 	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/strict"
 )
 
 // ErrConfig reports an unusable Config.
@@ -47,8 +48,21 @@
 	MaxTasks int
 }
 
-// WithDefaults returns the configuration with unset bounds filled in.
+// WithDefaults returns the configuration with unset bounds filled in, and the functions of package decl for those that
+// are missing.
 func (c Config) WithDefaults() Config {
+	if c.ParsePatch == nil {
+		c.ParsePatch = func(data []byte) (decl.Patch, error) { return decl.ParsePatch("change", data) }
+	}
+	if c.ApplyPatch == nil {
+		c.ApplyPatch = decl.Set.Apply
+	}
+	if c.CheckSet == nil {
+		c.CheckSet = func(set decl.Set) error { return strict.Faults(decl.Check(set)).Err() }
+	}
+	if c.Touches == nil {
+		c.Touches = decl.Touches
+	}
 	if c.DoneJobs == 0 {
 		c.DoneJobs = DefaultDoneJobs
 	}
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -133,8 +133,8 @@
 	if f.jobs.known(spec.ID) {
 		return ErrDuplicate
 	}
-	_, team := f.decls.teams[spec.Team]
-	_, class := f.decls.classes[spec.Class]
+	_, team := f.decls.set.Team(spec.Team)
+	_, class := f.decls.set.Class(spec.Class)
 	if !team || !class {
 		return ErrUnknown
 	}
--- a/internal/state/propos.go
+++ b/internal/state/propos.go
@@ -64,7 +64,7 @@
 	if !open {
 		return ErrUnknown
 	}
-	org, known := f.decls.organisation(op.Organisation)
+	org, known := f.decls.set.Organisation(op.Organisation)
 	if !known || org.ApprovalKey == "" || org.ApprovalKey != op.Key {
 		return ErrKeyNotGranted
 	}
--- a/internal/state/task.go
+++ b/internal/state/task.go
@@ -141,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	if !f.decls.classes[j.Spec.Class].Open {
+	if !f.decls.open(j.Spec.Class) {
 		return ErrUnknown
 	}
 	if !f.decls.granted(j.Spec.Team, op.Key) {
