--- a/internal/stream/config.go
+++ b/internal/stream/config.go
@@ -73,8 +73,8 @@
 	// CommitUnit is the part of the commit interval for each live member, CommitMax its upper bound.
 	CommitUnit time.Duration
 	CommitMax  time.Duration
-	// PollWait is how long a read waits for the first record. Freshness counts from the start of a read, so it must
-	// be well below FreshBound.
+	// PollWait is how long a read waits for the first record. Freshness counts from the start of the last finished
+	// read, so its age reaches twice PollWait while the log is idle.
 	PollWait time.Duration
 	// ReadTimeout bounds a read on top of PollWait.
 	ReadTimeout time.Duration
@@ -120,7 +120,7 @@
 	}
 	setDefault(&c.CommitUnit, 10*time.Millisecond)
 	setDefault(&c.CommitMax, 500*time.Millisecond)
-	setDefault(&c.PollWait, 500*time.Millisecond)
+	setDefault(&c.PollWait, 400*time.Millisecond)
 	setDefault(&c.ReadTimeout, time.Second)
 	setDefault(&c.ReadLimit, 500)
 	setDefault(&c.AppendTimeout, time.Second)
@@ -129,7 +129,7 @@
 	setDefault(&c.RetryMax, 500*time.Millisecond)
 	setDefault(&c.RefuseAfter, 500*time.Millisecond)
 	setDefault(&c.FreshBound, 2*time.Second)
-	setDefault(&c.RelayAfter, time.Second)
+	setDefault(&c.RelayAfter, 1200*time.Millisecond)
 	setDefault(&c.PeerWait, time.Second)
 	setDefault(&c.QueueOps, 8192)
 	setDefault(&c.QueueBytes, 4<<20)
@@ -146,8 +146,8 @@
 	if c.Instance == "" || c.Log == nil || c.Folder == nil || c.Peers == nil || c.Relay == nil {
 		return fmt.Errorf("%w: instance, log, folder, peers and relay must be set", ErrConfig)
 	}
-	if c.PollWait+c.RetryMax >= c.FreshBound {
-		return fmt.Errorf("%w: poll-wait plus retry-max must be below fresh-bound", ErrConfig)
+	if 2*c.PollWait >= c.RelayAfter || c.RelayAfter >= c.FreshBound {
+		return fmt.Errorf("%w: twice poll-wait must be below relay-after, and that below fresh-bound", ErrConfig)
 	}
 	for _, d := range []time.Duration{
 		c.CommitUnit, c.CommitMax, c.PollWait, c.ReadTimeout, c.AppendTimeout, c.ReadBackWait, c.RetryMin, c.RetryMax,
--- a/internal/stream/errors.go
+++ b/internal/stream/errors.go
@@ -20,5 +20,6 @@
 	errHalted     = errors.New("folding has stopped")
 	errNoSnapshot = errors.New("no whole snapshot found")
 	errStopped    = errors.New("the stream has stopped")
+	errNotNewer   = errors.New("the snapshot is not newer than the folded state")
 	errNoPeer     = errors.New("no peer can help")
 )
--- a/internal/stream/relay.go
+++ b/internal/stream/relay.go
@@ -23,9 +23,9 @@
 			s.sleep(ctx, relayPause)
 			continue
 		}
-		err := s.relayOnce(ctx)
+		relayed, err := s.relayOnce(ctx)
 		switch {
-		case err == nil:
+		case err == nil && relayed:
 			continue
 		case errors.Is(err, errHalted):
 			return
@@ -39,13 +39,14 @@
 	}
 }
 
-func (s *Stream) relayOnce(ctx context.Context) error {
+// relayOnce reads once through a peer and reports whether one has the log.
+func (s *Stream) relayOnce(ctx context.Context) (bool, error) {
 	source, ok := s.pickRelay()
 	if !ok {
-		return s.catchUp(ctx)
+		return false, s.catchUp(ctx)
 	}
 	s.metrics.relayReads.Inc()
-	return s.readOnce(ctx, routeRelay, s.through(source))
+	return true, s.readOnce(ctx, routeRelay, s.through(source))
 }
 
 // through returns a reader of the log by way of a peer.
--- a/internal/stream/snap.go
+++ b/internal/stream/snap.go
@@ -59,7 +59,7 @@
 	return at, data, err
 }
 
-// restore replaces the folded state by a compressed snapshot, unless it is not newer.
+// restore replaces the folded state by a compressed snapshot; it returns errNotNewer for one that is not newer.
 func (s *Stream) restore(at model.Offset, data []byte) error {
 	raw, err := expand(data)
 	if err != nil {
@@ -68,7 +68,7 @@
 	s.fold.Lock()
 	defer s.fold.Unlock()
 	if at <= s.folded {
-		return nil
+		return fmt.Errorf("%w: offset %d", errNotNewer, at)
 	}
 	if halted := s.Status().Halted; halted != "" {
 		return fmt.Errorf("%w: %s", errHalted, halted)
--- /dev/null
+++ b/internal/stream/stream_test.go
@@ -0,0 +1,381 @@
+package stream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
+
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/ports"
+	"arbutuswing.example/internal/record"
+)
+
+// inBubble runs a test on synctest's manual clock, which moves only when all goroutines wait.
+func inBubble(t *testing.T, change func(*Config), test func(t *testing.T, net *fakeNet, n *node)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		net := newNet()
+		defer net.haltAll()
+		n := net.start("a", &fakeView{log: newFakeLog()}, change)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, n.stream.Ready())
+		test(t, net, n)
+	})
+}
+
+func TestSubmitReturnsVoidReasonsInOrder(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, _ *fakeNet, n *node) {
+		results, err := n.stream.Submit(t.Context(), op("x"), op("void"), op("y"))
+		assert.NilError(t, err)
+		assert.Assert(t, is.Len(results, 3))
+		assert.NilError(t, results[0])
+		assert.ErrorIs(t, results[1], errVoid)
+		assert.NilError(t, results[2])
+	})
+}
+
+// Guards against an operation that is recorded twice, or reported as failed, when the log's answer is lost.
+func TestSubmitSurvivesEachFault(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults []fault
+	}{
+		{"lost answer", []fault{loseAnswer}},
+		{"lost answers in a row", []fault{loseAnswer, loseAnswer, loseAnswer}},
+		{"lost request", []fault{loseRequest, loseRequest}},
+		{"late effect after repeat", []fault{landLate}},
+		{"throttled", []fault{throttle, throttle, throttle}},
+		{"silent connection", []fault{hang}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, nil, func(t *testing.T, _ *fakeNet, n *node) {
+				n.view.set(func(v *fakeView) { v.faults = test.faults })
+				_, err := n.stream.Submit(t.Context(), op("x"))
+				assert.NilError(t, err)
+				n.view.log.landLate()
+				_, err = n.stream.Submit(t.Context(), op("y"))
+				assert.NilError(t, err)
+				assert.DeepEqual(t, n.folder.names(), []model.JobID{"x", "y"})
+			})
+		})
+	}
+}
+
+// Guards against refusals that are untrue, and against callers that wait through an outage for nothing.
+func TestOutageRefusesWhatWasNeverSent(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, _ *fakeNet, n *node) {
+		n.view.set(func(v *fakeView) { v.down = true })
+		_, err := n.stream.Submit(t.Context(), op("x"))
+		assert.ErrorIs(t, err, ErrNotRecorded)
+		n.view.set(func(v *fakeView) { v.down = false })
+		_, err = n.stream.Submit(t.Context(), op("y"))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, n.folder.names(), []model.JobID{"y"})
+	})
+}
+
+// Guards against a second envelope that overtakes the one in flight, whose repeat would then be ignored.
+func TestOutageKeepsTheEnvelopeInFlight(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, _ *fakeNet, n *node) {
+		n.view.set(func(v *fakeView) { v.faults = []fault{loseRequest} })
+		first := make(chan error, 1)
+		go func() {
+			_, err := n.stream.Submit(context.Background(), op("x"))
+			first <- err
+		}()
+		synctest.Wait()
+		n.view.set(func(v *fakeView) { v.down = true })
+		time.Sleep(3 * time.Second)
+		_, err := n.stream.Submit(t.Context(), op("y"))
+		assert.ErrorIs(t, err, ErrNotRecorded)
+		n.view.set(func(v *fakeView) { v.down = false })
+		assert.NilError(t, <-first)
+		assert.DeepEqual(t, n.folder.names(), []model.JobID{"x"})
+	})
+}
+
+func TestSubmitReportsWhatIsKnownWhenTheCallerGivesUp(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, _ *fakeNet, n *node) {
+		n.view.set(func(v *fakeView) { v.faults = []fault{hang, hang} })
+		n.view.set(func(v *fakeView) {
+			v.twist = func(b ports.Batch) ports.Batch { return ports.Batch{First: b.First, Next: b.Next} }
+		})
+		flying, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		_, err := n.stream.Submit(flying, op("x"))
+		assert.ErrorIs(t, err, ErrUnknownOutcome)
+		queued, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		_, err = n.stream.Submit(queued, op("y"))
+		assert.ErrorIs(t, err, ErrNotRecorded)
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		n.view.set(func(v *fakeView) { v.twist = nil })
+		time.Sleep(5 * time.Second)
+		assert.DeepEqual(t, n.folder.names(), []model.JobID{"x"})
+	})
+}
+
+func TestSubmitBounds(t *testing.T) {
+	small := func(cfg *Config) { cfg.QueueOps, cfg.EnvelopeLimit = 2, 4096 }
+	inBubble(t, small, func(t *testing.T, _ *fakeNet, n *node) {
+		_, err := n.stream.Submit(t.Context(), op(strings.Repeat("x", 4096)))
+		assert.ErrorIs(t, err, ErrTooLarge)
+		assert.ErrorIs(t, err, ErrNotRecorded)
+		_, err = n.stream.Submit(t.Context(), op("a"), op("b"), op("c"))
+		assert.ErrorIs(t, err, ErrOverloaded)
+		assert.ErrorIs(t, err, ErrNotRecorded)
+	})
+}
+
+// Guards against envelopes above the log's limit and against one append for each operation.
+func TestGroupCommit(t *testing.T) {
+	small := func(cfg *Config) { cfg.EnvelopeLimit = 4096 }
+	inBubble(t, small, func(t *testing.T, _ *fakeNet, n *node) {
+		const submits = 100
+		done := make(chan error, submits)
+		for i := range submits {
+			go func() {
+				_, err := n.stream.Submit(context.Background(), op(fmt.Sprintf("%03d", i)))
+				done <- err
+			}()
+		}
+		for range submits {
+			assert.NilError(t, <-done)
+		}
+		assert.Assert(t, is.Len(n.folder.names(), submits))
+		assert.Assert(t, len(n.view.log.records) <= 10, "%d appends", len(n.view.log.records))
+		synctest.Wait()
+		for _, data := range n.view.log.records {
+			assert.Assert(t, len(data) <= 4096)
+		}
+	})
+}
+
+// Guards against commits that come faster than one for each interval.
+func TestCommitInterval(t *testing.T) {
+	inBubble(t, func(cfg *Config) { cfg.CommitUnit = 100 * time.Millisecond }, func(t *testing.T, _ *fakeNet, n *node) {
+		start := time.Now()
+		_, err := n.stream.Submit(t.Context(), op("x"))
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(start), time.Duration(0), "the first commit after idle time is immediate")
+		_, err = n.stream.Submit(t.Context(), op("y"))
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(start), 100*time.Millisecond)
+	})
+}
+
+// Guards against a fold that takes records twice, in the wrong order, or over a gap.
+func TestReadsThatAreOutOfOrder(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, _ *fakeNet, n *node) {
+		turn := 0
+		n.view.set(func(v *fakeView) {
+			v.twist = func(b ports.Batch) ports.Batch {
+				turn++
+				if turn%3 == 0 && len(b.Records) > 1 {
+					b.Records = b.Records[1:] // a gap
+				}
+				for i, j := 0, len(b.Records)-1; i < j; i, j = i+1, j-1 {
+					b.Records[i], b.Records[j] = b.Records[j], b.Records[i]
+				}
+				b.Records = append(b.Records, b.Records...)
+				oldest, _, _ := v.log.read(0, 1)
+				b.Records = append(b.Records, oldest.Records...)
+				return b
+			}
+		})
+		for i := range 20 {
+			env := record.Envelope{Writer: "b", Incarnation: 1, Sequence: int64(i + 1), Ops: []record.Op{op(fmt.Sprint(i))}}
+			data, err := record.Encode(env)
+			assert.NilError(t, err)
+			n.view.log.add(data)
+			if i%4 == 3 {
+				time.Sleep(3 * time.Second)
+			}
+		}
+		assert.Assert(t, is.Len(n.folder.names(), 20))
+	})
+}
+
+// Guards against an old program that folds on without understanding a record.
+func TestMalformedRecordHalts(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, _ *fakeNet, n *node) {
+		n.view.log.add([]byte(`{"version":2}`))
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, !n.stream.Ready())
+		assert.Equal(t, n.folder.Offset(), model.NoOffset)
+		assert.Assert(t, time.Since(n.stream.Freshness()) >= 2*time.Second)
+		_, err := n.stream.Submit(t.Context(), op("x"))
+		assert.ErrorIs(t, err, ErrNotRecorded)
+		_, err = n.stream.Snapshot(t.Context())
+		assert.Assert(t, err != nil)
+	})
+}
+
+// Guards against a state that counts as fresh while the answer is from before a pause, from a log that lags behind, or
+// missing altogether.
+func TestFreshness(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, _ *fakeNet, n *node) {
+		assert.Assert(t, time.Since(n.stream.Freshness()) <= 800*time.Millisecond)
+		_, err := n.stream.Submit(t.Context(), op("x"))
+		assert.NilError(t, err)
+		n.view.set(func(v *fakeView) {
+			v.twist = func(b ports.Batch) ports.Batch { return ports.Batch{First: b.First, Next: 0} }
+		})
+		n.view.log.add(nil)
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, time.Since(n.stream.Freshness()) >= 2*time.Second)
+
+		began := time.Now().Add(-time.Hour)
+		assert.NilError(t, n.stream.ingest(ports.Batch{Next: 1}, routeDirect, began))
+		assert.Assert(t, time.Since(n.stream.Freshness()) >= 2*time.Second, "a read that began before a pause")
+	})
+}
+
+// Guards against a node that cannot continue after its own log access failed although a peer has the log.
+func TestRelayReadsAndAppends(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, net *fakeNet, a *node) {
+		b := net.start("b", &fakeView{log: a.view.log}, nil)
+		time.Sleep(2 * time.Second)
+		b.view.set(func(v *fakeView) { v.mute = true })
+		time.Sleep(4 * time.Second)
+		_, err := a.stream.Submit(t.Context(), op("x"))
+		assert.NilError(t, err)
+		_, err = b.stream.Submit(t.Context(), op("y"))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, b.folder.names(), []model.JobID{"x", "y"})
+		assert.Assert(t, time.Since(b.stream.Status().Relayed) < 2*time.Second)
+		assert.Assert(t, time.Since(b.stream.Status().Direct) >= 2*time.Second)
+	})
+}
+
+// Guards against an instance that counts as ready with an old state when it starts during an outage.
+func TestStartDuringOutageTakesTheNewestState(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, net *fakeNet, a *node) {
+		_, err := a.stream.Submit(t.Context(), op("x"))
+		assert.NilError(t, err)
+		a.view.set(func(v *fakeView) { v.down = true })
+		time.Sleep(3 * time.Second)
+		net.setCut(true)
+		b := net.start("b", &fakeView{log: a.view.log, down: true}, nil)
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, !b.stream.Ready(), "neither log nor peer was reachable")
+		net.setCut(false)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, b.stream.Ready())
+		assert.DeepEqual(t, b.folder.names(), []model.JobID{"x"})
+	})
+}
+
+// Guards against a state that is lost when its first records are past retention, and against snapshots that are never
+// written or that cannot be read.
+func TestSnapshotsCarryTheStateOverRetention(t *testing.T) {
+	often := func(cfg *Config) { cfg.SnapshotRecords, cfg.SnapshotGap = 5, 5*time.Second }
+	inBubble(t, often, func(t *testing.T, net *fakeNet, a *node) {
+		for i := range 30 {
+			_, err := a.stream.Submit(t.Context(), op(fmt.Sprintf("%d-%s", i, strings.Repeat("x", 6000))))
+			assert.NilError(t, err)
+		}
+		time.Sleep(10 * time.Second)
+		want := a.folder.names()
+		at := a.stream.newestRecorded().at
+		assert.Assert(t, at > 20, "snapshot at %d", at)
+		a.view.log.truncate(at + 1)
+		a.halt()
+		net.mu.Lock()
+		delete(net.nodes, "a")
+		net.mu.Unlock()
+		b := net.start("b", &fakeView{log: a.view.log}, often)
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, b.stream.Ready())
+		assert.DeepEqual(t, b.folder.names(), want)
+	})
+}
+
+// Guards against a paused instance that stays behind for good when the log has dropped the records it needs next.
+func TestTruncationRestoresFromAPeer(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, net *fakeNet, a *node) {
+		b := net.start("b", &fakeView{log: a.view.log}, nil)
+		time.Sleep(2 * time.Second)
+		net.setCut(true)
+		b.view.set(func(v *fakeView) { v.down = true })
+		sub := b.stream.Subscribe()
+		defer sub.Close()
+		_, err := sub.Next(t.Context())
+		assert.NilError(t, err)
+		for i := range 3 {
+			_, err := a.stream.Submit(t.Context(), op(fmt.Sprint(i)))
+			assert.NilError(t, err)
+		}
+		a.view.log.truncate(3)
+		net.setCut(false)
+		b.view.set(func(v *fakeView) { v.down = false })
+		time.Sleep(3 * time.Second)
+		assert.DeepEqual(t, b.folder.names(), a.folder.names())
+		update, err := sub.Next(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, update.Resync)
+		assert.Assert(t, is.Len(update.Events, 3))
+	})
+}
+
+// Guards against a slow subscriber that blocks the tail or misses changes.
+func TestSlowSubscriberIsResynchronised(t *testing.T) {
+	short := func(cfg *Config) { cfg.SubscriberQueue = 2 }
+	inBubble(t, short, func(t *testing.T, _ *fakeNet, n *node) {
+		sub := n.stream.Subscribe()
+		defer sub.Close()
+		update, err := sub.Next(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, update.Resync)
+		submit := func(name string) {
+			_, err := n.stream.Submit(t.Context(), op(name))
+			assert.NilError(t, err)
+		}
+		submit("a")
+		update, err = sub.Next(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, !update.Resync)
+		for i := range 5 {
+			submit(fmt.Sprint(i))
+		}
+		update, err = sub.Next(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, update.Resync)
+		assert.Assert(t, is.Len(update.Events, 6))
+		submit("b")
+		update, err = sub.Next(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, !update.Resync && update.Offset == n.folder.Offset())
+	})
+}
+
+// Guards against results that are invented for an envelope that a restored snapshot contained.
+func TestRestoredEnvelopeHasUnknownOutcome(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, net *fakeNet, a *node) {
+		b := net.start("b", &fakeView{log: a.view.log}, nil)
+		time.Sleep(2 * time.Second)
+		b.view.set(func(v *fakeView) {
+			v.faults = []fault{loseAnswer}
+			v.twist = func(batch ports.Batch) ports.Batch { return ports.Batch{First: batch.First, Next: batch.Next} }
+		})
+		got := make(chan error, 1)
+		go func() {
+			_, err := b.stream.Submit(context.Background(), op("x"))
+			got <- err
+		}()
+		time.Sleep(10 * time.Millisecond)
+		assert.NilError(t, b.stream.restoreFromPeers(t.Context()))
+		b.view.set(func(v *fakeView) { v.twist = nil })
+		err := <-got
+		assert.Assert(t, errors.Is(err, ErrUnknownOutcome), "%v", err)
+		assert.DeepEqual(t, b.folder.names(), []model.JobID{"x"})
+	})
+}
--- a/internal/stream/tail.go
+++ b/internal/stream/tail.go
@@ -144,7 +144,7 @@
 	s.queue.close(errHalted)
 	if current != nil {
 		resolveAll(current.entries, fmt.Errorf("%w: %w", ErrUnknownOutcome, errHalted))
-		close(current.landed)
+		current.landed()
 	}
 	return fmt.Errorf("%w: offset %d: %w", errHalted, offset, reason)
 }
--- a/internal/stream/writer.go
+++ b/internal/stream/writer.go
@@ -24,8 +24,10 @@
 	sent bool
 	// refusedSince is the time of the first of the appends that failed in a row, or zero.
 	refusedSince time.Time
-	// landed is closed when the envelope was read back.
-	landed chan struct{}
+	// ctx ends when the envelope was read back, which also ends an append that still waits for its answer, or when the
+	// stream stops.
+	ctx    context.Context //nolint:containedctx // the life of the envelope
+	landed context.CancelFunc
 	// repeat asks for an append at once, because a restored snapshot may contain the envelope.
 	repeat chan struct{}
 }
@@ -59,18 +61,20 @@
 	if len(entries) == 0 {
 		return
 	}
-	current, err := s.launch(entries)
+	current, err := s.launch(ctx, entries)
 	if err != nil {
 		resolveAll(entries, fmt.Errorf("%w: %w", ErrNotRecorded, err))
 		return
 	}
+	defer current.landed()
 	retry := s.newBackoff()
 	for {
-		wait, done := s.attempt(ctx, current, retry)
-		if done || s.awaitLanding(ctx, current, wait) {
+		wait, done := s.attempt(current, retry)
+		if done || s.awaitLanding(current, wait) {
 			break
 		}
 	}
+	s.abandon(current)
 	if ctx.Err() == nil {
 		s.queue.open()
 	}
@@ -78,7 +82,7 @@
 
 // launch encodes the next envelope. A sequence number is never used for two contents, not even after a refusal,
 // because the contents of a refusal that was a lie would then be mistaken for each other.
-func (s *Stream) launch(entries []*entry) (*flight, error) {
+func (s *Stream) launch(ctx context.Context, entries []*entry) (*flight, error) {
 	s.sequence++
 	env := record.Envelope{
 		Writer: s.cfg.Instance, Incarnation: s.cfg.Incarnation, Sequence: s.sequence,
@@ -91,10 +95,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("encoding envelope %d: %w", s.sequence, err)
 	}
-	launched := &flight{
-		sequence: s.sequence, data: data, entries: entries,
-		landed: make(chan struct{}), repeat: make(chan struct{}, 1),
-	}
+	launched := &flight{sequence: s.sequence, data: data, entries: entries, repeat: make(chan struct{}, 1)}
+	launched.ctx, launched.landed = context.WithCancel(ctx)
 	s.setFlight(launched)
 	s.metrics.envelopes.Inc()
 	s.metrics.operations.Add(len(env.Ops))
@@ -103,17 +105,17 @@
 
 // attempt appends once and returns how long to wait for the envelope before the next attempt; done reports that its
 // operations were refused.
-func (s *Stream) attempt(ctx context.Context, current *flight, retry *backoff.ExponentialBackOff) (time.Duration, bool) {
+func (s *Stream) attempt(current *flight, retry *backoff.ExponentialBackOff) (time.Duration, bool) {
 	start := s.cfg.Clock.Now()
-	_, err := s.append(ctx, current.data)
+	_, err := s.append(current.ctx, current.data)
 	s.metrics.appends.Inc()
 	certain := errors.Is(err, ports.ErrUnavailable) || errors.Is(err, ports.ErrThrottled)
 	if !certain {
 		current.sent = true
 	}
-	if err == nil {
+	if err == nil || current.ctx.Err() != nil {
 		s.endOutage(current)
-		return s.cfg.ReadBackWait, false
+		return s.cfg.ReadBackWait, current.ctx.Err() != nil
 	}
 	s.metrics.appendErrors.Inc()
 	s.cfg.Logger.Debug("append failed", zap.Int64("sequence", current.sequence), zap.Error(err))
@@ -155,14 +157,11 @@
 }
 
 // awaitLanding waits until the envelope is read back; it returns true if nothing is left to do for it.
-func (s *Stream) awaitLanding(ctx context.Context, current *flight, wait time.Duration) bool {
+func (s *Stream) awaitLanding(current *flight, wait time.Duration) bool {
 	timer := s.cfg.Clock.NewTimer(wait)
 	defer timer.Stop()
 	select {
-	case <-current.landed:
-		return true
-	case <-ctx.Done():
-		s.abandon(current)
+	case <-current.ctx.Done():
 		return true
 	case <-current.repeat:
 		return false
@@ -172,7 +171,7 @@
 	}
 }
 
-// abandon resolves the envelope when the stream stops.
+// abandon resolves the envelope if the stream stops before it was read back.
 func (s *Stream) abandon(current *flight) {
 	if !s.dropFlight(current) {
 		return
@@ -204,7 +203,7 @@
 			results = results[len(e.ops):]
 		}
 	}
-	close(current.landed)
+	current.landed()
 }
 
 // append appends directly, or through a peer while the log itself does not answer this instance.
