--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,264 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/ports"
+)
+
+// fakeNode handles all calls; err is returned by the calls that reach the log.
+type fakeNode struct {
+	mu       sync.Mutex
+	err      error
+	appended [][]byte
+	claims   []Claim
+	settles  []Settle
+	beats    []Status
+}
+
+func (f *fakeNode) HandleBeat(_ context.Context, from Status) (BeatAnswer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.beats = append(f.beats, from)
+	return BeatAnswer{Status: from, Neighbours: []Status{from}}, nil
+}
+
+func (f *fakeNode) ReadLog(_ context.Context, from model.Offset, limit int, _ time.Duration) (ports.Batch, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	batch := ports.Batch{First: 3, Next: 9}
+	for at := from; at < batch.Next && len(batch.Records) < limit; at++ {
+		batch.Records = append(batch.Records, ports.Record{Offset: at, Data: []byte{byte(at)}})
+	}
+	return batch, f.err
+}
+
+func (f *fakeNode) AppendLog(_ context.Context, data []byte) (model.Offset, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.appended = append(f.appended, data)
+	return 7, f.err
+}
+
+func (f *fakeNode) Snapshot(context.Context) (Snapshot, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Snapshot{At: 5, Data: []byte("state"), Recorded: model.NoOffset, RecordedAge: time.Minute}, f.err
+}
+
+func (f *fakeNode) HandleClaim(_ context.Context, claim Claim) (ClaimAnswer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.claims = append(f.claims, claim)
+	return ClaimAnswer{Verdict: VerdictGranted, Membership: 4}, nil
+}
+
+func (f *fakeNode) HandleSettle(_ context.Context, settle Settle) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settles = append(f.settles, settle)
+	return nil
+}
+
+func serve(t testing.TB, listener net.Listener, node *fakeNode) {
+	t.Helper()
+	server, err := NewServer(ServerConfig{Listener: listener, Beats: node, Journal: node, Requests: node})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+}
+
+func listen(t testing.TB) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return listener
+}
+
+func newClient(t testing.TB, cfg ClientConfig) *Client {
+	t.Helper()
+	client, err := NewClient(cfg)
+	assert.NilError(t, err)
+	return client
+}
+
+// Guards against fields that are lost or mixed up on the way.
+func TestCallsCarryAllFields(t *testing.T) {
+	node, listener, ctx := &fakeNode{}, listen(t), t.Context()
+	serve(t, listener, node)
+	client, address := newClient(t, ClientConfig{}), listener.Addr().String()
+
+	status := Status{
+		Sender: Sender{Instance: "a", Incarnation: 2}, DataCentre: "north", PeerAddress: "127.0.0.1:1", Applied: 6,
+		LogAnswers: true, Ready: true, Load: 8, Leaving: true, Age: time.Second, CurrentAge: NeverCurrent,
+	}
+	answer, err := client.Beat(ctx, address, status)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, answer, BeatAnswer{Status: status, Neighbours: []Status{status}})
+
+	batch, err := client.ReadLog(ctx, address, 7, 1, time.Millisecond)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, batch, ports.Batch{First: 3, Next: 9, Records: []ports.Record{{Offset: 7, Data: []byte{7}}}})
+
+	offset, err := client.AppendLog(ctx, address, []byte("data"))
+	assert.NilError(t, err)
+	assert.Equal(t, offset, model.Offset(7))
+
+	snap, err := client.Snapshot(ctx, address)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, snap, Snapshot{At: 5, Data: []byte("state"), Recorded: model.NoOffset, RecordedAge: time.Minute})
+
+	claim := Claim{RequestID: "r", Claimant: status.Sender, Membership: 4}
+	verdict, err := client.Claim(ctx, address, claim)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, verdict, ClaimAnswer{Verdict: VerdictGranted, Membership: 4})
+	assert.DeepEqual(t, node.claims, []Claim{claim})
+
+	settle := Settle{RequestID: "r", Claimant: status.Sender, Ran: true}
+	assert.NilError(t, client.Settle(ctx, address, settle))
+	assert.DeepEqual(t, node.settles, []Settle{settle})
+}
+
+// Guards against an append that is reported as without effect although it may have one, and the reverse.
+func TestErrorsOfTheLogKeepTheirMeaning(t *testing.T) {
+	tests := []struct {
+		name string
+		err  error
+		read error
+		add  error
+	}{
+		{"unavailable", ports.ErrUnavailable, ports.ErrUnavailable, ports.ErrUnavailable},
+		{"throttled", ports.ErrThrottled, ports.ErrThrottled, ports.ErrThrottled},
+		{"unknown effect", ports.ErrUnknownEffect, ErrRefused, ports.ErrUnknownEffect},
+		{"other", errors.ErrUnsupported, ErrRefused, ports.ErrUnknownEffect},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			listener := listen(t)
+			serve(t, listener, &fakeNode{err: test.err})
+			client, address := newClient(t, ClientConfig{}), listener.Addr().String()
+			_, err := client.ReadLog(t.Context(), address, 3, 1, 0)
+			assert.ErrorIs(t, err, test.read)
+			_, err = client.AppendLog(t.Context(), address, nil)
+			assert.ErrorIs(t, err, test.add)
+		})
+	}
+}
+
+func TestTruncationNamesTheFirstOffset(t *testing.T) {
+	listener := listen(t)
+	serve(t, listener, &fakeNode{err: ports.ErrTruncated})
+	batch, err := newClient(t, ClientConfig{}).ReadLog(t.Context(), listener.Addr().String(), 0, 10, 0)
+	assert.ErrorIs(t, err, ports.ErrTruncated)
+	assert.DeepEqual(t, batch, ports.Batch{First: 3, Next: 9})
+}
+
+func TestSnapshotOfAPeerThatIsNotReady(t *testing.T) {
+	listener := listen(t)
+	serve(t, listener, &fakeNode{err: ErrNotReady})
+	_, err := newClient(t, ClientConfig{}).Snapshot(t.Context(), listener.Addr().String())
+	assert.ErrorIs(t, err, ErrNotReady)
+}
+
+// Guards against an append that is in doubt for ever because the peer's process is gone.
+func TestAppendToAClosedPortHadNoEffect(t *testing.T) {
+	listener := listen(t)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	_, err := newClient(t, ClientConfig{}).AppendLog(t.Context(), address, nil)
+	assert.ErrorIs(t, err, ports.ErrUnavailable)
+}
+
+// silentListener hands out connections that deliver nothing to the server once silent is set.
+type silentListener struct {
+	net.Listener
+	mu       sync.Mutex
+	accepted []*silentConn
+}
+
+type silentConn struct {
+	net.Conn
+	silent atomic.Bool
+	ended  chan struct{}
+	once   sync.Once
+}
+
+func (l *silentListener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	made := &silentConn{Conn: inner, ended: make(chan struct{})}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.accepted = append(l.accepted, made)
+	return made, nil
+}
+
+func (l *silentListener) silence() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, found := range l.accepted {
+		found.silent.Store(true)
+	}
+	return len(l.accepted)
+}
+
+func (c *silentConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.silent.Load() && err == nil {
+		<-c.ended
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *silentConn) Close() error {
+	c.once.Do(func() { close(c.ended) })
+	return c.Conn.Close()
+}
+
+// Guards against connections that went silent and are used again and again while new ones would work.
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	listener := &silentListener{Listener: listen(t)}
+	serve(t, listener, &fakeNode{})
+	client, address := newClient(t, ClientConfig{BeatTimeout: 100 * time.Millisecond}), listener.Addr().String()
+	var calls sync.WaitGroup
+	for range 3 { // leaves several idle connections
+		calls.Go(func() { _, _ = client.ReadLog(context.Background(), address, 3, 1, 0) })
+	}
+	calls.Wait()
+	before := listener.silence()
+	_, err := client.Beat(t.Context(), address, Status{})
+	assert.ErrorIs(t, err, ErrUnreachable)
+	_, err = client.Beat(t.Context(), address, Status{})
+	assert.NilError(t, err)
+	listener.mu.Lock()
+	defer listener.mu.Unlock()
+	assert.Equal(t, len(listener.accepted), before+1)
+}
+
+func TestRetainForgetsReplacedPeers(t *testing.T) {
+	listener := listen(t)
+	serve(t, listener, &fakeNode{})
+	client, address := newClient(t, ClientConfig{}), listener.Addr().String()
+	_, err := client.Beat(t.Context(), address, Status{})
+	assert.NilError(t, err)
+	assert.Equal(t, len(client.pool.dump()), 1)
+	client.Retain(nil)
+	assert.Equal(t, len(client.pool.dump()), 0)
+}
--- a/internal/stream/fakes_test.go
+++ b/internal/stream/fakes_test.go
@@ -247,7 +247,7 @@
 func (f *fakeFolder) Describe() []state.Event {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []state.Event
+	out := make([]state.Event, 0, len(f.Names))
 	for _, name := range f.Names {
 		out = append(out, state.TaskDone{Task: state.Task{ID: model.TaskID{Job: name}}})
 	}
@@ -297,8 +297,9 @@
 func (p fakePeers) Count() int { return 1 + len(p.net.others(p.self)) }
 
 func (p fakePeers) Sources() []Source {
-	var out []Source
-	for _, other := range p.net.others(p.self) {
+	others := p.net.others(p.self)
+	out := make([]Source, 0, len(others))
+	for _, other := range others {
 		status := other.stream.Status()
 		out = append(out, Source{
 			Address: string(other.name), Applied: status.Applied, Ready: status.Ready,
