--- /dev/null
+++ b/standin/internal/setup/setup.go
@@ -0,0 +1,120 @@
+package setup
+
+import (
+	"strconv"
+	"time"
+
+	"arbutuswing.example/internal/config"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/ports"
+	"arbutuswing.example/standin/internal/fleet"
+	"arbutuswing.example/standin/internal/roster"
+)
+
+// Settings are the stand-in's settings.
+type Settings struct {
+	// Listen is IP:port; workers are listed under it.
+	Listen   string `json:"listen"`
+	LogLevel string `json:"log-level,omitempty"`
+	// Seed fixes run times, peaks and the chances of faults.
+	Seed      int64            `json:"seed,omitempty"`
+	Log       Log              `json:"log,omitzero"`
+	ListLag   model.Duration   `json:"list-lag,omitempty"`
+	Instances []ports.Instance `json:"instances,omitempty"`
+	Workers   []Group          `json:"workers,omitempty"`
+	Tasks     Tasks            `json:"tasks,omitzero"`
+	// SilentFor is how long a caller waits that gets no answer, before its connection is closed.
+	SilentFor model.Duration `json:"silent-for,omitempty"`
+}
+
+// Log describes the log.
+type Log struct {
+	AppendsPerSecond float64        `json:"appends-per-second,omitempty"`
+	Burst            int            `json:"burst,omitempty"`
+	KeepRecords      int            `json:"keep-records,omitempty"`
+	KeepFor          model.Duration `json:"keep-for,omitempty"`
+	MaxBytes         int            `json:"max-bytes,omitempty"`
+}
+
+// Group describes workers that are alike; they are named Prefix and a number, which starts at 1.
+type Group struct {
+	Prefix     string             `json:"prefix"`
+	Count      int                `json:"count"`
+	DataCentre model.DataCentreID `json:"data-centre"`
+	// PerRack is 8 unless set.
+	PerRack int `json:"per-rack,omitempty"`
+	// Capacity is 64 cores and 256 GB unless set.
+	Capacity model.Resources `json:"capacity,omitzero"`
+}
+
+// Tasks describes how real tasks differ from what was declared.
+type Tasks struct {
+	RunTime fleet.Range `json:"run-time,omitzero"`
+	Peak    fleet.Range `json:"peak,omitzero"`
+	// Scale multiplies all run times.
+	Scale    float64        `json:"scale,omitempty"`
+	UsageLag model.Duration `json:"usage-lag,omitempty"`
+}
+
+const defaultPerRack = 8
+
+// defaultCapacity is that of the workers in docs/design.md: 64 cores and 256 GB.
+var defaultCapacity = model.Resources{Cores: 64_000, Memory: 256 << 10}
+
+// WithDefaults returns the settings with the figures of docs/design.md.
+func (s Settings) WithDefaults() Settings {
+	s.LogLevel = "info"
+	s.Log = Log{
+		AppendsPerSecond: 400, Burst: 40, KeepRecords: 200_000, KeepFor: model.Duration(time.Hour), MaxBytes: 1 << 20,
+	}
+	s.ListLag = model.Duration(500 * time.Millisecond)
+	s.SilentFor = model.Duration(3 * time.Second)
+	s.Tasks = Tasks{
+		RunTime: fleet.Range{Min: 0.25, Max: 4}, Peak: fleet.Range{Min: 0.25, Max: 4}, Scale: 1,
+		UsageLag: model.Duration(2 * time.Second),
+	}
+	return s
+}
+
+func (g Group) withDefaults() Group {
+	if g.PerRack == 0 {
+		g.PerRack = defaultPerRack
+	}
+	if g.Capacity.Zero() {
+		g.Capacity = defaultCapacity
+	}
+	return g
+}
+
+// Check returns the faults of the settings.
+func (s Settings) Check() []config.Problem {
+	c := &config.Checker{}
+	c.Address("listen", s.Listen, false)
+	c.Level("log-level", s.LogLevel)
+	c.Positive("log", s.Log)
+	c.Positive("tasks.run-time", s.Tasks.RunTime)
+	c.Positive("tasks.peak", s.Tasks.Peak)
+	c.Require(s.Tasks.RunTime.Max >= s.Tasks.RunTime.Min, "tasks.run-time", "max must not be below min")
+	c.Require(s.Tasks.Peak.Max >= s.Tasks.Peak.Min, "tasks.peak", "max must not be below min")
+	c.Require(s.Tasks.Scale > 0, "tasks.scale", "must be greater than 0")
+	c.Require(s.Tasks.UsageLag >= 0, "tasks.usage-lag", "must not be negative")
+	c.Require(s.ListLag >= 0, "list-lag", "must not be negative")
+	c.Require(s.SilentFor > 0, "silent-for", "must be greater than 0")
+	for i, group := range s.Workers {
+		path := "workers[" + strconv.Itoa(i) + "]"
+		c.Require(group.Count > 0, path+".count", "must be greater than 0")
+		c.Require(group.DataCentre != "", path+".data-centre", "must be set")
+		c.Require(group.PerRack >= 0, path+".per-rack", "must not be negative")
+		c.Require(!group.Capacity.Negative(), path+".capacity", "must not be negative")
+	}
+	for i, row := range s.Instances {
+		err := roster.Check(row)
+		c.Require(err == nil, "instances["+strconv.Itoa(i)+"]", "%v", err)
+	}
+	seen := make(map[string]bool)
+	for _, row := range s.Rows() {
+		c.Require(!seen[row.ID], "listen", "instance %q is listed twice", row.ID)
+		seen[row.ID] = true
+	}
+	return c.Problems()
+}
