refactor(stream): leave compression to the fold, note breaks in fresh reads

Status tells since when reads have been fresh without a break, so that a pause which nobody observed still ends the period that worker-lost depends on.

--- a/internal/member/state.go
+++ b/internal/member/state.go
@@ -52,6 +52,10 @@
 		}
 	}
 	t.enter(next, now)
+	if t.view.hasLog() {
+		// A break that ended before anybody looked, as in a pause of the process, still ends the period.
+		t.view.Since = later(t.view.Since, status.Steady)
+	}
 	return t.view
 }
 
--- a/internal/member/state_test.go
+++ b/internal/member/state_test.go
@@ -305,6 +305,17 @@
 	assert.Assert(t, !r.MayStart(), "the outage was proved 5 s ago")
 }
 
+// Guards against a break in the reads, as by a pause of the process, that goes unnoticed because nobody asked meanwhile.
+func TestConnectedSinceTheLastBreak(t *testing.T) {
+	r := newRig(t)
+	r.clock.Advance(time.Hour)
+	r.journal.status = stream.Status{Applied: 9, Ready: true, Direct: r.clock.Now()}
+	began := r.Connectivity().Since
+	r.clock.Advance(time.Minute)
+	r.journal.status.Direct, r.journal.status.Steady = r.clock.Now(), r.clock.Now()
+	assert.Equal(t, r.Connectivity(), Connectivity{State: Connected, Since: began.Add(time.Minute)})
+}
+
 // Guards against an instance that never had the newest state and takes up duties on an old one.
 func TestInstanceThatWasNeverCurrentHasNoGrace(t *testing.T) {
 	r := newRig(t)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/once"
 	"arbutuswing.example/internal/ports"
 )
 
@@ -20,8 +21,10 @@
 	mu       sync.Mutex
 	err      error
 	appended [][]byte
-	claims   []Claim
-	settles  []Settle
+	claims   []once.ClaimRequest
+	settles  []once.SettleRequest
+	status   once.Status
+	handoff  once.Handoff
 	beats    []Status
 }
 
@@ -55,18 +58,23 @@
 	return Snapshot{At: 5, Data: []byte("state"), Recorded: model.NoOffset, RecordedAge: time.Minute}, f.err
 }
 
-func (f *fakeNode) HandleClaim(_ context.Context, claim Claim) (ClaimAnswer, error) {
+func (f *fakeNode) Decide(claim once.ClaimRequest) once.Status {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.claims = append(f.claims, claim)
-	return ClaimAnswer{Verdict: VerdictGranted, Membership: 4}, nil
+	return f.status
 }
 
-func (f *fakeNode) HandleSettle(_ context.Context, settle Settle) error {
+func (f *fakeNode) Finish(settle once.SettleRequest) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.settles = append(f.settles, settle)
-	return nil
+}
+
+func (f *fakeNode) Handoff(once.Member, model.Offset) (once.Handoff, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.handoff, f.err
 }
 
 func serve(t testing.TB, listener net.Listener, node *fakeNode) {
@@ -122,15 +130,30 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, snap, Snapshot{At: 5, Data: []byte("state"), Recorded: model.NoOffset, RecordedAge: time.Minute})
 
-	claim := Claim{RequestID: "r", Claimant: status.Sender, Membership: 4}
-	verdict, err := client.Claim(ctx, address, claim)
-	assert.NilError(t, err)
-	assert.DeepEqual(t, verdict, ClaimAnswer{Verdict: VerdictGranted, Membership: 4})
-	assert.DeepEqual(t, node.claims, []Claim{claim})
+	owner := once.Member{Instance: "b", Incarnation: 3, PeerAddress: address}
+	claim := once.ClaimRequest{ID: "r", Claimant: "a", Offset: 4}
+	for _, status := range []once.Status{
+		once.StatusGranted, once.StatusRunning, once.StatusAnswered, once.StatusUnknown, once.StatusMoved, once.StatusFull,
+	} {
+		node.status, node.claims = status, nil
+		got, err := client.Claim(ctx, owner, claim)
+		assert.NilError(t, err)
+		assert.Equal(t, got, status)
+		assert.DeepEqual(t, node.claims, []once.ClaimRequest{claim})
+	}
+
+	settle := once.SettleRequest{ID: "r", Claimant: "a", Ran: true, Answered: true}
+	assert.NilError(t, client.Settle(ctx, owner, settle))
+	assert.DeepEqual(t, node.settles, []once.SettleRequest{settle})
 
-	settle := Settle{RequestID: "r", Claimant: status.Sender, Ran: true}
-	assert.NilError(t, client.Settle(ctx, address, settle))
-	assert.DeepEqual(t, node.settles, []Settle{settle})
+	node.handoff = once.Handoff{
+		KnownSince: time.Second, First: true, Epochs: []once.HandoffEpoch{{
+			Membership: once.Membership{Offset: 5, Members: []once.Member{owner}}, ReplacedAgo: time.Minute,
+		}},
+	}
+	handoff, err := client.Handoff(ctx, owner, owner, 4)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, handoff, node.handoff)
 }
 
 // Guards against an append that is reported as without effect although it may have one, and the reverse.
--- a/internal/peer/types.go
+++ b/internal/peer/types.go
@@ -58,7 +58,7 @@
 	Neighbours []Status `json:"neighbours,omitempty"`
 }
 
-// Snapshot is the state after the record at offset At, compressed.
+// Snapshot is the encoded state after the record at offset At.
 type Snapshot struct {
 	At   model.Offset
 	Data []byte
--- a/internal/stream/dump.go
+++ b/internal/stream/dump.go
@@ -77,12 +77,16 @@
 func (s *Stream) ReadLog(
 	ctx context.Context, from model.Offset, limit int, wait time.Duration,
 ) (ports.Batch, error) {
-	return s.cfg.Log.Read(ctx, from, limit, wait)
+	limited, cancel := s.withTimeout(ctx, wait+s.cfg.ReadTimeout)
+	defer cancel()
+	return s.cfg.Log.Read(limited, from, limit, wait)
 }
 
 // AppendLog appends to the log itself for a peer.
 func (s *Stream) AppendLog(ctx context.Context, data []byte) (model.Offset, error) {
-	return s.cfg.Log.Append(ctx, data)
+	limited, cancel := s.withTimeout(ctx, s.cfg.AppendTimeout)
+	defer cancel()
+	return s.cfg.Log.Append(limited, data)
 }
 
 func isTruncated(err error) bool { return errors.Is(err, ports.ErrTruncated) }
--- a/internal/stream/fakes_test.go
+++ b/internal/stream/fakes_test.go
@@ -79,6 +79,8 @@
 	throttle
 	// hang records the append and never answers.
 	hang
+	// hangLate never answers and records the append at some later time.
+	hangLate
 )
 
 // fakeView is one instance's access to the log.
@@ -126,17 +128,17 @@
 	switch f {
 	case throttle:
 		return model.NoOffset, ports.ErrThrottled
-	case landLate:
+	case landLate, hangLate:
 		v.log.mu.Lock()
 		v.log.late = append(v.log.late, data)
 		v.log.mu.Unlock()
-	case loseAnswer:
-		v.log.add(data)
-	case hang:
+	case loseAnswer, hang:
 		v.log.add(data)
+	case loseRequest:
+	}
+	if f == hang || f == hangLate {
 		<-ctx.Done()
 		return model.NoOffset, ctx.Err()
-	case loseRequest:
 	}
 	return model.NoOffset, ports.ErrUnknownEffect
 }
--- a/internal/stream/status.go
+++ b/internal/stream/status.go
@@ -12,6 +12,9 @@
 	Direct time.Time `json:"direct"`
 	// Relayed is the same for reads through a peer.
 	Relayed time.Time `json:"relayed"`
+	// Steady is when the present period of fresh reads began: none of them was followed by more than the freshness
+	// bound without another.
+	Steady time.Time `json:"steady"`
 	// Applied is the offset of the last envelope folded, or model.NoOffset.
 	Applied model.Offset `json:"applied"`
 	// Ready is set once the instance has had the newest state that it could get.
@@ -55,6 +58,10 @@
 func (s *Stream) setFresh(via route, began time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.cfg.Clock.Now()
+	if now.Sub(s.status.Fresh()) >= s.cfg.FreshBound {
+		s.status.Steady = now
+	}
 	field := &s.status.Direct
 	if via == routeRelay {
 		field = &s.status.Relayed
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -326,6 +326,28 @@
 	})
 }
 
+// Guards against the same where no peer can be reached, so that only the snapshot in the log is left.
+func TestTruncationRestoresFromTheLog(t *testing.T) {
+	often := func(cfg *Config) { cfg.SnapshotRecords, cfg.SnapshotGap = 5, time.Second }
+	inBubble(t, often, func(t *testing.T, net *fakeNet, a *node) {
+		b := net.start("b", &fakeView{log: a.view.log}, often)
+		time.Sleep(2 * time.Second)
+		net.setCut(true)
+		b.view.set(func(v *fakeView) { v.down = true })
+		for i := range 20 {
+			_, err := a.stream.Submit(t.Context(), op(fmt.Sprint(i)))
+			assert.NilError(t, err)
+		}
+		time.Sleep(5 * time.Second)
+		at := a.stream.newestRecorded().at
+		assert.Assert(t, at > 10)
+		a.view.log.truncate(at + 1)
+		b.view.set(func(v *fakeView) { v.down = false })
+		time.Sleep(5 * time.Second)
+		assert.DeepEqual(t, b.folder.names(), a.folder.names())
+	})
+}
+
 // Guards against a slow subscriber that blocks the tail or misses changes.
 func TestSlowSubscriberIsResynchronised(t *testing.T) {
 	short := func(cfg *Config) { cfg.SubscriberQueue = 2 }
