--- a/internal/stream/fakes_test.go
+++ b/internal/stream/fakes_test.go
@@ -6,8 +6,14 @@
 	"errors"
 	"fmt"
 	"sync"
+	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"arbutuswing.example/internal/decl"
+	"arbutuswing.example/internal/invar"
 	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/peer"
 	"arbutuswing.example/internal/ports"
@@ -408,3 +414,16 @@
 func op(name string) record.Op { return record.JobCancelled{Job: model.JobID(name)} }
 
 func decode(data []byte) (record.Envelope, error) { return record.Decode(data) }
+
+func newMachine(t *testing.T) *state.Machine {
+	t.Helper()
+	machine, err := state.New(state.Config{
+		ParsePatch: func([]byte) (decl.Patch, error) { return decl.Patch{}, nil },
+		ApplyPatch: func(set decl.Set, _ decl.Patch) (decl.Set, error) { return set, nil },
+		CheckSet:   func(decl.Set) error { return nil },
+		Touches:    func(_, _ decl.Set) []model.OrganisationID { return nil },
+		Invariants: invar.New(zap.NewNop(), true),
+	})
+	assert.NilError(t, err)
+	return machine
+}
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -15,6 +15,7 @@
 	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/ports"
 	"arbutuswing.example/internal/record"
+	"arbutuswing.example/internal/state"
 )
 
 // inBubble runs a test on synctest's manual clock, which moves only when all goroutines wait.
@@ -401,3 +402,44 @@
 		assert.DeepEqual(t, b.folder.names(), []model.JobID{"x"})
 	})
 }
+
+// Guards against a fold and a stream that disagree on offsets, duplicates or the form of snapshots.
+func TestRealFold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, log := newNet(), newFakeLog()
+		defer net.haltAll()
+		machines := make(map[model.InstanceID]*state.Machine)
+		start := func(name model.InstanceID) *node {
+			return net.start(name, &fakeView{log: log}, func(cfg *Config) {
+				machines[name] = newMachine(t)
+				cfg.Folder, cfg.SnapshotRecords, cfg.SnapshotGap = machines[name], 5, time.Second
+			})
+		}
+		a := start("a")
+		time.Sleep(2 * time.Second)
+		a.view.set(func(v *fakeView) { v.faults = []fault{landLate, loseAnswer} })
+		for i := range 10 {
+			joined := record.MemberJoined{Instance: model.InstanceID(fmt.Sprint(i)), Incarnation: 1, DataCentre: "north"}
+			results, err := a.stream.Submit(t.Context(), joined, joined)
+			assert.NilError(t, err)
+			assert.NilError(t, results[0])
+			assert.ErrorIs(t, results[1], state.ErrDuplicate)
+			log.landLate()
+		}
+		time.Sleep(5 * time.Second)
+		start("b")
+		log.truncate(a.stream.newestRecorded().at + 1)
+		time.Sleep(2 * time.Second)
+		a.halt()
+		net.setCut(true)
+		start("c")
+		time.Sleep(5 * time.Second)
+		want, offset := machines["a"].Members()
+		assert.Equal(t, len(want), 10)
+		for name, machine := range machines {
+			got, at := machine.Members()
+			assert.DeepEqual(t, got, want)
+			assert.Equal(t, at, offset, name)
+		}
+	})
+}
