--- a/internal/sched/fault_test.go
+++ b/internal/sched/fault_test.go
@@ -71,7 +71,12 @@
 func (f *faults) freeze(t *rapid.T) {
 	n := f.node(t)
 	n.links.frozen = f.clock.Now()
-	f.advance(time.Duration(rapid.IntRange(1, 10).Draw(t, "steps")) * 200 * time.Millisecond)
+	steps := time.Duration(rapid.IntRange(1, 5).Draw(t, "steps"))
+	f.advance(steps * 200 * time.Millisecond)
+	if rapid.Bool().Draw(t, "roles-change") {
+		f.roles(t)
+	}
+	f.advance(steps * 200 * time.Millisecond)
 	n.links.frozen = time.Time{}
 }
 
@@ -93,10 +98,11 @@
 	f.log.out = false
 	f.nodes[0].links.placer, f.nodes[1].links.placer = true, false
 	for _, n := range f.nodes {
-		n.links.outage, n.links.cut, n.links.since = false, false, f.clock.Now()
+		n.links.outage, n.links.cut, n.links.alone, n.links.since = false, false, false, f.clock.Now()
 	}
 	for _, h := range f.fleet.hosts {
 		h.cut, h.mute, h.slow = false, false, false
+		clear(h.cutFrom)
 	}
 	f.log.declare(declared(testCentre))
 	f.advance(90 * time.Second)
@@ -128,13 +134,17 @@
 			"freeze":        f.freeze,
 			"declare":       f.declare,
 			"cut-host":      func(t *rapid.T) { h := f.host(t); h.cut = !h.cut },
-			"mute-host":     func(t *rapid.T) { h := f.host(t); h.mute = !h.mute },
-			"slow-host":     func(t *rapid.T) { h := f.host(t); h.slow = !h.slow },
-			"deliver":       func(t *rapid.T) { f.fleet.deliver(f.host(t)) },
-			"reboot":        func(t *rapid.T) { f.fleet.reboot(f.host(t)) },
+			"cut-host-from": func(t *rapid.T) {
+				h, n := f.host(t), f.node(t)
+				h.cutFrom[n.name] = !h.cutFrom[n.name]
+			},
+			"mute-host": func(t *rapid.T) { h := f.host(t); h.mute = !h.mute },
+			"slow-host": func(t *rapid.T) { h := f.host(t); h.slow = !h.slow },
+			"deliver":   func(t *rapid.T) { f.fleet.deliver(f.host(t)) },
+			"reboot":    func(t *rapid.T) { f.fleet.reboot(f.host(t)) },
 			"cut-node": func(t *rapid.T) {
 				n := f.node(t)
-				n.links.cut, n.links.since = !n.links.cut, f.clock.Now()
+				n.links.cut, n.links.alone, n.links.since = !n.links.cut, !n.links.cut, f.clock.Now()
 			},
 			"cancel": func(t *rapid.T) {
 				if len(f.log.jobs) > 0 {
--- a/internal/sched/fleet_test.go
+++ b/internal/sched/fleet_test.go
@@ -22,6 +22,10 @@
 	runTime time.Duration
 	peak    func(ports.StartRequest) model.Resources
 	ran     int
+	// started holds every attempt that ever started, since none may start again.
+	started map[model.AttemptID]bool
+	// caller is the instance whose calls are being made.
+	caller model.InstanceID
 	// pause runs once within the next call to a worker, as if the holder stood still there.
 	pause func()
 }
@@ -56,7 +60,9 @@
 	fails    bool
 	// cut drops calls before their effect, mute drops the answers after it.
 	cut, mute bool
-	stops     int
+	// cutFrom drops the calls of single instances.
+	cutFrom map[model.InstanceID]bool
+	stops   int
 	// late holds calls on their way: they reach the worker when the test delivers them, and their answers are lost.
 	slow bool
 	late []func()
@@ -77,7 +83,7 @@
 const maxLate = 2 * time.Second
 
 func newFleet(clock clockwork.Clock, dc model.DataCentreID, workers int, capacity model.Resources) *fleetFake {
-	f := &fleetFake{clock: clock, hosts: make(map[string]*host), runTime: 10 * time.Second}
+	f := &fleetFake{clock: clock, hosts: make(map[string]*host), started: make(map[model.AttemptID]bool), runTime: 10 * time.Second}
 	f.peak = func(ports.StartRequest) model.Resources { return model.Resources{} }
 	f.add(dc, workers, capacity)
 	return f
@@ -89,7 +95,7 @@
 		id := workerName(i)
 		f.hosts[string(id)] = &host{
 			id: id, dc: dc, rack: model.RackID(string(dc) + "-r" + strconv.Itoa(i/8)), capacity: capacity, boot: 1,
-			booted: f.clock.Now(), tasks: make(map[model.AttemptID]*run),
+			booted: f.clock.Now(), tasks: make(map[model.AttemptID]*run), cutFrom: make(map[model.InstanceID]bool),
 		}
 	}
 }
@@ -138,7 +144,7 @@
 func (f *fleetFake) command(address string, token model.Token, effect func(*host) error) error {
 	h := f.hosts[address]
 	f.interrupt()
-	if h.cut {
+	if h.cut || h.cutFrom[f.caller] {
 		return ports.ErrUnreachable
 	}
 	if h.slow {
@@ -172,7 +178,7 @@
 func (f *fleetFake) Lease(_ context.Context, address string, req ports.LeaseRequest) (ports.WorkerReport, error) {
 	h := f.hosts[address]
 	f.interrupt()
-	if h.cut {
+	if h.cut || h.cutFrom[f.caller] {
 		return ports.WorkerReport{}, ports.ErrUnreachable
 	}
 	if h.slow {
@@ -268,6 +274,10 @@
 	if !used.Fits(h.capacity) {
 		f.over++
 	}
+	if f.started[req.Attempt] {
+		f.doubles++
+	}
+	f.started[req.Attempt] = true
 	f.ran++
 	h.tasks[req.Attempt] = &run{req: req, started: f.clock.Now(), lapses: f.clock.Now().Add(req.TaskTTL.Std())}
 }
--- a/internal/sched/node_test.go
+++ b/internal/sched/node_test.go
@@ -27,6 +27,7 @@
 	clock  clockwork.Clock
 	placer bool
 	cut    bool
+	alone  bool
 	outage bool
 	since  time.Time
 	frozen time.Time
@@ -34,7 +35,7 @@
 
 func (l *linksFake) IsPlacer() bool { return l.placer }
 func (l *linksFake) MayStart() bool { return !l.cut }
-func (l *linksFake) MayRenew() bool { return true }
+func (l *linksFake) MayRenew() bool { return !l.alone }
 func (l *linksFake) ConnectedSince() (time.Time, bool) {
 	return l.since, !l.cut && !l.outage
 }
@@ -111,7 +112,10 @@
 }
 
 // step lets the node do one round.
-func (n *node) step(ctx context.Context) {
+func (n *node) step(ctx context.Context, fleet *fleetFake) {
+	caller := fleet.caller
+	fleet.caller = n.name
+	defer func() { fleet.caller = caller }()
 	n.leases.ReadList(ctx)
 	for range 2 {
 		n.pump()
@@ -128,7 +132,7 @@
 		w.fleet.settleAll()
 		for _, n := range w.nodes {
 			if !n.paused {
-				n.step(context.Background())
+				n.step(context.Background(), w.fleet)
 			}
 		}
 	}
--- a/internal/sched/placer_test.go
+++ b/internal/sched/placer_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"arbutuswing.example/internal/decl"
 	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/ports"
+	"arbutuswing.example/internal/record"
 	"arbutuswing.example/internal/state"
 )
 
@@ -40,11 +42,8 @@
 	w.advance(4 * time.Second)
 	assert.Equal(t, w.fleet.running("urgent"), 2)
 	assert.Equal(t, w.fleet.running("patient"), 12)
-	for _, task := range w.log.tasks() {
-		if task.ID.Job == "patient" && task.Attempt > 0 && task.Phase == state.PhaseQueued {
-			assert.Assert(t, task.Checkpoint > 0, "%s was stopped without a checkpoint", task.ID)
-		}
-	}
+	saved := slices.DeleteFunc(w.log.tasks(), func(t state.Task) bool { return t.Checkpoint == 0 })
+	assert.Equal(t, len(saved), 4, "attempts that gave way with a checkpoint")
 	w.sound(t)
 }
 
@@ -113,14 +112,84 @@
 	w.sound(t)
 }
 
-// Guards against starts while the instance is cut off.
-func TestNoStartsWhileCutOff(t *testing.T) {
+// Guards against starts while the instance is cut off, or the data centre is out of service.
+func TestBoundTaskIsNotStarted(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(w *world)
+	}{
+		{"cut off", func(w *world) { w.nodes[0].links.cut = true }},
+		{"out of service", func(w *world) {
+			set := declared(testCentre)
+			set.DataCentres[0].Service = decl.OutOfService
+			w.log.declare(set)
+		}},
+		{"suspected", func(w *world) {
+			w.nodes[0].links.cut = true
+			w.log.write(record.WorkerSuspected{Worker: "w0", Boot: "1"})
+		}},
+	}
+	for _, tt := range tests {
+		w := newWorld(t, 1, cores(8))
+		w.advance(2 * time.Second)
+		w.fleet.hosts["w0"].mute, w.fleet.hosts["w0"].cut = true, true
+		w.log.accept(job("j", "a", "patient", 2, cores(4)))
+		w.advance(time.Second)
+		assert.Equal(t, w.log.taken, 2, tt.name)
+		tt.fault(w)
+		w.fleet.hosts["w0"].mute, w.fleet.hosts["w0"].cut = false, false
+		w.advance(30 * time.Second)
+		assert.Equal(t, w.fleet.ran, 0, tt.name)
+	}
+}
+
+// Guards against a new holder that starts an attempt again because its view lacks the end that the last holder had
+// acknowledged.
+func TestTakeoverWaitsForFreshView(t *testing.T) {
 	w := newWorld(t, 1, cores(8))
-	w.log.accept(job("j", "a", "patient", 8, cores(4)))
+	w.addNode(testCentre)
+	w.nodes[1].links.placer = false
+	w.fleet.runTime = 2 * time.Second
+	w.log.accept(job("j", "a", "patient", 1, cores(4)))
+	w.advance(2 * time.Second)
+	w.nodes[1].links.frozen = w.clock.Now()
+	w.advance(2 * time.Second)
+	assert.Equal(t, w.log.done(), 1)
+	assert.Equal(t, len(w.fleet.hosts["w0"].tasks), 0, "attempts not acknowledged")
+	w.nodes[0].links.placer, w.nodes[1].links.placer = false, true
 	w.advance(5 * time.Second)
-	w.nodes[0].links.cut = true
-	w.advance(30 * time.Second)
-	assert.Equal(t, w.fleet.ran, 2)
+	w.sound(t)
+	assert.Equal(t, w.fleet.ran, 1)
+}
+
+// Guards against a start from events that lag behind the fold, and beside an attempt that still runs elsewhere.
+func TestStartChecksTheFoldAndOtherWorkers(t *testing.T) {
+	w := newWorld(t, 2, cores(8))
+	w.fleet.runTime = time.Hour
+	w.advance(2 * time.Second)
+	for _, h := range w.fleet.hosts {
+		h.cut, h.mute = true, true
+	}
+	w.log.accept(job("j", "a", "patient", 1, cores(4)))
+	w.advance(400 * time.Millisecond)
+	task, _, _ := w.log.fold.Task(model.TaskID{Job: "j"})
+	first := task.CurrentAttempt()
+	w.log.write(record.Ended{Attempt: first, Worker: task.Worker, Outcome: model.OutcomeNeverStarted})
+	w.advance(time.Second)
+	p := w.nodes[0].placer
+	a := p.current[task.ID]
+	assert.Equal(t, a.id.Number, 2)
+	s, other := p.sessions[a.worker], p.sessions["w0"]
+	if s == other {
+		other = p.sessions["w1"]
+	}
+	a.tried, a.unknown = false, false
+	p.setTasks(other, []ports.TaskReport{{Attempt: first, Phase: ports.PhaseRunning}})
+	assert.Equal(t, len(p.starts(s)), 0, "the first attempt still runs on the other worker")
+	p.setTasks(other, nil)
+	assert.Equal(t, len(p.starts(s)), 1)
+	a.tried, a.unknown, a.id.Number = false, false, 3
+	assert.Equal(t, len(p.starts(s)), 0, "the fold has no such attempt bound")
 }
 
 // Guards against work that stays in a data centre out of service, and against services stopped without a replacement.
@@ -153,6 +222,22 @@
 	w.sound(t)
 }
 
+// Guards against services that are stopped although no other data centre has room for them.
+func TestServiceStaysWithoutReplacement(t *testing.T) {
+	w := newWorld(t, 1, cores(8))
+	service := job("service", "a", "patient", 1, cores(4))
+	service.Kind, service.RunTime = model.KindService, 0
+	w.log.accept(service)
+	w.log.accept(job("batch", "a", "patient", 1, cores(4)))
+	w.advance(3 * time.Second)
+	set := declared(testCentre)
+	set.DataCentres[0].Service = decl.OutOfService
+	w.log.declare(set)
+	w.advance(5 * time.Second)
+	assert.Equal(t, w.fleet.running("service"), 1)
+	assert.Equal(t, w.fleet.running("batch"), 0)
+}
+
 // Guards against attempts that use more memory than the worker has, and against processors above the reservation.
 func TestUsageAboveReservation(t *testing.T) {
 	w := newWorld(t, 1, cores(8))
