fix(member): prove an outage only with the fold's members, stop churn in partitions

An instance that had a state but had not yet taken the members from the fold saw no data centre missing and took a log that it could not read for an outage, which also restarted its grace period.

Duties go to members that are ready and of the recorded incarnation only. The commit interval counts all recorded members, because those behind a partition append too.

--- a/internal/member/cluster_test.go
+++ b/internal/member/cluster_test.go
@@ -155,6 +155,7 @@
 		case record.MemberJoined:
 			f.Members[op.Instance] = state.Member{
 				Instance: op.Instance, Incarnation: op.Incarnation, DataCentre: op.DataCentre, PeerAddress: op.PeerAddress,
+				Joined: offset,
 			}
 		case record.MemberLeft:
 			delete(f.Members, op.Instance)
@@ -327,6 +328,25 @@
 	})
 }
 
+// Guards against members that are removed and join again every few seconds while a partition separates instances that
+// all read the log.
+func TestPartitionDoesNotChurnMembers(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster, all map[string]*instance) {
+		c.separate("north", "south", true)
+		c.separate("north", "east", true)
+		before := len(c.records)
+		time.Sleep(10 * time.Minute)
+		assert.Assert(t, len(c.records)-before < 150, "%d records", len(c.records)-before)
+		expect(t, all, map[string]State{"n": Connected, "e": Connected, "s": Connected})
+		c.separate("north", "south", false)
+		c.separate("north", "east", false)
+		time.Sleep(10 * time.Second)
+		for id, found := range all {
+			assert.Equal(t, len(found.service.Live()), 6, id)
+		}
+	})
+}
+
 // Guards against an instance that starts during an outage without the newest state of its peers.
 func TestStartDuringAnOutage(t *testing.T) {
 	inCluster(t, func(t *testing.T, c *cluster, all map[string]*instance) {
--- a/internal/member/duty.go
+++ b/internal/member/duty.go
@@ -38,14 +38,17 @@
 	return ok && first == t.cfg.Self.Instance
 }
 
-// Count returns the number of live members, at least 1; it counts peers that are not recorded yet, because they
-// append too.
+// Count returns the number of members that may append, at least 1: recorded ones, dead or alive, because those behind a
+// partition append too, and live peers that are not recorded yet.
 func (t *Table) Count() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	count, now := 1, t.cfg.Clock.Now()
-	for _, known := range t.peers {
-		if t.alive(known, now) {
+	count, now := len(t.recorded), t.cfg.Clock.Now()
+	if _, ok := t.recorded[t.cfg.Self.Instance]; !ok {
+		count++
+	}
+	for id, known := range t.peers {
+		if _, ok := t.recorded[id]; !ok && t.alive(known, now) {
 			count++
 		}
 	}
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -18,6 +18,8 @@
 	// reapMisses is the number of unanswered heartbeats that a removal needs besides the time, so that this instance's
 	// own pause cannot make its peers look dead.
 	reapMisses = 4
+	// rejoinLimit bounds how often the time to a removal is doubled.
+	rejoinLimit = 9
 	// listAge is the number of list intervals for which an answer of the list counts as current.
 	listAge = 3
 )
@@ -109,7 +111,7 @@
 			continue
 		}
 		unlisted := listCurrent && !known.listed && known.misses >= 1
-		dead := hearsAny && known.misses >= reapMisses && now.Sub(known.missed) >= s.cfg.ReapAfter
+		dead := hearsAny && known.misses >= reapMisses && now.Sub(known.missed) >= s.cfg.ReapAfter<<min(known.rejoins, rejoinLimit)
 		if unlisted || dead {
 			out = append(out, found)
 		}
--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -85,10 +85,19 @@
 		if err != nil {
 			return
 		}
-		for _, event := range update.Events {
-			s.handle(event)
-		}
+		s.take(update)
+	}
+}
+
+// take handles an update of the fold.
+func (s *Service) take(update stream.Update) {
+	for _, event := range update.Events {
+		s.handle(event)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.taken = max(s.taken, update.Offset)
+	s.informed = true
 }
 
 func (s *Service) handle(event state.Event) {
--- a/internal/member/state.go
+++ b/internal/member/state.go
@@ -35,6 +35,7 @@
 // to be the newest.
 func (t *Table) observe(status stream.Status) Connectivity {
 	now := t.cfg.Clock.Now()
+	t.ready = readyStatus(status)
 	t.applied = max(t.applied, status.Applied)
 	t.current = later(t.current, status.Fresh())
 	t.learnCurrent()
@@ -82,9 +83,10 @@
 
 // outageProof reports whether the log is out for everybody, and since when that is proved at the latest. Every other
 // data centre that may hold an instance with access to the log must have answered; none of the peers may read the log;
-// and none may ever have reported a higher offset, because then the last state is not the one seen here.
+// and none may ever have reported a higher offset, because then the last state is not the one seen here. The members and
+// data centres must have been taken from the fold, else none would seem to be missing.
 func (t *Table) outageProof(status stream.Status, now time.Time) (time.Time, bool) {
-	if !status.Ready || t.seen > t.applied {
+	if !status.Ready || !t.informed || t.taken < status.Restored || t.seen > t.applied {
 		return time.Time{}, false
 	}
 	answered := make(map[model.DataCentreID]time.Time)
--- a/internal/member/state_test.go
+++ b/internal/member/state_test.go
@@ -77,6 +77,8 @@
 func (noLister) List(context.Context) ([]ports.Instance, error) { return nil, ports.ErrUnavailable }
 
 func (r *rig) members(members ...told) {
+	r.journal.status.Ready = true
+	r.Connectivity()
 	all := make([]state.Member, 0, len(members)+1)
 	all = append(all, state.Member{Instance: "n1", Incarnation: 1, DataCentre: "north"})
 	for _, m := range members {
@@ -84,7 +86,7 @@
 			Instance: m.name, Incarnation: 1, DataCentre: m.dc, PeerAddress: string(m.name),
 		})
 	}
-	r.setMembers(all, 1)
+	r.take(stream.Update{Offset: 1, Events: []state.Event{state.MembersChanged{Offset: 1, Members: all}}})
 }
 
 func (r *rig) tell(t told) {
@@ -93,7 +95,7 @@
 	}
 	status := peer.Status{
 		Sender: peer.Sender{Instance: t.name, Incarnation: 1}, DataCentre: t.dc, Applied: t.applied, LogAnswers: t.log,
-		CurrentAge: peer.NeverCurrent,
+		CurrentAge: peer.NeverCurrent, Ready: true,
 	}
 	if t.current != 0 {
 		status.CurrentAge = t.current
@@ -187,6 +189,7 @@
 				r.journal.status.Halted = "test"
 			}
 			r.members(test.peers...)
+			r.journal.status.Ready = !test.unready
 			for _, p := range test.peers {
 				r.tell(p)
 			}
@@ -316,6 +319,19 @@
 	assert.Equal(t, r.Connectivity(), Connectivity{State: Connected, Since: began.Add(time.Minute)})
 }
 
+// Guards against an outage that seems proved while the members are not known yet, or those of a restored state are not.
+func TestOutageNeedsTheMembersOfTheFold(t *testing.T) {
+	r := newRig(t)
+	r.journal.status = stream.Status{Applied: 9, Restored: model.NoOffset, Ready: true}
+	assert.Equal(t, r.Connectivity().State, CutOff)
+	r.members()
+	assert.Equal(t, r.Connectivity().State, Outage)
+	r.journal.status.Restored = 9
+	assert.Equal(t, r.Connectivity().State, CutOff)
+	r.take(stream.Update{Offset: 9})
+	assert.Equal(t, r.Connectivity().State, Outage)
+}
+
 // Guards against an instance that never had the newest state and takes up duties on an old one.
 func TestInstanceThatWasNeverCurrentHasNoGrace(t *testing.T) {
 	r := newRig(t)
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -25,7 +25,13 @@
 	membership model.Offset
 	// services holds what operators declare about data centres.
 	services map[model.DataCentreID]service
+	// informed is set once the members and data centres were taken from the fold, and taken is the offset of the last
+	// update.
+	informed bool
+	taken    model.Offset
 	leaving  bool
+	// ready is set while this instance has a state and is able to fold.
+	ready bool
 	// began is when the table was made, and contacts holds the last sign of life of each data centre.
 	began    time.Time
 	contacts map[model.DataCentreID]time.Time
@@ -56,6 +62,11 @@
 	// missed is the start of the first unanswered heartbeat since then, and misses counts them.
 	missed time.Time
 	misses int
+	// joined and incarnation are those of the last record of the peer, and rejoins counts how often that incarnation
+	// came back after a removal.
+	joined      model.Offset
+	incarnation model.Incarnation
+	rejoins     int
 }
 
 // NewTable returns a table that knows only this instance.
@@ -68,7 +79,7 @@
 		cfg: cfg, peers: make(map[model.InstanceID]*row), recorded: make(map[model.InstanceID]state.Member),
 		membership: model.NoOffset, services: make(map[model.DataCentreID]service),
 		began: cfg.Clock.Now(), contacts: make(map[model.DataCentreID]time.Time),
-		applied: model.NoOffset, seen: model.NoOffset,
+		taken: model.NoOffset, applied: model.NoOffset, seen: model.NoOffset,
 		view: Connectivity{State: CutOff, Since: cfg.Clock.Now()},
 	}, nil
 }
@@ -89,10 +100,23 @@
 			continue
 		}
 		known.dataCentre, known.address = found.DataCentre, found.PeerAddress
+		known.noteJoin(found)
 	}
 	t.prune()
 }
 
+// noteJoin counts the returns of a member that was removed. It lives, but this instance and others cannot reach it;
+// each time it is given longer, so that a partition does not change the members every few seconds.
+func (r *row) noteJoin(found state.Member) {
+	if found.Incarnation != r.incarnation {
+		r.rejoins = 0
+	} else if found.Joined != r.joined {
+		r.rejoins++
+		r.misses = 0
+	}
+	r.joined, r.incarnation = found.Joined, found.Incarnation
+}
+
 // setListed takes the platform's list of instances.
 func (t *Table) setListed(instances []ports.Instance) {
 	t.mu.Lock()
@@ -157,7 +181,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.peers[id]
-	if known == nil || answer.Status.Instance != id {
+	if known == nil {
+		return
+	}
+	if answer.Status.Instance != id {
+		known.miss(began) // another instance has taken over the address
 		return
 	}
 	known.answered = later(known.answered, began)
@@ -188,14 +216,16 @@
 func (t *Table) noteMiss(id model.InstanceID, began time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known := t.peers[id]
-	if known == nil {
-		return
+	if known := t.peers[id]; known != nil {
+		known.miss(began)
 	}
-	if known.misses == 0 {
-		known.missed = began
+}
+
+func (r *row) miss(began time.Time) {
+	if r.misses == 0 {
+		r.missed = began
 	}
-	known.misses++
+	r.misses++
 }
 
 // noteBeat takes a heartbeat from a peer. It proves the peer alive, but the rest of its status is not used, except that
@@ -261,7 +291,8 @@
 	return out, t.membership
 }
 
-// Live returns the recorded members that are alive and not leaving, this instance included, in order of their names.
+// Live returns the recorded members that are alive, ready and not leaving, this instance included, in order of their
+// names.
 func (t *Table) Live() []state.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -281,13 +312,15 @@
 	return out
 }
 
-// eligible reports whether a recorded member may hold duties; the caller holds the lock.
+// eligible reports whether a recorded member may hold duties: it is alive, not leaving and able to fold, and no newer
+// process has taken its place. The caller holds the lock.
 func (t *Table) eligible(id model.InstanceID, found state.Member, now time.Time) bool {
 	if id == t.cfg.Self.Instance {
-		return !t.leaving && found.Incarnation == t.cfg.Self.Incarnation
+		return !t.leaving && t.ready && found.Incarnation == t.cfg.Self.Incarnation
 	}
 	known := t.peers[id]
-	return known != nil && t.alive(known, now) && !known.status.Leaving
+	return known != nil && t.alive(known, now) && !known.status.Leaving && known.status.Ready &&
+		known.status.Incarnation == found.Incarnation
 }
 
 func sortMembers(members []state.Member) {
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -65,6 +65,28 @@
 	assert.Equal(t, got, model.InstanceID("n2"), "this instance leaves")
 }
 
+// Guards against a duty that stays with a process that cannot fold, or with one that a newer process has replaced.
+func TestDutiesNeedAReadyMemberOfTheRecordedIncarnation(t *testing.T) {
+	r := newRig(t)
+	r.clock.Advance(time.Hour)
+	r.members(told{name: "n2", dc: "north"})
+	status := peer.Status{Sender: peer.Sender{Instance: "n2", Incarnation: 1}, DataCentre: "north", Ready: true}
+	live := func(want int) {
+		t.Helper()
+		r.noteAnswer("n2", r.clock.Now(), peer.BeatAnswer{Status: status})
+		assert.Assert(t, is.Len(r.Live(), want))
+		r.clock.Advance(second)
+	}
+	live(2)
+	status.Ready = false
+	live(1)
+	status.Ready, status.Incarnation = true, 2
+	live(1)
+	r.journal.status.Halted = "test"
+	r.Connectivity()
+	live(0)
+}
+
 // Guards against a cut of an answer's age by a pause of this process: the answer counts from the start of the call.
 func TestLivenessCountsFromTheStartOfTheCall(t *testing.T) {
 	r := newRig(t)
--- a/internal/stream/snap.go
+++ b/internal/stream/snap.go
@@ -65,7 +65,7 @@
 		return fmt.Errorf("restoring the state at offset %d: %w", at, err)
 	}
 	s.folded = max(s.cfg.Folder.Offset(), s.folded)
-	s.setApplied(s.folded)
+	s.setRestored(s.folded)
 	s.metrics.restores.Inc()
 	s.resyncAll()
 	s.repeatFlight()
--- a/internal/stream/status.go
+++ b/internal/stream/status.go
@@ -17,6 +17,9 @@
 	Steady time.Time `json:"steady"`
 	// Applied is the offset of the last envelope folded, or model.NoOffset.
 	Applied model.Offset `json:"applied"`
+	// Restored is the offset of the last snapshot restored, or model.NoOffset; observers that have not taken an update
+	// from there on know an older state than the fold's.
+	Restored model.Offset `json:"restored"`
 	// Ready is set once the instance has had the newest state that it could get.
 	Ready bool `json:"ready"`
 	// Halted holds the reason why folding stopped for good, or nothing.
@@ -54,6 +57,12 @@
 	s.status.Applied = offset
 }
 
+func (s *Stream) setRestored(offset model.Offset) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.status.Applied, s.status.Restored = offset, offset
+}
+
 // setFresh records that a read that began at the given time reached the log's end.
 func (s *Stream) setFresh(via route, began time.Time) {
 	s.mu.Lock()
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -62,7 +62,7 @@
 		cfg: cfg, queue: newQueue(cfg), metrics: newCounters(),
 		folded: folded, parts: newCollector(false), retention: newRetention(cfg.Retention),
 		subscribers: make(map[*Subscription]struct{}),
-		status:      Status{Applied: folded},
+		status:      Status{Applied: folded, Restored: folded},
 		recorded:    recorded{at: model.NoOffset, time: cfg.Clock.Now()},
 	}, nil
 }
