--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -31,6 +31,15 @@
 	})
 }
 
+// submit records one operation; the time limit makes a test fail where the operation would wait for ever.
+func submit(t *testing.T, n *node, name string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	_, err := n.stream.Submit(ctx, op(name))
+	assert.NilError(t, err)
+}
+
 func TestSubmitReturnsVoidReasonsInOrder(t *testing.T) {
 	inBubble(t, nil, func(t *testing.T, _ *fakeNet, n *node) {
 		results, err := n.stream.Submit(t.Context(), op("x"), op("void"), op("y"))
@@ -59,11 +68,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			inBubble(t, nil, func(t *testing.T, _ *fakeNet, n *node) {
 				n.view.set(func(v *fakeView) { v.faults = test.faults })
-				_, err := n.stream.Submit(t.Context(), op("x"))
-				assert.NilError(t, err)
+				submit(t, n, "x")
 				n.view.log.landLate()
-				_, err = n.stream.Submit(t.Context(), op("y"))
-				assert.NilError(t, err)
+				submit(t, n, "y")
 				assert.DeepEqual(t, n.folder.names(), []model.JobID{"x", "y"})
 			})
 		})
@@ -77,8 +84,7 @@
 		_, err := n.stream.Submit(t.Context(), op("x"))
 		assert.ErrorIs(t, err, ErrNotRecorded)
 		n.view.set(func(v *fakeView) { v.down = false })
-		_, err = n.stream.Submit(t.Context(), op("y"))
-		assert.NilError(t, err)
+		submit(t, n, "y")
 		assert.DeepEqual(t, n.folder.names(), []model.JobID{"y"})
 	})
 }
@@ -164,11 +170,9 @@
 func TestCommitInterval(t *testing.T) {
 	inBubble(t, func(cfg *Config) { cfg.CommitUnit = 100 * time.Millisecond }, func(t *testing.T, _ *fakeNet, n *node) {
 		start := time.Now()
-		_, err := n.stream.Submit(t.Context(), op("x"))
-		assert.NilError(t, err)
+		submit(t, n, "x")
 		assert.Equal(t, time.Since(start), time.Duration(0), "the first commit after idle time is immediate")
-		_, err = n.stream.Submit(t.Context(), op("y"))
-		assert.NilError(t, err)
+		submit(t, n, "y")
 		assert.Equal(t, time.Since(start), 100*time.Millisecond)
 	})
 }
@@ -225,8 +229,7 @@
 func TestFreshness(t *testing.T) {
 	inBubble(t, nil, func(t *testing.T, _ *fakeNet, n *node) {
 		assert.Assert(t, time.Since(n.stream.Freshness()) <= 800*time.Millisecond)
-		_, err := n.stream.Submit(t.Context(), op("x"))
-		assert.NilError(t, err)
+		submit(t, n, "x")
 		n.view.set(func(v *fakeView) {
 			v.twist = func(b ports.Batch) ports.Batch { return ports.Batch{First: b.First, Next: 0} }
 		})
@@ -247,10 +250,8 @@
 		time.Sleep(2 * time.Second)
 		b.view.set(func(v *fakeView) { v.mute = true })
 		time.Sleep(4 * time.Second)
-		_, err := a.stream.Submit(t.Context(), op("x"))
-		assert.NilError(t, err)
-		_, err = b.stream.Submit(t.Context(), op("y"))
-		assert.NilError(t, err)
+		submit(t, a, "x")
+		submit(t, b, "y")
 		assert.DeepEqual(t, b.folder.names(), []model.JobID{"x", "y"})
 		assert.Assert(t, time.Since(b.stream.Status().Relayed) < 2*time.Second)
 		assert.Assert(t, time.Since(b.stream.Status().Direct) >= 2*time.Second)
@@ -260,8 +261,7 @@
 // Guards against an instance that counts as ready with an old state when it starts during an outage.
 func TestStartDuringOutageTakesTheNewestState(t *testing.T) {
 	inBubble(t, nil, func(t *testing.T, net *fakeNet, a *node) {
-		_, err := a.stream.Submit(t.Context(), op("x"))
-		assert.NilError(t, err)
+		submit(t, a, "x")
 		a.view.set(func(v *fakeView) { v.down = true })
 		time.Sleep(3 * time.Second)
 		net.setCut(true)
@@ -281,8 +281,7 @@
 	often := func(cfg *Config) { cfg.SnapshotRecords, cfg.SnapshotGap = 5, 5*time.Second }
 	inBubble(t, often, func(t *testing.T, net *fakeNet, a *node) {
 		for i := range 30 {
-			_, err := a.stream.Submit(t.Context(), op(fmt.Sprintf("%d-%s", i, strings.Repeat("x", 6000))))
-			assert.NilError(t, err)
+			submit(t, a, fmt.Sprintf("%d-%s", i, strings.Repeat("x", 6000)))
 		}
 		time.Sleep(10 * time.Second)
 		want := a.folder.names()
@@ -312,8 +311,7 @@
 		_, err := sub.Next(t.Context())
 		assert.NilError(t, err)
 		for i := range 3 {
-			_, err := a.stream.Submit(t.Context(), op(fmt.Sprint(i)))
-			assert.NilError(t, err)
+			submit(t, a, fmt.Sprint(i))
 		}
 		a.view.log.truncate(3)
 		net.setCut(false)
@@ -336,8 +334,7 @@
 		net.setCut(true)
 		b.view.set(func(v *fakeView) { v.down = true })
 		for i := range 20 {
-			_, err := a.stream.Submit(t.Context(), op(fmt.Sprint(i)))
-			assert.NilError(t, err)
+			submit(t, a, fmt.Sprint(i))
 		}
 		time.Sleep(5 * time.Second)
 		at := a.stream.newestRecorded().at
@@ -349,6 +346,68 @@
 	})
 }
 
+// Guards against an instance that goes on with the last state that it saw, when its peers saw a later one before the log
+// went away.
+func TestOutageTakesTheNewestStateOfPeers(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, net *fakeNet, a *node) {
+		b := net.start("b", &fakeView{log: a.view.log}, nil)
+		time.Sleep(2 * time.Second)
+		net.setCut(true)
+		b.view.set(func(v *fakeView) { v.down = true })
+		submit(t, a, "x")
+		a.view.set(func(v *fakeView) { v.down = true })
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(b.folder.names()), 0)
+		net.setCut(false)
+		time.Sleep(2 * time.Second)
+		assert.DeepEqual(t, b.folder.names(), []model.JobID{"x"})
+	})
+}
+
+// Guards against a snapshot that is put together from parts of different writers or of different lengths.
+func TestCollectorKeepsSnapshotsApart(t *testing.T) {
+	c := newCollector(true)
+	add := func(writer model.InstanceID, at model.Offset, part, parts int, data string) bool {
+		env := record.Envelope{Writer: writer, Ops: []record.Op{
+			record.SnapshotPart{At: at, Part: part, Parts: parts, Data: []byte(data)},
+		}}
+		return c.addEnvelope(env)
+	}
+	assert.Assert(t, !add("a", 5, 1, 2, "a1"))
+	assert.Assert(t, !add("b", 5, 2, 2, "b2"))
+	assert.Assert(t, !add("a", 6, 2, 2, "x2"))
+	assert.Assert(t, !add("a", 5, 3, 2, "a3") && !add("a", 5, 0, 2, "a0") && !add("a", 5, 1, -1, "a0"))
+	assert.Assert(t, !add("b", 5, 2, 2, "repeated"))
+	assert.Assert(t, add("b", 5, 1, 2, "b1"))
+	assert.Equal(t, string(c.newest.join()), "b1b2")
+	assert.Assert(t, !add("a", 5, 2, 2, "a2"), "not newer")
+	assert.Assert(t, add("a", 6, 1, 2, "x1"))
+	assert.Equal(t, string(c.newest.join()), "x1x2")
+	for i := range 100 {
+		add("c", model.Offset(10+i), 1, 2, "")
+	}
+	assert.Equal(t, len(c.groups), groupLimit)
+}
+
+// Guards against snapshots that come too late for a log that keeps records for less time than assumed.
+func TestRetentionIsLearned(t *testing.T) {
+	r := newRetention(time.Hour)
+	start := time.Now()
+	for i := range 600 {
+		now := start.Add(time.Duration(i) * time.Second)
+		r.sample(model.Offset(i), now)
+		r.observe(model.Offset(i-60), now) // keeps records for a minute
+		if i < 60 {
+			assert.Equal(t, r.period, time.Hour)
+		}
+	}
+	assert.Equal(t, r.period, time.Minute)
+	for i := range 2 * sampleLimit {
+		r.sample(model.Offset(600+i), start.Add(time.Duration(600+i)*time.Second))
+	}
+	assert.Assert(t, len(r.samples) < sampleLimit)
+}
+
 // Guards against a slow subscriber that blocks the tail or misses changes.
 func TestSlowSubscriberIsResynchronised(t *testing.T) {
 	short := func(cfg *Config) { cfg.SubscriberQueue = 2 }
@@ -358,22 +417,18 @@
 		update, err := sub.Next(t.Context())
 		assert.NilError(t, err)
 		assert.Assert(t, update.Resync)
-		submit := func(name string) {
-			_, err := n.stream.Submit(t.Context(), op(name))
-			assert.NilError(t, err)
-		}
-		submit("a")
+		submit(t, n, "a")
 		update, err = sub.Next(t.Context())
 		assert.NilError(t, err)
 		assert.Assert(t, !update.Resync)
 		for i := range 5 {
-			submit(fmt.Sprint(i))
+			submit(t, n, fmt.Sprint(i))
 		}
 		update, err = sub.Next(t.Context())
 		assert.NilError(t, err)
 		assert.Assert(t, update.Resync)
 		assert.Assert(t, is.Len(update.Events, 6))
-		submit("b")
+		submit(t, n, "b")
 		update, err = sub.Next(t.Context())
 		assert.NilError(t, err)
 		assert.Assert(t, !update.Resync && update.Offset == n.folder.Offset())
