fix(standin): derive real peaks from declared sizes, not from learned reservations

Peaks followed each job's first reservation, which the scheduler learns from earlier peaks: reservations grew with every job until few tasks fitted. The load tool now hands the declared size on in the payload; without it the first reservation of the same team and declared run time counts.

--- a/caller/internal/batch/batch.go
+++ b/caller/internal/batch/batch.go
@@ -69,11 +69,26 @@
 func New(cfg Config) *Batch {
 	b := &Batch{cfg: cfg}
 	for _, spec := range cfg.Jobs {
-		b.jobs = append(b.jobs, &job{spec: spec})
+		b.jobs = append(b.jobs, &job{spec: withSize(spec)})
 	}
 	return b
 }
 
+// withSize tells the workers' stand-in the declared size, from which it derives the real one; a start names only the
+// reservation, which may be learned.
+func withSize(spec model.JobSpec) model.JobSpec {
+	if spec.Payload != "" {
+		return spec
+	}
+	payload, err := json.Marshal(map[string]model.Resources{"size": spec.Size})
+	if err != nil {
+		// A map of numbers always encodes.
+		panic(err)
+	}
+	spec.Payload = string(payload)
+	return spec
+}
+
 // Run submits all jobs and polls until they are done or ctx ends. Services are cancelled once everything else is done
 // and they were seen placed.
 func (b *Batch) Run(ctx context.Context) Result {
--- a/standin/internal/fleet/attempt.go
+++ b/standin/internal/fleet/attempt.go
@@ -40,7 +40,9 @@
 
 // reality is the JSON form of a payload with which tests choose what a task really does.
 type reality struct {
-	RunTime model.Duration   `json:"run-time"`
+	RunTime model.Duration `json:"run-time"`
+	// Size is the declared size, from which the real peak derives; Peak is the real peak itself.
+	Size    *model.Resources `json:"size"`
 	Peak    *model.Resources `json:"peak"`
 	Outcome model.Outcome    `json:"outcome"`
 }
@@ -55,8 +57,9 @@
 	task := req.Attempt.Task
 	factor := cfg.RunTime.factor(cfg.Seed, "run-time "+task.String())
 	a.total = time.Duration(float64(req.Declared) * factor * cfg.Scale)
-	a.peak = scaled(w.fleet.base(task.Job, req.Reservation), cfg.Peak.factor(cfg.Seed, "peak "+task.String()))
-	a.override(req.Payload)
+	peakFactor := cfg.Peak.factor(cfg.Seed, "peak "+task.String())
+	a.peak = scaled(w.fleet.declaredSize(req), peakFactor)
+	a.override(req.Payload, peakFactor)
 	if cfg.Rules.Failing(w.spec.ID) {
 		a.natural = model.OutcomeFailed
 		a.service = false
@@ -66,7 +69,7 @@
 }
 
 // override applies a payload that is a JSON object of the known form; any other payload means nothing here.
-func (a *attempt) override(payload string) {
+func (a *attempt) override(payload string, peakFactor float64) {
 	var wanted reality
 	if payload == "" || json.Unmarshal([]byte(payload), &wanted) != nil {
 		return
@@ -74,6 +77,9 @@
 	if wanted.RunTime > 0 {
 		a.total = wanted.RunTime.Std()
 	}
+	if wanted.Size != nil {
+		a.peak = scaled(*wanted.Size, peakFactor)
+	}
 	if wanted.Peak != nil {
 		a.peak = *wanted.Peak
 	}
@@ -82,13 +88,22 @@
 	}
 }
 
-// base returns the first reservation that was seen for a job.
-func (f *Fleet) base(job model.JobID, reservation model.Resources) model.Resources {
-	if first, ok := f.bases[job]; ok {
+// kind tells tasks apart of which the stand-in assumes that they were declared alike.
+type kind struct {
+	team     model.TeamID
+	declared model.Duration
+	service  bool
+}
+
+// declaredSize guesses the declared size of a task whose payload doesn't tell it: the first reservation that was seen
+// for its kind. Later reservations may be learned, and peaks that follow them would grow with every round of learning.
+func (f *Fleet) declaredSize(req ports.StartRequest) model.Resources {
+	key := kind{req.Team, req.Declared, req.Service}
+	if first, ok := f.sizes[key]; ok {
 		return first
 	}
-	f.bases[job] = reservation
-	return reservation
+	f.sizes[key] = req.Reservation
+	return req.Reservation
 }
 
 // factor draws from the range, evenly in its logarithm; the same task always gets the same factor.
--- a/standin/internal/fleet/fleet.go
+++ b/standin/internal/fleet/fleet.go
@@ -67,16 +67,15 @@
 	ledger  *audit.Ledger
 	agenda  agenda
 	boots   int
-	// bases are the reservations under which each job's first attempt started; real peaks derive from them, since a
-	// scheduler that learns would otherwise chase its own reservations.
-	bases map[model.JobID]model.Resources
+	// sizes are the first reservations of each kind of task.
+	sizes map[kind]model.Resources
 }
 
 // New returns a fleet whose workers have just booted.
 func New(cfg Config) *Fleet {
 	f := &Fleet{
 		cfg: cfg, workers: make(map[model.WorkerID]*worker, len(cfg.Workers)),
-		ledger: audit.NewLedger(cfg.Rules), bases: make(map[model.JobID]model.Resources),
+		ledger: audit.NewLedger(cfg.Rules), sizes: make(map[kind]model.Resources),
 	}
 	for _, spec := range cfg.Workers {
 		w := &worker{fleet: f, spec: spec}
--- a/standin/internal/fleet/fleet_test.go
+++ b/standin/internal/fleet/fleet_test.go
@@ -339,6 +339,30 @@
 	}
 }
 
+// TestPeak guards against peaks that grow with the reservations of a scheduler that learns from them.
+func TestPeak(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	f := newFleet(clock, &rules{})
+	f.cfg.Peak = Range{Min: 2, Max: 2}
+	lease, err := f.Lease("w0", ports.LeaseRequest{Holder: "e1", TTL: taskTTL})
+	assert.NilError(t, err)
+	for n, start := range []ports.StartRequest{
+		{Reservation: model.Resources{Cores: 100}},
+		{Reservation: model.Resources{Cores: 200}},
+		{Reservation: model.Resources{Cores: 400}, Payload: `{"size":{"milli-cores":100}}`},
+	} {
+		start.Attempt.Task = model.TaskID{Job: model.JobID(fmt.Sprint("job-", n))}
+		start.Attempt.Number, start.TaskTTL = 1, taskTTL
+		assert.NilError(t, f.Start("w0", lease.Token, []ports.StartRequest{start}))
+	}
+	clock.Advance(time.Second)
+	report, err := f.Inspect("w0")
+	assert.NilError(t, err)
+	for _, task := range report.Tasks {
+		assert.Equal(t, task.Usage.Peak.Cores, model.MilliCores(200), task.Attempt.String())
+	}
+}
+
 // TestProgress guards against wrong ends, usage and checkpoints of throttled, resumed and failing attempts.
 func TestProgress(t *testing.T) {
 	tests := []struct {
