--- a/internal/httpc/pool.go
+++ b/internal/httpc/pool.go
@@ -97,6 +97,7 @@
 	cfg      Config
 	host     *fasthttp.HostClient
 	timeouts atomic.Int32
+	limit    atomic.Int32
 }
 
 // New returns a pool without open connections.
@@ -113,7 +114,9 @@
 		// A call's own time-out is shorter and ends the wait.
 		host.MaxConnWaitTimeout = waitLimit
 	}
-	return &Pool{cfg: cfg, host: host}, nil
+	p := &Pool{cfg: cfg, host: host}
+	p.limit.Store(int32(cfg.Connections))
+	return p, nil
 }
 
 // dial bounds also the connections that the pool opens for waiting calls, for which it gives no time-out.
@@ -126,12 +129,17 @@
 
 // SetConnections changes the most connections that are open at the same time, at least 1.
 func (p *Pool) SetConnections(n int) {
-	p.host.SetMaxConns(max(n, 1))
+	n = max(n, 1)
+	p.limit.Store(int32(n))
+	p.host.SetMaxConns(n)
 	if p.host.ConnsCount() > n {
 		p.host.CloseIdleConnections()
 	}
 }
 
+// Connections returns the most connections that are open at the same time.
+func (p *Pool) Connections() int { return int(p.limit.Load()) }
+
 // Forget closes idle connections.
 func (p *Pool) Forget() { p.host.CloseIdleConnections() }
 
--- a/standin/internal/fault/kinds.go
+++ b/standin/internal/fault/kinds.go
@@ -40,6 +40,9 @@
 	// WorkerAnswerLost lets commands to Worker, or to all if empty, take effect without an answer: the next Next ones,
 	// or with Probability.
 	WorkerAnswerLost Kind = "worker-answer-lost"
+	// WorkerSlow carries out commands to Worker, or to all if empty, only after Delay, whether the caller still waits or
+	// not: so commands arrive late and out of order.
+	WorkerSlow Kind = "worker-slow"
 	// Partition separates DataCentre from Peer: "platform" for the log and the list, a data centre, or empty for all.
 	Partition Kind = "partition"
 	// RackGone switches off the workers of Rack, or of all racks if empty, in DataCentre; they boot when it is cleared.
@@ -89,7 +92,7 @@
 	switch f.Kind {
 	case LogOutage, ListLag, LogTruncate:
 		return nil
-	case LogSlow:
+	case LogSlow, WorkerSlow:
 		return missing("delay", f.Delay <= 0)
 	case AppendAnswerLost, WorkerAnswerLost:
 		return missing("probability or next", f.Probability <= 0 && f.Next <= 0)
--- a/standin/internal/fault/set.go
+++ b/standin/internal/fault/set.go
@@ -108,6 +108,17 @@
 	return delay
 }
 
+// CommandDelay returns how long a command to a worker is delayed.
+func (s *Set) CommandDelay(worker model.WorkerID) time.Duration {
+	var delay time.Duration
+	s.each(func(e *entry) {
+		if e.fault.Kind == WorkerSlow && (e.fault.Worker == "" || e.fault.Worker == worker) {
+			delay = max(delay, e.fault.Delay.Std())
+		}
+	})
+	return delay
+}
+
 // Lag returns the list's lag; normal holds unless a fault changes it.
 func (s *Set) Lag(normal time.Duration) time.Duration {
 	s.each(func(e *entry) {
--- a/standin/internal/server/adapter_test.go
+++ b/standin/internal/server/adapter_test.go
@@ -291,3 +291,31 @@
 	}
 	assert.Equal(t, p.Fleet.Audit().Outcomes[model.OutcomeStopped], 1)
 }
+
+// TestLateCommand guards against a late command that is lost, or obeyed after its lease has lapsed.
+func TestLateCommand(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := startPlatform(t, clock)
+	address := p.address + "/workers/a1"
+	report, err := p.client.Lease(t.Context(), address, ports.LeaseRequest{Holder: "e1", TTL: model.Duration(3 * time.Second)})
+	assert.NilError(t, err)
+	start := func(number int) error {
+		return p.client.Start(t.Context(), address, report.Token, []ports.StartRequest{{
+			Attempt:  model.AttemptID{Task: model.TaskID{Job: "j"}, Number: number},
+			Declared: model.Duration(time.Hour), TaskTTL: model.Duration(time.Minute),
+		}})
+	}
+	for number, late := range []time.Duration{2 * time.Second, 3 * time.Second} {
+		id, err := p.Faults.Add(fault.Fault{Kind: fault.WorkerSlow, Worker: "a1", Delay: model.Duration(late)})
+		assert.NilError(t, err)
+		assert.ErrorIs(t, start(number+1), ports.ErrUnreachable)
+		assert.NilError(t, p.Faults.Clear(id))
+		assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+		clock.Advance(late)
+		p.client.Close()
+		for p.Open() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		assert.Equal(t, p.Fleet.Audit().Starts, 1)
+	}
+}
--- a/standin/internal/server/worker.go
+++ b/standin/internal/server/worker.go
@@ -36,6 +36,9 @@
 			s.silence(ctx)
 			return
 		}
+		if delay := s.Faults.CommandDelay(spec.ID); delay > 0 {
+			s.pause(delay)
+		}
 		body, err := run(ctx, spec.ID)
 		switch {
 		case s.Faults.LoseCommand(spec.ID):
