fix(front): keep open calls alive during a shutdown; assert whole answers and true refusals

Cause: fasthttp closes the context of every open call when the server shuts down, and that context bounded the request to the endpoint, so a planned stop would have cut off requests.

--- a/entry/internal/admin/change.go
+++ b/entry/internal/admin/change.go
@@ -146,7 +146,8 @@
 
 // submit records one operation and waits until it is folded.
 func (s *Server) submit(parent context.Context, base model.Offset, operation record.Op) (reply, bool) {
-	ctx, cancel := context.WithTimeout(parent, s.config.SubmitTimeout)
+	// fasthttp ends the context of every open call when the server shuts down, which must not cut the change off.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(parent), s.config.SubmitTimeout)
 	defer cancel()
 	results, err := s.config.Submitter.Submit(ctx, operation)
 	if err != nil {
--- a/entry/internal/daemon/daemon.go
+++ b/entry/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"arbutuswing.example/internal/config"
+	"arbutuswing.example/internal/invar"
 )
 
 const (
@@ -138,6 +139,8 @@
 	}
 	frontErr := d.Front.Shutdown(ctx)
 	drainErr := d.Router.Drain(ctx)
+	d.Checker.Check(invar.GracefulStop, cause != nil || (frontErr == nil && drainErr == nil),
+		"open calls were cut off after %s: %v", grace, errors.Join(frontErr, drainErr))
 	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancelLeave()
 	if err := d.Members.RecordLeft(leaveCtx); err != nil {
--- a/entry/internal/daemon/parts.go
+++ b/entry/internal/daemon/parts.go
@@ -39,6 +39,7 @@
 
 	Settings config.Entry
 	Log      *zap.Logger
+	Checker  *invar.Checker
 	Machine  *state.Machine
 	Stream   *stream.Stream
 	Members  *member.Service
--- a/entry/internal/front/reply.go
+++ b/entry/internal/front/reply.go
@@ -15,8 +15,10 @@
 // Outcome tells a caller whether its call had an effect.
 type Outcome string
 
-// Outcomes of calls that were not answered.
+// Outcomes of calls.
 const (
+	// OutcomeAnswered means that the status and the body are the endpoint's own.
+	OutcomeAnswered Outcome = "answered"
 	OutcomeNotRun   Outcome = "not-run"
 	OutcomeUnknown  Outcome = "unknown"
 	OutcomeConflict Outcome = "conflict"
@@ -45,7 +47,9 @@
 )
 
 const (
-	contentJSON = "application/json"
+	// outcomeHeader tells an endpoint's answer from an answer of this system.
+	outcomeHeader = "Outcome"
+	contentJSON   = "application/json"
 	// retryAfterSeconds is a hint for callers; they should add jitter to it.
 	retryAfterSeconds = 1
 )
@@ -58,6 +62,9 @@
 }
 
 func writeJSON(ctx *fasthttp.RequestCtx, status int, body any) {
+	if failure, ok := body.(Failure); ok {
+		ctx.Response.Header.Set(outcomeHeader, string(failure.Outcome))
+	}
 	data, err := json.Marshal(body)
 	if err != nil {
 		ctx.Error("encoding the answer failed", fasthttp.StatusInternalServerError)
--- a/entry/internal/front/requests.go
+++ b/entry/internal/front/requests.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"fmt"
 	"strconv"
 	"time"
@@ -34,7 +35,8 @@
 		refuse(ctx, fasthttp.StatusBadRequest, reasonBadRequest, err.Error())
 		return
 	}
-	answer, err := s.cfg.Requests.Serve(ctx, req)
+	// fasthttp ends the context of every open call when the server shuts down, so it must not reach the request.
+	answer, err := s.cfg.Requests.Serve(context.Background(), req)
 	if err != nil {
 		requestFailure(ctx, err)
 		return
@@ -42,6 +44,7 @@
 	if answer.ContentType != "" {
 		ctx.SetContentType(answer.ContentType)
 	}
+	ctx.Response.Header.Set(outcomeHeader, string(OutcomeAnswered))
 	ctx.SetStatusCode(answer.Status)
 	ctx.SetBody(answer.Body)
 }
@@ -64,14 +67,14 @@
 	return class, ok
 }
 
-// authorise returns the team whose key came with the call. A class that is open to all needs a key; other classes take
-// the team from the key if one came, else from the Team header.
+// authorise returns the team whose key came with the call. A class that is open to all needs a key that is surely still
+// granted; other classes take the team from the key if one came, else from the Team header.
 func (s *Server) authorise(ctx *fasthttp.RequestCtx, class decl.Class) (model.TeamID, bool) {
 	key := teamKey(ctx)
 	if key == "" && !class.Open {
 		return model.TeamID(ctx.Request.Header.Peek("Team")), true
 	}
-	if !s.cfg.Connectivity.MayCheckKeys() {
+	if class.Open && !s.cfg.Connectivity.MayCheckKeys() {
 		refuse(ctx, fasthttp.StatusServiceUnavailable, reasonCutOff,
 			"this data centre is cut off, so a withdrawn key could not be told from a granted one")
 		return "", false
--- a/internal/ephttp/client.go
+++ b/internal/ephttp/client.go
@@ -207,7 +207,7 @@
 
 func read(resp *fasthttp.Response, address string) (ports.Answer, error) {
 	answer := ports.Answer{
-		Status: resp.StatusCode(), ContentType: string(resp.Header.ContentType()),
+		Attempt: string(resp.Header.Peek(HeaderAttempt)), Status: resp.StatusCode(), ContentType: string(resp.Header.ContentType()),
 		Body: append([]byte(nil), resp.Body()...),
 	}
 	if busy, err := strconv.Atoi(string(resp.Header.Peek(HeaderBusy))); err == nil {
--- a/internal/ports/endpoint.go
+++ b/internal/ports/endpoint.go
@@ -37,6 +37,8 @@
 
 // Answer is an endpoint's whole answer.
 type Answer struct {
+	// Attempt is the attempt that the answer names.
+	Attempt     string
 	Status      int
 	ContentType string
 	Body        []byte
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -48,7 +48,7 @@
 	if err == nil || errors.Is(err, ports.ErrNoAnswer) {
 		s.runs[call.RequestID]++
 	}
-	return ports.Answer{Status: 200, Body: call.Body}, err
+	return ports.Answer{Attempt: call.Attempt, Status: 200, Body: call.Body}, err
 }
 
 func (s *scripted) Forget(address string) {
--- a/internal/route/try.go
+++ b/internal/route/try.go
@@ -57,6 +57,13 @@
 
 // outcome returns the error to give to the caller: "not run" only when no attempt may have run.
 func (t *try) outcome(err error) error {
+	out := t.trueOutcome(err)
+	t.router.cfg.Invariants.Check(invar.TrueRefusal, !t.mayHaveRun || !errors.Is(out, ErrNotRun),
+		"request %q may have run but was refused as not run", t.req.ID)
+	return out
+}
+
+func (t *try) trueOutcome(err error) error {
 	if t.mayHaveRun {
 		if errors.Is(err, ErrNotRun) {
 			return fmt.Errorf("%w: an earlier attempt may have run", ErrUnknown)
@@ -81,6 +88,7 @@
 	t.checkBeforeSend(b)
 	started := clock.Now()
 	answer, err := t.router.cfg.Endpoint.Send(ctx, call)
+	answer, err = t.checkAnswer(call, answer, err)
 	result := resultOf(answer, err)
 	t.settle(result, clock.Since(started))
 	if t.group.release(b, result, t.router.cfg.Share, clock.Now()) {
@@ -136,6 +144,16 @@
 	check.Check(invar.LeavingEndpoint, leaving <= leavingBound, "endpoint %s is leaving since %s", b.id, leaving)
 }
 
+// checkAnswer drops an answer to another attempt.
+func (t *try) checkAnswer(call ports.Call, answer ports.Answer, err error) (ports.Answer, error) {
+	own := err != nil || answer.Attempt == call.Attempt
+	t.router.cfg.Invariants.Check(invar.WholeAnswer, own, "attempt %s got the answer to %s", call.Attempt, answer.Attempt)
+	if !own {
+		return ports.Answer{}, fmt.Errorf("%w: it belongs to another attempt", ports.ErrNoAnswer)
+	}
+	return answer, err
+}
+
 func (t *try) settle(result attemptResult, took time.Duration) {
 	switch result.(type) {
 	case answered:
