--- a/entry/internal/daemon/daemon.go
+++ b/entry/internal/daemon/daemon.go
@@ -87,6 +87,7 @@
 	group.Go(func() error { return d.Once.Run(ctx) })
 	group.Go(func() error { return d.Router.Run(ctx) })
 	group.Go(func() error { return d.Feed.runUpdates(ctx) })
+	group.Go(func() error { return d.Pulls.Run(ctx) })
 	group.Go(func() error { return d.Admin.Run(ctx) })
 	group.Go(d.Front.Run)
 	group.Go(func() error { return d.runConnections(ctx) })
--- a/entry/internal/daemon/parts.go
+++ b/entry/internal/daemon/parts.go
@@ -13,6 +13,7 @@
 
 	"arbutuswing.example/entry/internal/admin"
 	"arbutuswing.example/entry/internal/front"
+	"arbutuswing.example/entry/internal/pulls"
 	"arbutuswing.example/internal/config"
 	"arbutuswing.example/internal/decl"
 	"arbutuswing.example/internal/ephttp"
@@ -51,6 +52,7 @@
 	Admin    *admin.Server
 	Leases   *lease.Manager
 	Placer   *sched.Placer
+	Pulls    *pulls.Reaper
 	Feed     *feed
 	Health   *health
 }
@@ -61,7 +63,7 @@
 	providers := []any{
 		func() config.Entry { return settings },
 		newLog, newChecker, newSelf, newPlatform, newEndpoint, newMachine, newPeerClient, newTable, newStream,
-		newMembers, newOnce, newRouter, newPeerServer, newFeed, newLinks, newPlacer, newLeases, newHealth, newFront,
+		newMembers, newOnce, newRouter, newPeerServer, newFeed, newLinks, newPlacer, newLeases, newHealth, newPulls, newFront,
 		newAdmin,
 		clockwork.NewRealClock,
 	}
@@ -230,6 +232,14 @@
 	return manager, nil
 }
 
+func newPulls(
+	journal *stream.Stream, members *member.Service, log *zap.Logger, clock clockwork.Clock,
+) (*pulls.Reaper, error) {
+	return pulls.New(pulls.Config{
+		Feed: journal.Subscribe(), Submit: journal, First: members.First, Clock: clock, Log: log,
+	})
+}
+
 func newFront(
 	settings config.Entry, router *route.Router, claims *once.Service, journal *stream.Stream,
 	machine *state.Machine, health *health, log *zap.Logger,
