--- a/internal/member/cluster_test.go
+++ b/internal/member/cluster_test.go
@@ -328,6 +328,21 @@
 	})
 }
 
+// Guards against members elsewhere that count as dead because this instance sends them no heartbeats itself.
+func TestNeighboursTellOfEachOther(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster, all map[string]*instance) {
+		for _, id := range []string{"s3", "s4", "s5"} {
+			all[id] = c.start(t, model.InstanceID(id), "south")
+		}
+		for range 20 {
+			time.Sleep(5 * time.Second)
+			for id, found := range all {
+				assert.Equal(t, len(found.service.Live()), 9, id)
+			}
+		}
+	})
+}
+
 // Guards against members that are removed and join again every few seconds while a partition separates instances that
 // all read the log.
 func TestPartitionDoesNotChurnMembers(t *testing.T) {
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -31,13 +31,18 @@
 	})
 }
 
-// submit records one operation; the time limit makes a test fail where the operation would wait for ever.
-func submit(t *testing.T, n *node, name string) {
+// try records one operation; the time limit makes a test fail where the operation would wait for ever.
+func try(t *testing.T, n *node, name string) error {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	_, err := n.stream.Submit(ctx, op(name))
-	assert.NilError(t, err)
+	return err
+}
+
+func submit(t *testing.T, n *node, name string) {
+	t.Helper()
+	assert.NilError(t, try(t, n, name))
 }
 
 func TestSubmitReturnsVoidReasonsInOrder(t *testing.T) {
@@ -81,8 +86,7 @@
 func TestOutageRefusesWhatWasNeverSent(t *testing.T) {
 	inBubble(t, nil, func(t *testing.T, _ *fakeNet, n *node) {
 		n.view.set(func(v *fakeView) { v.down = true })
-		_, err := n.stream.Submit(t.Context(), op("x"))
-		assert.ErrorIs(t, err, ErrNotRecorded)
+		assert.ErrorIs(t, try(t, n, "x"), ErrNotRecorded)
 		n.view.set(func(v *fakeView) { v.down = false })
 		submit(t, n, "y")
 		assert.DeepEqual(t, n.folder.names(), []model.JobID{"y"})
@@ -101,8 +105,9 @@
 		synctest.Wait()
 		n.view.set(func(v *fakeView) { v.down = true })
 		time.Sleep(3 * time.Second)
-		_, err := n.stream.Submit(t.Context(), op("y"))
+		err := try(t, n, "y")
 		assert.ErrorIs(t, err, ErrNotRecorded)
+		assert.Assert(t, !errors.Is(err, context.DeadlineExceeded), "it was refused at once")
 		n.view.set(func(v *fakeView) { v.down = false })
 		assert.NilError(t, <-first)
 		assert.DeepEqual(t, n.folder.names(), []model.JobID{"x"})
@@ -217,9 +222,8 @@
 		assert.Assert(t, !n.stream.Ready())
 		assert.Equal(t, n.folder.Offset(), model.NoOffset)
 		assert.Assert(t, time.Since(n.stream.Freshness()) >= 2*time.Second)
-		_, err := n.stream.Submit(t.Context(), op("x"))
-		assert.ErrorIs(t, err, ErrNotRecorded)
-		_, err = n.stream.Snapshot(t.Context())
+		assert.ErrorIs(t, try(t, n, "x"), ErrNotRecorded)
+		_, err := n.stream.Snapshot(t.Context())
 		assert.Assert(t, err != nil)
 	})
 }
