--- a/standin/internal/fleet/attempt.go
+++ b/standin/internal/fleet/attempt.go
@@ -40,9 +40,7 @@
 
 // reality is the JSON form of a payload with which tests choose what a task really does.
 type reality struct {
-	RunTime model.Duration `json:"run-time"`
-	// Size is the declared size, from which the real peak derives; Peak is the real peak itself.
-	Size    *model.Resources `json:"size"`
+	RunTime model.Duration   `json:"run-time"`
 	Peak    *model.Resources `json:"peak"`
 	Outcome model.Outcome    `json:"outcome"`
 }
@@ -57,9 +55,8 @@
 	task := req.Attempt.Task
 	factor := cfg.RunTime.factor(cfg.Seed, "run-time "+task.String())
 	a.total = time.Duration(float64(req.Declared) * factor * cfg.Scale)
-	peakFactor := cfg.Peak.factor(cfg.Seed, "peak "+task.String())
-	a.peak = scaled(w.fleet.declaredSize(req), peakFactor)
-	a.override(req.Payload, peakFactor)
+	a.peak = scaled(w.fleet.base(task.Job, req), cfg.Peak.factor(cfg.Seed, "peak "+task.String()))
+	a.override(req.Payload)
 	if cfg.Rules.Failing(w.spec.ID) {
 		a.natural = model.OutcomeFailed
 		a.service = false
@@ -69,7 +66,7 @@
 }
 
 // override applies a payload that is a JSON object of the known form; any other payload means nothing here.
-func (a *attempt) override(payload string, peakFactor float64) {
+func (a *attempt) override(payload string) {
 	var wanted reality
 	if payload == "" || json.Unmarshal([]byte(payload), &wanted) != nil {
 		return
@@ -77,9 +74,6 @@
 	if wanted.RunTime > 0 {
 		a.total = wanted.RunTime.Std()
 	}
-	if wanted.Size != nil {
-		a.peak = scaled(*wanted.Size, peakFactor)
-	}
 	if wanted.Peak != nil {
 		a.peak = *wanted.Peak
 	}
@@ -88,21 +82,16 @@
 	}
 }
 
-// kind tells tasks apart of which the stand-in assumes that they were declared alike.
-type kind struct {
-	team     model.TeamID
-	declared model.Duration
-	service  bool
-}
-
-// declaredSize guesses the declared size of a task whose payload doesn't tell it: the first reservation that was seen
-// for its kind. Later reservations may be learned, and peaks that follow them would grow with every round of learning.
-func (f *Fleet) declaredSize(req ports.StartRequest) model.Resources {
-	key := kind{req.Team, req.Declared, req.Service}
-	if first, ok := f.sizes[key]; ok {
+// base returns the declared size, or the first reservation that was seen for the job. It must not follow learned
+// reservations: they would grow with the peaks that are derived from it.
+func (f *Fleet) base(job model.JobID, req ports.StartRequest) model.Resources {
+	if !req.Size.Zero() {
+		return req.Size
+	}
+	if first, ok := f.bases[job]; ok {
 		return first
 	}
-	f.sizes[key] = req.Reservation
+	f.bases[job] = req.Reservation
 	return req.Reservation
 }
 
--- a/standin/internal/fleet/fleet.go
+++ b/standin/internal/fleet/fleet.go
@@ -67,15 +67,15 @@
 	ledger  *audit.Ledger
 	agenda  agenda
 	boots   int
-	// sizes are the first reservations of each kind of task.
-	sizes map[kind]model.Resources
+	// bases are the reservations under which each job's first attempt started, for callers that declare no size.
+	bases map[model.JobID]model.Resources
 }
 
 // New returns a fleet whose workers have just booted.
 func New(cfg Config) *Fleet {
 	f := &Fleet{
 		cfg: cfg, workers: make(map[model.WorkerID]*worker, len(cfg.Workers)),
-		ledger: audit.NewLedger(cfg.Rules), sizes: make(map[kind]model.Resources),
+		ledger: audit.NewLedger(cfg.Rules), bases: make(map[model.JobID]model.Resources),
 	}
 	for _, spec := range cfg.Workers {
 		w := &worker{fleet: f, spec: spec}
