--- a/standin/internal/fleet/fleet_test.go
+++ b/standin/internal/fleet/fleet_test.go
@@ -349,10 +349,9 @@
 	for n, start := range []ports.StartRequest{
 		{Reservation: model.Resources{Cores: 100}},
 		{Reservation: model.Resources{Cores: 200}},
-		{Reservation: model.Resources{Cores: 400}, Payload: `{"size":{"milli-cores":100}}`},
+		{Reservation: model.Resources{Cores: 400}, Size: model.Resources{Cores: 100}},
 	} {
-		start.Attempt.Task = model.TaskID{Job: model.JobID(fmt.Sprint("job-", n))}
-		start.Attempt.Number, start.TaskTTL = 1, taskTTL
+		start.Attempt, start.TaskTTL = attemptID(n, 1), taskTTL
 		assert.NilError(t, f.Start("w0", lease.Token, []ports.StartRequest{start}))
 	}
 	clock.Advance(time.Second)
