--- a/entry/internal/daemon/links.go
+++ b/entry/internal/daemon/links.go
@@ -2,11 +2,11 @@
 
 import (
 	"errors"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"arbutuswing.example/internal/config"
+	"arbutuswing.example/internal/links"
 	"arbutuswing.example/internal/member"
 	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/once"
@@ -15,46 +15,15 @@
 	"arbutuswing.example/internal/stream"
 )
 
-// links tells the placer and the leases how this instance is connected.
-type links struct {
-	*member.Service
-	stream    *stream.Stream
-	clock     clockwork.Clock
-	self      model.InstanceID
-	centre    model.DataCentreID
-	isolation time.Duration
-}
-
 func newLinks(
 	settings config.Entry, members *member.Service, journal *stream.Stream, clock clockwork.Clock,
-) *links {
-	return &links{
-		Service: members, stream: journal, clock: clock, self: settings.Instance, centre: settings.DataCentre,
-		isolation: settings.Lease.Isolation.Std(),
-	}
-}
-
-// IsPlacer reports whether this instance places work in its data centre.
-func (l *links) IsPlacer() bool {
-	placer, ok := l.Placer(l.centre)
-	return ok && placer == l.self && l.stream.Ready()
+) (*links.Links, error) {
+	return links.New(links.Config{
+		Members: members, Stream: journal, Clock: clock, Self: settings.Instance, Centre: settings.DataCentre,
+		Isolation: settings.Lease.Isolation.Std(),
+	})
 }
 
-// ConnectedSince returns the start of the present state if records can be read and written. A change between connected
-// and relayed counts as a break, which only makes a wait longer.
-func (l *links) ConnectedSince() (time.Time, bool) {
-	view := l.Connectivity()
-	return view.Since, view.State == member.Connected || view.State == member.Relayed
-}
-
-// Isolated reports whether no instance of the data centre was heard from for the isolation limit.
-func (l *links) Isolated(dc model.DataCentreID) bool {
-	return l.clock.Since(l.Contact(dc)) >= l.isolation
-}
-
-// FreshAt returns a time up to which the fold holds every record.
-func (l *links) FreshAt() time.Time { return l.stream.Freshness() }
-
 // health tells the callers' API which duties this instance may carry out.
 type health struct {
 	*member.Service
--- a/entry/internal/daemon/parts.go
+++ b/entry/internal/daemon/parts.go
@@ -19,6 +19,7 @@
 	"arbutuswing.example/internal/ephttp"
 	"arbutuswing.example/internal/invar"
 	"arbutuswing.example/internal/lease"
+	"arbutuswing.example/internal/links"
 	"arbutuswing.example/internal/logs"
 	"arbutuswing.example/internal/member"
 	"arbutuswing.example/internal/model"
@@ -203,7 +204,7 @@
 }
 
 func newPlacer(
-	settings config.Entry, journal *stream.Stream, links *links, machine *state.Machine,
+	settings config.Entry, journal *stream.Stream, links *links.Links, machine *state.Machine,
 	checker *invar.Checker, log *zap.Logger, clock clockwork.Clock,
 ) (*sched.Placer, error) {
 	return sched.New(sched.Config{
@@ -215,7 +216,7 @@
 }
 
 func newLeases(
-	settings config.Entry, self member.Self, platform *platf.Client, links *links, journal *stream.Stream,
+	settings config.Entry, self member.Self, platform *platf.Client, links *links.Links, journal *stream.Stream,
 	placer *sched.Placer, log *zap.Logger, clock clockwork.Clock,
 ) (*lease.Manager, error) {
 	manager, err := lease.New(lease.Config{
