--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,12 @@
 	@if [ -x ../shared/house-check ]; then ../shared/house-check .; \
 	else echo "house-check: skipped, ../shared/house-check is missing"; fi
 
+# SEED and LENGTH (simulated time under faults) may be set, for example: make soak SEED=7 LENGTH=1h
+SEED ?= 1
+LENGTH ?= 30m
+soak:
+	go test -count=1 -timeout 60m -v -run TestSoak ./standin/internal/soak -soak.seed=$(SEED) -soak.length=$(LENGTH)
+
 demo: build
 	scripts/demo
 
--- a/internal/lease/serve.go
+++ b/internal/lease/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -142,11 +143,11 @@
 		return
 	}
 	for _, c := range s.m.deps.Handler.Commands(h.id) {
-		token, address, ok := s.permit(h, c)
+		allowed, ok := s.permit(h, c)
 		if !ok {
 			return
 		}
-		err := s.send(ctx, address, token, c)
+		err := s.send(ctx, allowed, c)
 		s.m.deps.Handler.Sent(h.id, c, err)
 		if err != nil {
 			s.commandFailed(h, c, err)
@@ -165,19 +166,27 @@
 	return h.held(now)
 }
 
-// permit returns the token for a command. A start gives the attempt a task lease, so none is sent to a suspected worker
+// permission is what a command needs besides its contents.
+type permission struct {
+	address string
+	token   model.Token
+	// basis is the worker's clock reading in the last report, from which the task leases of starts count.
+	basis model.Duration
+}
+
+// permit returns the permission for a command. A start gives the attempt a task lease, so none is sent to a suspected worker
 // or one of another boot.
-func (s *shard) permit(h *holder, c Command) (model.Token, string, bool) {
+func (s *shard) permit(h *holder, c Command) (permission, bool) {
 	now := s.m.deps.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !h.held(now) {
-		return 0, "", false
+		return permission{}, false
 	}
 	if _, starts := c.(Start); starts && (h.suspected() || h.rebooted()) {
-		return 0, "", false
+		return permission{}, false
 	}
-	return h.token, h.address, true
+	return permission{address: h.address, token: h.token, basis: h.basis}, true
 }
 
 // hasten brings the next report forward, so that the end of a stopped attempt is known soon.
@@ -196,21 +205,31 @@
 	}
 }
 
-func (s *shard) send(ctx context.Context, address string, token model.Token, c Command) error {
+func (s *shard) send(ctx context.Context, p permission, c Command) error {
 	ctx, cancel := context.WithTimeout(ctx, ports.CommandTimeout)
 	defer cancel()
 	w := s.m.deps.Workers
 	switch c := c.(type) {
 	case Start:
-		return w.Start(ctx, address, token, c.Requests)
+		return w.Start(ctx, p.address, p.token, withBasis(c.Requests, p.basis))
 	case Stop:
-		return w.Stop(ctx, address, token, c.Outcome, c.Attempts)
+		return w.Stop(ctx, p.address, p.token, c.Outcome, c.Attempts)
 	case Checkpoint:
-		return w.Checkpoint(ctx, address, token, c.Attempt)
+		return w.Checkpoint(ctx, p.address, p.token, c.Attempt)
 	case Throttle:
-		return w.Throttle(ctx, address, token, c.Attempt, c.Fraction)
+		return w.Throttle(ctx, p.address, p.token, c.Attempt, c.Fraction)
 	case Acknowledge:
-		return w.Acknowledge(ctx, address, token, c.Attempts)
+		return w.Acknowledge(ctx, p.address, p.token, c.Attempts)
 	}
 	return nil
 }
+
+// withBasis returns the requests with their task leases counted from basis, so that a start that arrives late gives no
+// longer lease than its holder knows.
+func withBasis(requests []ports.StartRequest, basis model.Duration) []ports.StartRequest {
+	out := slices.Clone(requests)
+	for i := range out {
+		out[i].Basis = basis
+	}
+	return out
+}
--- a/internal/ports/worker.go
+++ b/internal/ports/worker.go
@@ -79,8 +79,11 @@
 	Service  bool            `json:"service,omitempty"`
 	Payload  string          `json:"payload,omitempty"`
 	// Resume is the run time that an earlier attempt's checkpoint covers.
-	Resume  model.Duration `json:"resume,omitempty"`
+	Resume model.Duration `json:"resume,omitempty"`
+	// TaskTTL is the length of the first task lease, which counts from Basis, the worker's clock reading in the last
+	// report that the holder received. A start that arrives after that has no effect.
 	TaskTTL model.Duration `json:"task-ttl"`
+	Basis   model.Duration `json:"basis"`
 }
 
 // Worker commands one worker instance at a time; address comes from the list.
--- a/standin/internal/fleet/attempt.go
+++ b/standin/internal/fleet/attempt.go
@@ -45,11 +45,11 @@
 	Outcome model.Outcome    `json:"outcome"`
 }
 
-func (w *worker) newAttempt(now time.Time, req ports.StartRequest) *attempt {
+func (w *worker) newAttempt(now, lease time.Time, req ports.StartRequest) *attempt {
 	cfg := w.fleet.cfg
 	a := &attempt{
 		id: req.Attempt, worker: w, reservation: req.Reservation, service: req.Service,
-		phase: ports.PhaseRunning, started: now, lease: now.Add(req.TaskTTL.Std()),
+		phase: ports.PhaseRunning, started: now, lease: lease,
 		done: req.Resume.Std(), since: now, rate: 1, checkpoint: req.Resume.Std(), natural: model.OutcomeSucceeded,
 	}
 	task := req.Attempt.Task
--- a/standin/internal/fleet/worker.go
+++ b/standin/internal/fleet/worker.go
@@ -71,10 +71,15 @@
 	return nil
 }
 
-// extend lengthens the task leases of running attempts to basis plus ttl on the worker's clock. A basis in the future
-// can only come from an earlier boot and counts as now.
+// leaseEnd returns when a task lease of basis plus ttl on the worker's clock ends. A basis in the future can only come
+// from an earlier boot and counts as now.
+func (w *worker) leaseEnd(now time.Time, basis, ttl time.Duration) time.Time {
+	return w.booted.Add(min(basis, now.Sub(w.booted)) + ttl)
+}
+
+// extend lengthens the task leases of running attempts.
 func (w *worker) extend(now time.Time, basis, ttl time.Duration) {
-	until := w.booted.Add(min(basis, now.Sub(w.booted)) + ttl)
+	until := w.leaseEnd(now, basis, ttl)
 	for _, a := range w.order {
 		if a.phase == ports.PhaseRunning && until.After(a.lease) {
 			a.lease = until
@@ -86,7 +91,12 @@
 	if _, known := w.attempts[req.Attempt]; known {
 		return
 	}
-	a := w.newAttempt(now, req)
+	lease := w.leaseEnd(now, req.Basis.Std(), req.TaskTTL.Std())
+	if !lease.After(now) {
+		// The holder counts this attempt's lease as lapsed, so another worker may run the task by now.
+		return
+	}
+	a := w.newAttempt(now, lease, req)
 	w.attempts[req.Attempt] = a
 	w.order = append(w.order, a)
 	w.reserved = w.reserved.Plus(req.Reservation)
--- /dev/null
+++ b/standin/internal/soak/node_test.go
@@ -0,0 +1,260 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"arbutuswing.example/internal/invar"
+	"arbutuswing.example/internal/lease"
+	"arbutuswing.example/internal/links"
+	"arbutuswing.example/internal/member"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/once"
+	"arbutuswing.example/internal/peer"
+	"arbutuswing.example/internal/ports"
+	"arbutuswing.example/internal/sched"
+	"arbutuswing.example/internal/state"
+	"arbutuswing.example/internal/stream"
+)
+
+// node is one incarnation of an entry instance without its HTTP servers.
+type node struct {
+	gate
+	name    string
+	centre  model.DataCentreID
+	machine *state.Machine
+	stream  *stream.Stream
+	members *member.Service
+	once    *once.Service
+	links   *links.Links
+	parts   loops
+	cancel  context.CancelFunc
+	loops   sync.WaitGroup
+}
+
+// network carries the calls between nodes; it implements stream.Relay, member.Caller and once.Peers for one of them.
+type network struct {
+	world *world
+	self  *node
+}
+
+// call runs a call at the node with the address, if both sides and the way between them are up.
+func (n network) call(ctx context.Context, address string, run func(to *node) error) error {
+	time.Sleep(callLatency)
+	if !n.self.pass(ctx) {
+		return peer.ErrUnreachable
+	}
+	to := n.world.find(address)
+	if to == nil || n.world.separated(n.self.centre, to.centre) || !to.pass(ctx) {
+		return n.silence(ctx)
+	}
+	err := run(to)
+	time.Sleep(callLatency)
+	if n.world.separated(n.self.centre, to.centre) || !to.pass(ctx) || !n.self.pass(ctx) {
+		return n.silence(ctx)
+	}
+	return err
+}
+
+func (n network) silence(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-time.After(callTimeout / 2):
+	}
+	return peer.ErrUnreachable
+}
+
+func (n network) Beat(ctx context.Context, address string, own peer.Status) (answer peer.BeatAnswer, err error) {
+	err = n.call(ctx, address, func(to *node) (err error) {
+		answer, err = to.members.HandleBeat(ctx, own)
+		return err
+	})
+	return answer, err
+}
+
+func (network) Retain([]string) {}
+
+func (n network) ReadLog(
+	ctx context.Context, address string, from model.Offset, limit int, wait time.Duration,
+) (batch ports.Batch, err error) {
+	err = n.call(ctx, address, func(to *node) (err error) {
+		batch, err = to.stream.ReadLog(ctx, from, limit, wait)
+		return err
+	})
+	return batch, err
+}
+
+func (n network) AppendLog(ctx context.Context, address string, data []byte) (offset model.Offset, err error) {
+	err = n.call(ctx, address, func(to *node) (err error) {
+		offset, err = to.stream.AppendLog(ctx, data)
+		return err
+	})
+	if err != nil {
+		err = fmt.Errorf("%w: %w", ports.ErrUnknownEffect, err)
+	}
+	return offset, err
+}
+
+func (n network) Snapshot(ctx context.Context, address string) (snapshot peer.Snapshot, err error) {
+	err = n.call(ctx, address, func(to *node) (err error) {
+		snapshot, err = to.stream.Snapshot(ctx)
+		return err
+	})
+	return snapshot, err
+}
+
+func (n network) Claim(ctx context.Context, to once.Member, req once.ClaimRequest) (status once.Status, err error) {
+	err = n.call(ctx, to.PeerAddress, func(node *node) error {
+		status = node.once.Decide(req)
+		return nil
+	})
+	return status, err
+}
+
+func (n network) Settle(ctx context.Context, to once.Member, req once.SettleRequest) error {
+	return n.call(ctx, to.PeerAddress, func(node *node) error {
+		node.once.Finish(req)
+		return nil
+	})
+}
+
+func (n network) Handoff(
+	ctx context.Context, from, self once.Member, offset model.Offset,
+) (handoff once.Handoff, err error) {
+	err = n.call(ctx, from.PeerAddress, func(node *node) (err error) {
+		handoff, err = node.once.Handoff(self, offset)
+		return err
+	})
+	return handoff, err
+}
+
+// start builds and runs a new incarnation of an instance.
+func (w *world) start(name string, centre model.DataCentreID) {
+	n := &node{name: name, centre: centre}
+	w.must(n.build(w))
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.run(ctx, w)
+}
+
+// parts of a node that only its loops use.
+type loops struct {
+	placer *sched.Placer
+	leases *lease.Manager
+	feed   *stream.Subscription
+}
+
+func (n *node) build(w *world) error {
+	clock, log := clockwork.NewRealClock(), zap.NewNop()
+	sender := peer.Sender{Instance: model.InstanceID(n.name), Incarnation: model.Incarnation(time.Now().UnixNano())}
+	outside := &platform{
+		gate: &n.gate, centre: n.centre, faults: w.faults, log: w.log, list: w.list, fleet: w.fleet,
+	}
+	net := network{world: w, self: n}
+	checker := invar.New(log, true)
+	table, err := member.NewTable(member.TableConfig{Clock: clock, Self: member.Self{
+		Sender: sender, DataCentre: n.centre, PeerAddress: n.name, AdminAddress: n.name,
+	}})
+	if err != nil {
+		return err
+	}
+	if n.machine, err = state.New(state.Config{Invariants: checker}); err != nil {
+		return err
+	}
+	if n.stream, err = stream.New(stream.Config{
+		Logger: log, Clock: clock, Instance: sender.Instance, Incarnation: sender.Incarnation, Log: outside,
+		Folder: n.machine, Peers: table, Relay: net, SnapshotRecords: snapshotRecords,
+	}); err != nil {
+		return err
+	}
+	if n.members, err = member.New(member.Config{
+		Logger: log, Clock: clock, Table: table, Journal: n.stream, Caller: net, Lister: outside,
+	}); err != nil {
+		return err
+	}
+	if n.links, err = links.New(links.Config{
+		Members: n.members, Stream: n.stream, Clock: clock, Self: sender.Instance, Centre: n.centre,
+	}); err != nil {
+		return err
+	}
+	if n.once, err = once.New(once.Config{
+		Self: once.Member{
+			Instance: sender.Instance, Incarnation: sender.Incarnation, PeerAddress: n.name,
+		},
+		Peers: net, Clock: clock, MayDecide: n.links.MayDecide,
+	}); err != nil {
+		return err
+	}
+	return n.buildPlacer(outside, checker, clock)
+}
+
+func (n *node) buildPlacer(outside *platform, checker *invar.Checker, clock clockwork.Clock) error {
+	placer, err := sched.New(
+		sched.Config{DataCentre: n.centre, Interval: roundInterval},
+		sched.Deps{
+			Feed: n.stream.Subscribe(), Submit: n.stream, Links: n.links, View: n.machine, Invar: checker, Clock: clock,
+			Log: zap.NewNop(),
+		})
+	if err != nil {
+		return err
+	}
+	leases, err := lease.New(
+		lease.Config{Instance: model.InstanceID(n.name), Incarnation: 1, DataCentre: n.centre, Poll: roundInterval},
+		lease.Deps{
+			Workers: outside, List: outside, Links: n.links, Submit: n.stream, Handler: placer, Clock: clock,
+			Log: zap.NewNop(),
+		})
+	if err != nil {
+		return err
+	}
+	placer.SetLeases(leases)
+	n.parts = loops{placer: placer, leases: leases, feed: n.stream.Subscribe()}
+	return nil
+}
+
+// run starts the node's loops; a member that was replaced ends by itself, as the program does.
+func (n *node) run(ctx context.Context, w *world) {
+	w.add(n)
+	runs := []func(context.Context) error{
+		n.stream.Run, n.members.Run, n.once.Run, n.parts.placer.Run, n.parts.leases.Run, n.runMemberships,
+	}
+	for _, run := range runs {
+		n.loops.Go(func() { _ = run(ctx) })
+	}
+}
+
+// runMemberships hands the memberships of the fold to the at-most-once table.
+func (n *node) runMemberships(ctx context.Context) error {
+	for {
+		update, err := n.parts.feed.Next(ctx)
+		if err != nil {
+			return err
+		}
+		for _, event := range update.Events {
+			changed, ok := event.(state.MembersChanged)
+			if !ok || changed.Offset == model.NoOffset {
+				continue
+			}
+			membership := once.Membership{Offset: changed.Offset}
+			for _, m := range changed.Members {
+				membership.Members = append(membership.Members, once.Member{
+					Instance: m.Instance, Incarnation: m.Incarnation, PeerAddress: m.PeerAddress,
+				})
+			}
+			n.once.Advance(membership, false)
+		}
+	}
+}
+
+// crash ends the node without any more effect on the outside.
+func (n *node) crash(w *world) {
+	n.crashed.Store(true)
+	w.remove(n)
+	n.cancel()
+	n.loops.Wait()
+}
