--- a/internal/state/bench_test.go
+++ b/internal/state/bench_test.go
@@ -44,7 +44,7 @@
 		set.Teams = append(set.Teams, team(name, "north", model.HashKey(string(name)), benchBound))
 	}
 	r.must(record.Change{ID: "base", Base: model.NoOffset, Contents: patch(decl.Patch{Put: set})})
-	var ops []record.Op
+	ops := make([]record.Op, 0, benchWorkers+3*benchFinished+2*benchBound)
 	for i := range benchWorkers {
 		op := seen(benchWorker(i), "boot-1", "a")
 		op.Capacity = cores(64)
--- a/internal/state/config.go
+++ b/internal/state/config.go
@@ -22,8 +22,9 @@
 	DefaultKeepIDs = model.Duration(48 * time.Hour)
 	// DefaultMaxFailures is the number of failed attempts after which a task is done.
 	DefaultMaxFailures = 3
-	// DefaultMaxTasks bounds the memory that one record can take.
-	DefaultMaxTasks = 100_000
+	// DefaultMaxTasks bounds what one record makes the fold do: it reports each task of an accepted or cancelled job
+	// by an event of about 0.5 KB.
+	DefaultMaxTasks = 10_000
 )
 
 // Config holds the functions and bounds of a machine; all instances that fold one log must use the same ones.
--- a/internal/state/declar.go
+++ b/internal/state/declar.go
@@ -46,10 +46,10 @@
 	return key != "" && team.HasKey(key)
 }
 
-// mayUse reports whether a call for the team's work in the class comes with a key that allows it; only classes that
-// are not open can be used without one.
-func (d *declarations) mayUse(team model.TeamID, class model.ClassID, key model.KeyHash) bool {
-	if key == "" && !d.open(class) {
+// mayUse reports whether a call for the team's work in the class comes with a key that allows it. Only declared classes
+// that are not open can be used without one; a removed class may have been open when its jobs were accepted.
+func (d *declarations) mayUse(team model.TeamID, name model.ClassID, key model.KeyHash) bool {
+	if class, declared := d.set.Class(name); key == "" && declared && !class.Open {
 		return true
 	}
 	return d.granted(team, key)
--- a/internal/state/draw_test.go
+++ b/internal/state/draw_test.go
@@ -21,8 +21,8 @@
 // draw returns operations that mostly fit the oracle's present state.
 func (w *world) draw(t *rapid.T) []record.Op {
 	switch rapid.SampledFrom([]string{
-		"accept", "taken", "taken", "taken", "ended", "ended", "ended", "gang", "pulled", "cancel", "refuse", "worker",
-		"worker", "lost", "change",
+		"accept", "taken", "taken", "taken", "ended", "ended", "ended", "gang", "pulled", "pulled", "cancel", "refuse", "worker",
+		"worker", "lost", "lost", "change",
 	}).Draw(t, "operation") {
 	case "accept":
 		return []record.Op{w.drawJob(t)}
@@ -42,9 +42,7 @@
 	case "change":
 		return []record.Op{w.drawChange(t)}
 	case "lost":
-		id := w.drawWorker(t)
-		known := w.oracle.workers[id]
-		return []record.Op{record.WorkerLost{Worker: id, Boot: known.boot, Suspicion: known.suspicion}}
+		return []record.Op{w.drawLost(t)}
 	default:
 		return []record.Op{w.drawWorkerOp(t)}
 	}
@@ -128,7 +126,9 @@
 }
 
 func (w *world) drawEnded(t *rapid.T) record.Ended {
-	phase := rapid.SampledFrom([]state.TaskPhase{state.PhaseBound, state.PhaseBound, state.PhasePulled}).Draw(t, "phase")
+	phase := rapid.SampledFrom([]state.TaskPhase{
+		state.PhaseBound, state.PhaseBound, state.PhaseBound, state.PhasePulled, state.PhaseDone,
+	}).Draw(t, "phase")
 	id := w.drawAttempt(t, phase)
 	return record.Ended{
 		Attempt: id, Worker: w.oracle.tasks[id.Task].Worker, Outcome: rapid.SampledFrom(outcomes).Draw(t, "outcome"),
@@ -150,15 +150,32 @@
 	return record.Change{ID: "c", Base: w.oracle.base, Contents: patch(decl.Patch{Put: put})}
 }
 
+// drawLost prefers a worker that the author of the envelope suspects, and suspects one if there is none.
+func (w *world) drawLost(t *rapid.T) record.Op {
+	id := w.drawWorker(t)
+	for other, known := range w.oracle.workers {
+		if known.suspector == w.author && known.suspicion != model.NoOffset && !known.lost {
+			id = min(id, other)
+		}
+	}
+	known := w.oracle.workers[id]
+	if known.suspicion == model.NoOffset && !known.lost {
+		return record.WorkerSuspected{Worker: id, Boot: known.boot}
+	}
+	return record.WorkerLost{Worker: id, Boot: known.boot, Suspicion: known.suspicion}
+}
+
 func (w *world) drawWorkerOp(t *rapid.T) record.Op {
 	id := w.drawWorker(t)
-	boot := w.oracle.workers[id].boot
-	switch rapid.SampledFrom([]string{"boot", "suspect", "clear", "clear"}).Draw(t, "step") {
+	known := w.oracle.workers[id]
+	switch rapid.SampledFrom([]string{"boot", "boot", "suspect", "clear", "clear"}).Draw(t, "step") {
 	case "boot":
-		return seen(id, model.BootID(fmt.Sprintf("boot-%d", rapid.IntRange(1, 6).Draw(t, "boot"))), "a")
+		// A late record can name an earlier boot.
+		boots := append(slices.Clone(known.boots), model.BootID(fmt.Sprintf("boot-%d", len(known.boots)+1)))
+		return seen(id, rapid.SampledFrom(boots).Draw(t, "boot"), "a")
 	case "suspect":
-		return record.WorkerSuspected{Worker: id, Boot: boot}
+		return record.WorkerSuspected{Worker: id, Boot: known.boot}
 	default:
-		return record.WorkerCleared{Worker: id, Boot: boot}
+		return record.WorkerCleared{Worker: id, Boot: known.boot}
 	}
 }
--- a/internal/state/fixture_test.go
+++ b/internal/state/fixture_test.go
@@ -16,12 +16,16 @@
 	"arbutuswing.example/internal/state"
 )
 
-// TestMain fixes the seed, so that a run in CI can be repeated.
+// TestMain fixes the seed, so that a run in CI can be repeated, and lets state machines run long enough to fill workers.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed != nil && seed.Value.String() == "0" {
-		if err := flag.Set("rapid.seed", "20261204"); err != nil {
-			panic(err)
+	for _, preset := range []struct{ name, unset, value string }{
+		{"rapid.seed", "0", "20261204"}, {"rapid.steps", "30", "60"},
+	} {
+		if set := flag.Lookup(preset.name); set != nil && set.Value.String() == preset.unset {
+			if err := flag.Set(preset.name, preset.value); err != nil {
+				panic(err)
+			}
 		}
 	}
 	os.Exit(m.Run())
--- a/internal/state/oracle_test.go
+++ b/internal/state/oracle_test.go
@@ -28,6 +28,21 @@
 	ran       bool
 }
 
+// outcome summarises the ends of a finished job's tasks.
+func (j oracleJob) outcome(ends map[model.Outcome]bool) model.Outcome {
+	switch {
+	case j.refused:
+		return model.OutcomeNeverStarted
+	case ends[model.OutcomeLost]:
+		return model.OutcomeLost
+	case ends[model.OutcomeFailed]:
+		return model.OutcomeFailed
+	case j.cancelled || ends[model.OutcomeStopped]:
+		return model.OutcomeStopped
+	}
+	return model.OutcomeSucceeded
+}
+
 type oracleWorker struct {
 	boot      model.BootID
 	boots     []model.BootID
--- a/internal/state/work_test.go
+++ b/internal/state/work_test.go
@@ -25,6 +25,7 @@
 	written map[model.InstanceID][]record.Envelope
 	landed  map[model.InstanceID]int
 	old     [][]byte
+	author  model.InstanceID
 	// tasks and workers are what an observer of the events knows.
 	tasks   map[model.TaskID]state.Task
 	workers map[model.WorkerID]state.Worker
@@ -62,10 +63,15 @@
 	assert.NilError(t, err)
 	w.twin, err = state.New(cfg)
 	assert.NilError(t, err)
+	set := baseSet()
+	set.Teams[0].Limit.Tasks = 5
+	open := spec("j2", 4)
+	open.Class = "open"
 	w.append(t, record.Envelope{Writer: "operator", Sequence: 1, Time: w.time, Ops: []record.Op{
-		record.Change{ID: "base", Base: model.NoOffset, Contents: patch(decl.Patch{Put: baseSet()})},
-		seen("w1", "boot-1", "a"), seen("w2", "boot-1", "a"), seen("w3", "boot-1", "b"),
+		record.Change{ID: "base", Base: model.NoOffset, Contents: patch(decl.Patch{Put: set})},
+		seen("w1", "boot-1", "a"), seen("w2", "boot-1", "a"), seen("w3", "boot-1", "b"), accepted(spec("j3", 1)),
 		accepted(spec("j0", 4)), accepted(spec("j1", 3).WithTeam("blue")),
+		record.JobAccepted{Spec: open, Key: redKey},
 	}}, true)
 	return w
 }
@@ -116,6 +122,7 @@
 	if len(w.written[name]) > w.landed[name] {
 		t.Skip("one append in flight")
 	}
+	w.author = name
 	env := record.Envelope{Writer: name, Incarnation: 1}
 	if n := len(w.written[name]); n > 0 {
 		env.Incarnation, env.Sequence = w.written[name][n-1].Incarnation, w.written[name][n-1].Sequence
@@ -244,12 +251,16 @@
 	for id, want := range w.oracle.jobs {
 		got, ok := w.machine.Job(id)
 		assert.Assert(t, ok)
-		done, queued := 0, 0
+		done, queued, ends := 0, 0, make(map[model.Outcome]bool)
 		for _, task := range got.Tasks {
 			if task.Phase == state.PhaseDone {
 				done++
+				ends[task.Outcome] = true
 			}
 		}
+		if got.Finished() {
+			assert.Equal(t, got.Outcome, want.outcome(ends))
+		}
 		for _, task := range w.machine.Queued(want.spec.Team, want.spec.Class, 1_000) {
 			if task.ID.Job == id {
 				queued++
