--- a/internal/httpc/pool.go
+++ b/internal/httpc/pool.go
@@ -27,10 +27,10 @@
 	defaultProbeTimeout = 200 * time.Millisecond
 	defaultProbePath    = "/ping"
 	defaultMaxBody      = 64 << 20
-	// timeoutsBeforeForget is how many time-outs in a row make the pool drop its idle connections: a device that
-	// lost the state of one connection has probably lost that of the others.
-	timeoutsBeforeForget = 2
-	readBufferBytes      = 16 << 10
+	defaultSilentAfter  = 2
+	dialLimit           = 3 * time.Second
+	waitLimit           = time.Minute
+	readBufferBytes     = 16 << 10
 )
 
 // Config describes a pool.
@@ -39,6 +39,8 @@
 	Address string
 	// Connections is the most connections that are open at the same time.
 	Connections int
+	// Wait lets calls wait for a connection when all are in use; else they fail at once with ErrNotSent.
+	Wait bool
 	// Idle is how long an unused connection is kept.
 	Idle time.Duration
 	// ProbeAfter is how long a connection is idle before a call with Probe set checks it.
@@ -46,6 +48,9 @@
 	// ProbeTimeout bounds the check, which is a GET of ProbePath.
 	ProbeTimeout time.Duration
 	ProbePath    string
+	// SilentAfter is how many time-outs in a row make the pool close its idle connections: a device that lost the state
+	// of one connection has probably lost that of the others.
+	SilentAfter int
 	// MaxBody bounds an answer's body in bytes.
 	MaxBody int
 }
@@ -67,6 +72,9 @@
 	if c.ProbePath == "" {
 		c.ProbePath = defaultProbePath
 	}
+	if c.SilentAfter == 0 {
+		c.SilentAfter = defaultSilentAfter
+	}
 	if c.MaxBody == 0 {
 		c.MaxBody = defaultMaxBody
 	}
@@ -89,6 +97,7 @@
 	cfg      Config
 	host     *fasthttp.HostClient
 	timeouts atomic.Int32
+	limit    atomic.Int32
 }
 
 // New returns a pool without open connections.
@@ -97,24 +106,40 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	return &Pool{cfg: cfg, host: &fasthttp.HostClient{
+	host := &fasthttp.HostClient{
 		Addr: cfg.Address, MaxConns: cfg.Connections, MaxIdleConnDuration: cfg.Idle,
 		ConnPoolStrategy: fasthttp.LIFO, ReadBufferSize: readBufferBytes, DialTimeout: dial,
-	}}, nil
+	}
+	if cfg.Wait {
+		// A call's own time-out is shorter and ends the wait.
+		host.MaxConnWaitTimeout = waitLimit
+	}
+	p := &Pool{cfg: cfg, host: host}
+	p.limit.Store(int32(cfg.Connections))
+	return p, nil
 }
 
+// dial bounds also the connections that the pool opens for waiting calls, for which it gives no time-out.
 func dial(address string, timeout time.Duration) (net.Conn, error) {
+	if timeout <= 0 {
+		timeout = dialLimit
+	}
 	return net.DialTimeout("tcp", address, timeout)
 }
 
 // SetConnections changes the most connections that are open at the same time, at least 1.
 func (p *Pool) SetConnections(n int) {
-	p.host.SetMaxConns(max(n, 1))
+	n = max(n, 1)
+	p.limit.Store(int32(n))
+	p.host.SetMaxConns(n)
 	if p.host.ConnsCount() > n {
 		p.host.CloseIdleConnections()
 	}
 }
 
+// Connections returns the most connections that are open at the same time.
+func (p *Pool) Connections() int { return int(p.limit.Load()) }
+
 // Forget closes idle connections.
 func (p *Pool) Forget() { p.host.CloseIdleConnections() }
 
@@ -175,7 +200,7 @@
 	case errors.Is(ctx.Err(), context.Canceled):
 	case err == nil || !errors.As(err, &failure) || !failure.Timeout():
 		p.timeouts.Store(0)
-	case p.timeouts.Add(1) >= timeoutsBeforeForget:
+	case int(p.timeouts.Add(1)) >= p.cfg.SilentAfter:
 		p.timeouts.Store(0)
 		p.Forget()
 	}
--- a/internal/platf/client.go
+++ b/internal/platf/client.go
@@ -22,12 +22,12 @@
 
 const (
 	defaultTimeout     = 2 * time.Second
-	defaultConnections = 64
+	defaultConnections = 256
 )
 
 // Config describes the platform.
 type Config struct {
-	// Address is host:port of the log and the list.
+	// Address is host:port of the log and the list; a URL's leading http:// is dropped.
 	Address string
 	// DataCentre is the caller's own data centre.
 	DataCentre model.DataCentreID
@@ -35,12 +35,13 @@
 	Timeout time.Duration
 	// CommandTimeout bounds a call to a worker.
 	CommandTimeout time.Duration
-	// Connections is the most connections per host.
+	// Connections is the most connections per host; further calls wait for one.
 	Connections int
 }
 
 // WithDefaults returns the configuration with defaults for what is unset.
 func (c Config) WithDefaults() Config {
+	c.Address = strings.TrimSuffix(strings.TrimPrefix(c.Address, "http://"), "/")
 	if c.Timeout == 0 {
 		c.Timeout = defaultTimeout
 	}
@@ -102,7 +103,7 @@
 	if pool, ok := c.pools[host]; ok {
 		return pool, nil
 	}
-	pool, err := httpc.New(httpc.Config{Address: host, Connections: c.cfg.Connections})
+	pool, err := httpc.New(httpc.Config{Address: host, Connections: c.cfg.Connections, Wait: true})
 	if err != nil {
 		return nil, err
 	}
--- a/standin/internal/server/adapter_test.go
+++ b/standin/internal/server/adapter_test.go
@@ -35,12 +35,14 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	settings := setup.Settings{
-		Listen: listener.Addr().String(), LogLevel: "error", SilentFor: model.Duration(time.Minute),
-		Log:     setup.Log{AppendsPerSecond: 1, Burst: 3, MaxBytes: 100},
-		Workers: []setup.Group{{Prefix: "a", Count: 1, DataCentre: "dc-a"}, {Prefix: "b", Count: 1, DataCentre: "dc-b"}},
-	}.WithDefaults()
-	assert.NilError(t, settings.Check())
+	settings := setup.Settings{}.WithDefaults()
+	settings.Listen, settings.LogLevel = listener.Addr().String(), "error"
+	settings.SilentFor = model.Duration(time.Minute)
+	settings.Log.AppendsPerSecond, settings.Log.Burst, settings.Log.MaxBytes = 1, 3, 100
+	settings.Workers = []setup.Group{
+		{Prefix: "a", Count: 1, DataCentre: "dc-a"}, {Prefix: "b", Count: 1, DataCentre: "dc-b"},
+	}
+	assert.Equal(t, len(settings.Check()), 0)
 	s, err := daemon.Build(settings, clock, io.Discard)
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -289,3 +291,31 @@
 	}
 	assert.Equal(t, p.Fleet.Audit().Outcomes[model.OutcomeStopped], 1)
 }
+
+// TestLateCommand guards against a late command that is lost, or obeyed after its lease has lapsed.
+func TestLateCommand(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := startPlatform(t, clock)
+	address := p.address + "/workers/a1"
+	report, err := p.client.Lease(t.Context(), address, ports.LeaseRequest{Holder: "e1", TTL: model.Duration(3 * time.Second)})
+	assert.NilError(t, err)
+	start := func(number int) error {
+		return p.client.Start(t.Context(), address, report.Token, []ports.StartRequest{{
+			Attempt:  model.AttemptID{Task: model.TaskID{Job: "j"}, Number: number},
+			Declared: model.Duration(time.Hour), TaskTTL: model.Duration(time.Minute),
+		}})
+	}
+	for number, late := range []time.Duration{2 * time.Second, 3 * time.Second} {
+		id, err := p.Faults.Add(fault.Fault{Kind: fault.WorkerSlow, Worker: "a1", Delay: model.Duration(late)})
+		assert.NilError(t, err)
+		assert.ErrorIs(t, start(number+1), ports.ErrUnreachable)
+		assert.NilError(t, p.Faults.Clear(id))
+		assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+		clock.Advance(late)
+		p.client.Close()
+		for p.Open() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		assert.Equal(t, p.Fleet.Audit().Starts, 1)
+	}
+}
