--- a/internal/peer/types.go
+++ b/internal/peer/types.go
@@ -58,7 +58,7 @@
 	Neighbours []Status `json:"neighbours,omitempty"`
 }
 
-// Snapshot is the encoded state after the record at offset At.
+// Snapshot is the encoded state after the record at offset At or a later one.
 type Snapshot struct {
 	At   model.Offset
 	Data []byte
--- a/internal/stream/snap.go
+++ b/internal/stream/snap.go
@@ -39,12 +39,11 @@
 	return out, nil
 }
 
-// encodeState returns the encoded state and the offset that it describes.
+// encodeState returns the encoded state and an offset that it has reached. Folding goes on meanwhile, so the state may be
+// that of a later offset; restoring it tells which. Folding twice is prevented by the restored offset, not by this one.
 func (s *Stream) encodeState() (model.Offset, []byte, error) {
-	s.fold.Lock()
-	at := s.folded
+	at := s.Status().Applied
 	data, err := s.cfg.Folder.Snapshot()
-	s.fold.Unlock()
 	if err != nil {
 		return 0, nil, fmt.Errorf("encoding the state at offset %d: %w", at, err)
 	}
