--- a/standin/internal/fleet/fleet.go
+++ b/standin/internal/fleet/fleet.go
@@ -67,8 +67,7 @@
 	ledger  *audit.Ledger
 	agenda  agenda
 	boots   int
-	// bases are the reservations under which each job's first attempt started; real peaks derive from them, since a
-	// scheduler that learns would otherwise chase its own reservations.
+	// bases are the reservations under which each job's first attempt started, for callers that declare no size.
 	bases map[model.JobID]model.Resources
 }
 
