--- a/internal/member/cluster_test.go
+++ b/internal/member/cluster_test.go
@@ -2,19 +2,20 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"arbutuswing.example/internal/decl"
+	"arbutuswing.example/internal/invar"
 	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/peer"
 	"arbutuswing.example/internal/ports"
-	"arbutuswing.example/internal/record"
 	"arbutuswing.example/internal/state"
 	"arbutuswing.example/internal/stream"
 )
@@ -139,62 +140,17 @@
 	}
 }
 
-// memberFolder folds members only.
-type memberFolder struct {
-	mu      sync.Mutex
-	At      model.Offset                      `json:"at"`
-	Members map[model.InstanceID]state.Member `json:"members"`
-}
-
-func (f *memberFolder) Apply(offset model.Offset, env record.Envelope) state.Applied {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.At = offset
-	for _, op := range env.Ops {
-		switch op := op.(type) {
-		case record.MemberJoined:
-			f.Members[op.Instance] = state.Member{
-				Instance: op.Instance, Incarnation: op.Incarnation, DataCentre: op.DataCentre, PeerAddress: op.PeerAddress,
-				Joined: offset,
-			}
-		case record.MemberLeft:
-			delete(f.Members, op.Instance)
-		}
-	}
-	return state.Applied{Results: make([]error, len(env.Ops)), Events: f.events()}
-}
-
-func (f *memberFolder) events() []state.Event {
-	event := state.MembersChanged{Offset: f.At}
-	for _, found := range f.Members {
-		event.Members = append(event.Members, found)
-	}
-	return []state.Event{event}
-}
-
-func (f *memberFolder) Offset() model.Offset {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.At
-}
-
-func (f *memberFolder) Snapshot() ([]byte, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return json.Marshal(f)
-}
-
-func (f *memberFolder) Restore(snapshot []byte) ([]state.Event, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	clear(f.Members)
-	return nil, json.Unmarshal(snapshot, f)
-}
-
-func (f *memberFolder) Describe() []state.Event {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.events()
+func newMachine(t *testing.T) *state.Machine {
+	t.Helper()
+	machine, err := state.New(state.Config{
+		ParsePatch: func([]byte) (decl.Patch, error) { return decl.Patch{}, nil },
+		ApplyPatch: func(set decl.Set, _ decl.Patch) (decl.Set, error) { return set, nil },
+		CheckSet:   func(decl.Set) error { return nil },
+		Touches:    func(_, _ decl.Set) []model.OrganisationID { return nil },
+		Invariants: invar.New(zap.NewNop(), true),
+	})
+	assert.NilError(t, err)
+	return machine
 }
 
 func (c *cluster) start(t *testing.T, id model.InstanceID, dc model.DataCentreID) *instance {
@@ -209,7 +165,7 @@
 	made := &instance{id: id, dc: dc}
 	made.stream, err = stream.New(stream.Config{
 		Instance: id, Incarnation: self.Incarnation, Log: access, Peers: table, Relay: access,
-		Folder: &memberFolder{At: model.NoOffset, Members: make(map[model.InstanceID]state.Member)},
+		Folder: newMachine(t),
 	})
 	assert.NilError(t, err)
 	made.service, err = New(Config{Table: table, Journal: made.stream, Caller: access, Lister: access})
