--- a/internal/place/gang.go
+++ b/internal/place/gang.go
@@ -94,7 +94,9 @@
 			if tighter.slots < count {
 				break
 			}
-			last = tighter
+			if tighter.slots < last.slots {
+				last = tighter
+			}
 		}
 		return append(out, last)
 	}
--- a/internal/policy/learn.go
+++ b/internal/policy/learn.go
@@ -14,6 +14,9 @@
 	Estimate(spec model.JobSpec) (state.Estimate, bool)
 }
 
+// rounding keeps the error of a floating-point product from adding a unit.
+const rounding = 1e-6
+
 // Learner turns estimates into reservations; it is not safe for concurrent use.
 type Learner struct {
 	cfg       Config
@@ -83,7 +86,7 @@
 }
 
 func (l *Learner) margin(value int64) int64 {
-	return int64(math.Ceil(float64(value) * (1 + l.cfg.Margin)))
+	return int64(math.Ceil(float64(value)*(1+l.cfg.Margin) - rounding))
 }
 
 // RunTime returns the learned median run time of one task, or the declared one until enough attempts ended.
