feat(state): bound the proposals that wait

Nothing but a verdict ends a proposal, so their number is limited to 1,000; a further one is void with ErrTooMany.

--- a/internal/state/decls_test.go
+++ b/internal/state/decls_test.go
@@ -207,6 +207,18 @@
 	assert.Equal(t, fmt.Sprint(ids), fmt.Sprint(slices.Sorted(maps.Keys(o.open))))
 }
 
+// TestProposalsBound guards against proposals that nobody decides on and that fill the memory.
+func TestProposalsBound(t *testing.T) {
+	r := newBaseRig(t, testConfig())
+	limit := patch(decl.Patch{Put: decl.Set{Teams: []decl.Team{team("red", "north", redKey, 9)}}})
+	for i := range 1_000 {
+		r.must(record.Proposal{Change: record.Change{ID: fmt.Sprint(i), Contents: limit}})
+	}
+	next := record.Proposal{Change: record.Change{ID: "next", Contents: limit}}
+	assert.ErrorIs(t, r.apply(next)[0], state.ErrTooMany)
+	r.must(record.Verdict{Proposal: "0", Organisation: "north", Key: northKey}, next)
+}
+
 // TestApprovals guards against a change that comes into force before every organisation that it touches approved.
 func TestApprovals(t *testing.T) {
 	r := newBaseRig(t, testConfig())
--- a/internal/state/propos.go
+++ b/internal/state/propos.go
@@ -12,6 +12,9 @@
 	"arbutuswing.example/internal/record"
 )
 
+// maxProposals bounds the proposals that wait, because nothing but a verdict ends one.
+const maxProposals = 1_000
+
 // proposal is a waiting change with the touched objects as they were when it was recorded.
 type proposal struct {
 	Proposal
@@ -45,6 +48,9 @@
 		f.enforce(set)
 		return nil
 	}
+	if len(f.decls.proposals) >= maxProposals {
+		return ErrTooMany
+	}
 	before, err := f.touched(op.Change)
 	if err != nil {
 		return err
--- a/internal/state/void.go
+++ b/internal/state/void.go
@@ -17,4 +17,5 @@
 	ErrGangIncomplete = errors.New("an all-at-once job must be taken whole")
 	ErrNotCurrent     = errors.New("the attempt is not current")
 	ErrNeedsApproval  = errors.New("the change touches terms that need an organisation's approval")
+	ErrTooMany        = errors.New("too many proposals wait for approval")
 )
