--- a/internal/invar/invar.go
+++ b/internal/invar/invar.go
@@ -31,19 +31,33 @@
 type Checker struct {
 	log   *zap.Logger
 	fatal bool
+	// checks holds a counter for each of the invariants, because looking one up by name costs more than a check.
+	checks map[Name]*metrics.Counter
 
 	mu         sync.Mutex
 	violations map[Name]int
 }
 
+// names lists all invariants.
+var names = []Name{
+	Capacity, SingleRun, TeamKey, UpperLimit, DataCentreOut, WholeAnswer, TrueRefusal, AtMostOnce, LeavingEndpoint,
+	GracefulStop, ConfigForward, NoLoss,
+}
+
 // New returns a checker that logs violations to log; with fatal set it panics instead of going on.
 func New(log *zap.Logger, fatal bool) *Checker {
-	return &Checker{log: log, fatal: fatal, violations: make(map[Name]int)}
+	c := &Checker{
+		log: log, fatal: fatal, violations: make(map[Name]int), checks: make(map[Name]*metrics.Counter, len(names)),
+	}
+	for _, name := range names {
+		c.checks[name] = metrics.GetOrCreateCounter(fmt.Sprintf(`aw_invariant_checks_total{name=%q}`, string(name)))
+	}
+	return c
 }
 
 // Check records one evaluation of the invariant; detail is formatted only when holds is false.
 func (c *Checker) Check(name Name, holds bool, format string, args ...any) {
-	metrics.GetOrCreateCounter(fmt.Sprintf(`aw_invariant_checks_total{name=%q}`, string(name))).Inc()
+	c.checks[name].Inc()
 	if holds {
 		return
 	}
--- a/internal/record/codec.go
+++ b/internal/record/codec.go
@@ -1,6 +1,7 @@
 package record
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -55,7 +56,7 @@
 	return json.Marshal(wire)
 }
 
-// Decode parses an envelope; it returns ErrMalformed for unknown kinds, so that an old program stops rather than
+// Decode parses an envelope; it returns ErrMalformed for unknown kinds and fields, so that an old program stops rather than
 // folding a state of its own.
 func Decode(data []byte) (Envelope, error) {
 	var wire wireEnvelope
@@ -160,7 +161,10 @@
 
 func decodeBody[T Op](op wireOp) (Op, error) {
 	var body T
-	if err := json.Unmarshal(op.Body, &body); err != nil {
+	decoder := json.NewDecoder(bytes.NewReader(op.Body))
+	// An unknown field belongs to a newer version, which may fold the operation in another way.
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&body); err != nil {
 		return nil, fmt.Errorf("%w: %s: %w", ErrMalformed, op.Kind, err)
 	}
 	return body, nil
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -28,6 +28,8 @@
 	forgotten []string
 	// hold blocks attempts until it is closed.
 	hold chan struct{}
+	// crossed makes answers name another attempt.
+	crossed bool
 }
 
 func (s *scripted) Send(ctx context.Context, call ports.Call) (ports.Answer, error) {
@@ -48,7 +50,11 @@
 	if err == nil || errors.Is(err, ports.ErrNoAnswer) {
 		s.runs[call.RequestID]++
 	}
-	return ports.Answer{Attempt: call.Attempt, Status: 200, Body: call.Body}, err
+	attempt := call.Attempt
+	if s.crossed {
+		attempt += "-other"
+	}
+	return ports.Answer{Attempt: attempt, Status: 200, Body: call.Body}, err
 }
 
 func (s *scripted) Forget(address string) {
@@ -256,3 +262,14 @@
 	}
 	assert.DeepEqual(t, e.forgotten, []string{"127.0.0.1:9000"})
 }
+
+// TestCrossedAnswerIsNotHandedOn guards against a caller that gets the answer to another request.
+func TestCrossedAnswerIsNotHandedOn(t *testing.T) {
+	e := &scripted{runs: make(map[string]int), crossed: true}
+	r := newRouter(t, e, endpoints(3))
+	r.cfg.Invariants = invar.New(zap.NewNop(), false)
+	answer, err := r.Serve(context.Background(), Request{Class: "quote", Team: "a", Body: []byte("mine")})
+	assert.ErrorIs(t, err, ErrUnknown)
+	assert.Equal(t, len(answer.Body), 0)
+	assert.Equal(t, r.cfg.Invariants.Violations()[invar.WholeAnswer], 1)
+}
--- a/standin/internal/fleet/fleet_test.go
+++ b/standin/internal/fleet/fleet_test.go
@@ -257,6 +257,30 @@
 	assert.Equal(t, report.Clock, model.Duration(m.now()-m.oracle.boot))
 }
 
+// TestLateStartHasNoEffect guards against a start that is delayed on its way and then runs beyond the time for which its
+// holder counts the task lease.
+func TestLateStartHasNoEffect(t *testing.T) {
+	tests := []struct {
+		delay time.Duration
+		runs  int
+	}{{0, 1}, {taskTTL.Std() - time.Second, 1}, {taskTTL.Std(), 0}, {time.Minute, 0}}
+	for _, test := range tests {
+		clock := clockwork.NewFakeClock()
+		fleet := newFleet(clock, &rules{})
+		first, err := fleet.Lease("w0", ports.LeaseRequest{Holder: "e1", TTL: model.Duration(time.Hour)})
+		assert.NilError(t, err)
+		clock.Advance(test.delay)
+		assert.NilError(t, fleet.Start("w0", first.Token, []ports.StartRequest{{
+			Attempt: attemptID(0, 1), Declared: model.Duration(time.Hour), TaskTTL: taskTTL, Basis: first.Clock,
+		}}))
+		report, err := fleet.Inspect("w0")
+		assert.NilError(t, err)
+		assert.Equal(t, len(report.Tasks), test.runs, "delay %s", test.delay)
+		clock.Advance(taskTTL.Std() - test.delay)
+		assert.Equal(t, fleet.Audit().Running, 0, "delay %s", test.delay)
+	}
+}
+
 func same(t *rapid.T, got, want error) {
 	t.Helper()
 	if !errors.Is(got, want) {
