fix(admin): survive changes that wait for approval

The logfmt encoder panics on a slice that is logged as a reflected value (reflect.Value.Elem on a slice), so an entry instance ended whenever a change became a proposal. The unit tests used a logger that writes nothing and passed; they now use the encoder of the programs. Found by two instances that ended during a race of operators; a fault of the race itself is ruled out by TestChange/waits, which panics in the same way without the change to change.go.

--- a/entry/internal/admin/change.go
+++ b/entry/internal/admin/change.go
@@ -101,7 +101,8 @@
 	if refusal, recorded := s.submit(ctx, answer.Offset, record.Proposal{Change: operation}); !recorded {
 		return partly(refusal, answer.PartInForce)
 	}
-	s.config.Log.Info("change waits for approval", zap.String("change", request.ID), zap.Any("organisations", touched))
+	s.config.Log.Info("change waits for approval", zap.String("change", request.ID),
+		zap.String("organisations", fmt.Sprint(touched)))
 	return reply{fasthttp.StatusAccepted, answer}
 }
 
--- a/entry/internal/admin/server_test.go
+++ b/entry/internal/admin/server_test.go
@@ -16,6 +16,7 @@
 
 	"arbutuswing.example/entry/internal/admin"
 	"arbutuswing.example/internal/decl"
+	"arbutuswing.example/internal/logs"
 	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/opapi"
 	"arbutuswing.example/internal/state"
@@ -55,8 +56,11 @@
 // start serves the operator API on a listener in memory until the test ends.
 func start(t *testing.T, f *fold, alter func(*admin.Config)) server {
 	t.Helper()
+	// The programs' own encoder refuses values that others accept.
+	log, err := logs.New(io.Discard, "debug")
+	assert.NilError(t, err)
 	config := admin.Config{
-		Address: "127.0.0.1:1", Instance: "entry-1", DataCentre: "dc1", Version: "test",
+		Address: "127.0.0.1:1", Instance: "entry-1", DataCentre: "dc1", Version: "test", Log: log,
 		OperatorKey: model.HashKey(operatorKey), State: f, Submitter: f, NotRecorded: errNotRecorded,
 	}
 	if alter != nil {
