--- /dev/null
+++ b/faults/jobs_test.go
@@ -0,0 +1,136 @@
+package faults
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// amount is an amount of processors and memory.
+type amount struct {
+	Cores  int `json:"milli-cores"`
+	Memory int `json:"memory-mib"`
+}
+
+// job is a job's specification.
+type job struct {
+	ID          string   `json:"id"`
+	Team        string   `json:"team"`
+	Class       string   `json:"class"`
+	Kind        string   `json:"kind"`
+	Tasks       int      `json:"tasks"`
+	Size        amount   `json:"size"`
+	RunTime     string   `json:"run-time"`
+	Rerun       bool     `json:"rerun"`
+	DataCentres []string `json:"data-centres,omitempty"`
+}
+
+// batch returns a job of team pricing.
+func batch(id string, tasks int, runTime string) job {
+	return job{
+		ID: id, Team: "pricing", Class: batchClass, Kind: "batch", Tasks: tasks, RunTime: runTime, Rerun: true,
+		Size: amount{Cores: taskCores, Memory: 1024},
+	}
+}
+
+// batches returns jobs with numbered names.
+func batches(prefix string, count, tasks int, runTime string) []job {
+	out := make([]job, 0, count)
+	for i := range count {
+		out = append(out, batch(fmt.Sprintf("%s-%d", prefix, i), tasks, runTime))
+	}
+	return out
+}
+
+// jobStatus is a job as the system shows it.
+type jobStatus struct {
+	Tasks    int            `json:"tasks"`
+	Done     int            `json:"done"`
+	Phases   map[string]int `json:"phases"`
+	Outcomes map[string]int `json:"outcomes"`
+	Unknown  []string       `json:"outcome-unknown"`
+}
+
+func (c *cluster) submit(e *entry, j job, key string) answer {
+	headers := map[string]string{"Team-Key": key}
+	return call(client, http.MethodPost, e.caller+"/v1/jobs", headers, encode(c.t, j))
+}
+
+func accepted(a answer) bool { return a.status == http.StatusOK || a.status == http.StatusAccepted }
+
+// submitUntilAccepted repeats a submission at one running instance after the other, as callers do.
+func (c *cluster) submitUntilAccepted(turn int, j job) bool {
+	deadline := time.Now().Add(patience)
+	for ; time.Now().Before(deadline); turn++ {
+		live := c.live()
+		if accepted(c.submit(live[turn%len(live)], j, pricingKey)) {
+			return true
+		}
+		time.Sleep(pollTick)
+	}
+	return false
+}
+
+// submitAll submits all jobs, several at a time, until each is accepted.
+func (c *cluster) submitAll(jobs []job) {
+	const parallel = 8
+	var group sync.WaitGroup
+	for worker := range parallel {
+		group.Go(func() {
+			for i := worker; i < len(jobs); i += parallel {
+				if !c.submitUntilAccepted(i, jobs[i]) {
+					c.t.Errorf("job %s was not accepted within %s", jobs[i].ID, patience)
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+}
+
+func (c *cluster) job(e *entry, id string) jobStatus {
+	var out jobStatus
+	fetch(e.caller+"/v1/jobs/"+id, nil, &out)
+	return out
+}
+
+// awaitDone waits until all jobs have ended, and checks with the stand-in that each task succeeded exactly once.
+func (c *cluster) awaitDone(jobs []job) {
+	c.t.Helper()
+	e := c.live()[0]
+	for _, j := range jobs {
+		var got jobStatus
+		done := eventually(patience, func() bool {
+			got = c.job(e, j.ID)
+			return got.Tasks == j.Tasks && got.Done == j.Tasks
+		})
+		if !done {
+			c.t.Fatalf("job %s did not end within %s: %+v", j.ID, patience, got)
+		}
+		assert.Equal(c.t, got.Outcomes["succeeded"], j.Tasks, "job %s: %v", j.ID, got.Outcomes)
+	}
+	audit := c.audit()
+	for _, j := range jobs {
+		for i := range j.Tasks {
+			task := fmt.Sprintf("%s/%d", j.ID, i)
+			assert.Check(c.t, audit.Tasks[task].Completions == 1, "task %s: %+v", task, audit.Tasks[task])
+		}
+	}
+	c.checkAudit()
+}
+
+func (c *cluster) request(from *http.Client, e *entry, class, id string, wish map[string]any, headers map[string]string) answer {
+	if wish == nil {
+		wish = map[string]any{}
+	}
+	wish["request-id"] = id
+	body, err := json.Marshal(wish)
+	if err != nil {
+		return answer{outcome: noAnswer, err: err}
+	}
+	return call(from, http.MethodPost, e.caller+"/v1/requests/"+class, headers, append(body, '\n'))
+}
--- /dev/null
+++ b/faults/standin_test.go
@@ -0,0 +1,160 @@
+package faults
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+
+	"gotest.tools/v3/assert"
+)
+
+// report is the part of the stand-in's audit that tests read.
+type report struct {
+	Violations     map[string]int `json:"violations"`
+	Examples       []string       `json:"examples"`
+	Starts         int            `json:"starts"`
+	Running        int            `json:"running"`
+	Outcomes       map[string]int `json:"outcomes"`
+	Doubled        int            `json:"doubled"`
+	CompletedAgain int            `json:"completed-again"`
+	Teams          map[string]struct {
+		Tasks int `json:"tasks"`
+	} `json:"teams"`
+	Tasks map[string]struct {
+		Starts      int `json:"starts"`
+		Completions int `json:"completions"`
+		Running     int `json:"running"`
+	} `json:"tasks"`
+}
+
+func (c *cluster) audit() report {
+	c.t.Helper()
+	var out report
+	assert.Assert(c.t, fetch(c.platform+"/audit", nil, &out), "reading the audit")
+	return out
+}
+
+// checkAudit fails the test if a task ran where or when it must not, or if an instance saw an invariant violated.
+func (c *cluster) checkAudit() {
+	c.t.Helper()
+	audit := c.audit()
+	for name, count := range audit.Violations {
+		assert.Check(c.t, count == 0, "%s: %d times: %q", name, count, audit.Examples)
+	}
+	assert.Check(c.t, audit.Doubled == 0 && audit.CompletedAgain == 0,
+		"%d tasks were acknowledged and %d completed more than once", audit.Doubled, audit.CompletedAgain)
+	for _, e := range c.live() {
+		for name, count := range c.status(e).Violations {
+			assert.Check(c.t, count == 0, "%s counted invariant %s violated %d times", e.name, name, count)
+		}
+	}
+}
+
+// endpointReport is the part of the endpoints' audit that tests read.
+type endpointReport struct {
+	Runs      int            `json:"runs"`
+	Running   int            `json:"running"`
+	Repeated  map[string]int `json:"repeated"`
+	ByRequest map[string]int `json:"runs-by-request"`
+}
+
+func (c *cluster) endpointAudit() endpointReport {
+	c.t.Helper()
+	var out endpointReport
+	assert.Assert(c.t, fetch(c.endpoints+"/audit?all=true", nil, &out), "reading the endpoints' audit")
+	return out
+}
+
+type faultAnswer struct {
+	ID  int `json:"id"`
+	Hit int `json:"hit"`
+}
+
+func (c *cluster) setFault(standin string, fault map[string]any) faultAnswer {
+	c.t.Helper()
+	got := call(client, http.MethodPost, standin+"/faults", nil, encode(c.t, fault))
+	assert.Equal(c.t, got.status, http.StatusOK, "%v: %s", fault, got.body)
+	var out faultAnswer
+	assert.NilError(c.t, json.Unmarshal(got.body, &out))
+	return out
+}
+
+// fault sets a fault of the platform and returns a function that clears it.
+func (c *cluster) fault(fault map[string]any) (clearIt func()) {
+	c.t.Helper()
+	id := c.setFault(c.platform, fault).ID
+	return func() {
+		c.t.Helper()
+		got := call(client, http.MethodDelete, fmt.Sprintf("%s/faults/%d", c.platform, id), nil, nil)
+		assert.Equal(c.t, got.status, http.StatusOK, string(got.body))
+	}
+}
+
+// workerReport is the part of a worker's report that tests read.
+type workerReport struct {
+	Token int64 `json:"token"`
+	Tasks []struct {
+		Attempt string `json:"attempt"`
+		Phase   string `json:"phase"`
+	} `json:"tasks"`
+}
+
+func (c *cluster) worker(id string) workerReport {
+	c.t.Helper()
+	var out workerReport
+	assert.Assert(c.t, fetch(c.platform+"/workers/"+id, nil, &out), "inspecting worker %s", id)
+	return out
+}
+
+// heldLease is a worker lease in an instance's state dump.
+type heldLease struct {
+	Worker string `json:"worker"`
+	Token  int64  `json:"token"`
+}
+
+// leases returns the worker leases that an instance believes to hold.
+func (c *cluster) leases(e *entry) []heldLease {
+	var dump struct {
+		Sections []struct {
+			Name     string          `json:"name"`
+			Contents json.RawMessage `json:"contents"`
+		} `json:"sections"`
+	}
+	if !fetch(e.admin+"/dump", operator, &dump) {
+		return nil
+	}
+	var out []heldLease
+	for _, section := range dump.Sections {
+		if section.Name == "lease" {
+			_ = json.Unmarshal(section.Contents, &out)
+		}
+	}
+	return slices.DeleteFunc(out, func(l heldLease) bool { return l.Token == 0 })
+}
+
+// placer returns the instance that holds the lease of the data centre's first worker, or nil.
+func (c *cluster) placer(centre string) *entry {
+	c.t.Helper()
+	worker := centre + "-w1"
+	token := c.worker(worker).Token
+	for _, e := range c.in(centre) {
+		for _, held := range c.leases(e) {
+			if token != 0 && held.Worker == worker && held.Token == token {
+				return e
+			}
+		}
+	}
+	return nil
+}
+
+// awaitPlacer waits until the data centre's workers are leased.
+func (c *cluster) awaitPlacer(centre string) *entry {
+	c.t.Helper()
+	var found *entry
+	within(c.t, patience, "a placer in "+centre, func() bool {
+		found = c.placer(centre)
+		return found != nil
+	})
+	return found
+}
