--- a/faults/standin_test.go
+++ b/faults/standin_test.go
@@ -158,3 +158,10 @@
 	})
 	return found
 }
+
+// awaitIdle waits until no request runs, so that the endpoints' audit is complete.
+func (c *cluster) awaitIdle() endpointReport {
+	c.t.Helper()
+	within(c.t, patience, "endpoints are idle", func() bool { return c.endpointAudit().Running == 0 })
+	return c.endpointAudit()
+}
