--- a/internal/stream/config.go
+++ b/internal/stream/config.go
@@ -129,7 +129,7 @@
 	setDefault(&c.RetryMax, 500*time.Millisecond)
 	setDefault(&c.RefuseAfter, 500*time.Millisecond)
 	setDefault(&c.FreshBound, 2*time.Second)
-	setDefault(&c.RelayAfter, 1200*time.Millisecond)
+	setDefault(&c.RelayAfter, c.FreshBound*3/5)
 	setDefault(&c.PeerWait, time.Second)
 	setDefault(&c.QueueOps, 8192)
 	setDefault(&c.QueueBytes, 4<<20)
