fix(platf): trust a 503 on an append only when the platform wrote it

Cause: a device on the way may answer 503 after the append took effect; the operations were then reported as not recorded, which could be untrue.

--- a/internal/platf/log.go
+++ b/internal/platf/log.go
@@ -43,7 +43,7 @@
 	switch {
 	case status == fasthttp.StatusTooManyRequests && code == CodeThrottled:
 		return fmt.Errorf("%w: appending: %w", ports.ErrThrottled, detail)
-	case status == fasthttp.StatusServiceUnavailable, code == CodeBadRequest:
+	case status == fasthttp.StatusServiceUnavailable && code == CodeUnavailable, code == CodeBadRequest:
 		return fmt.Errorf("%w: appending: %w", ports.ErrUnavailable, detail)
 	default:
 		return fmt.Errorf("%w: appending: %w", ports.ErrUnknownEffect, detail)
