--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 GOLANGCI_LINT_VERSION := v2.15.0
 GOFUMPT_VERSION := v0.12.0
 
-.PHONY: build test vet lint format format-check house tools demo soak measure clean
+.PHONY: build test vet lint format format-check house tools demo soak slopes measure clean
 
 build:
 	@mkdir -p $(BIN)
@@ -48,5 +48,8 @@
 demo: build
 	scripts/demo
 
+slopes: build
+	scripts/measure-slopes
+
 clean:
 	rm -rf $(BIN) .run
--- /dev/null
+++ b/bench/internal/fits/doc.go
@@ -0,0 +1,2 @@
+// Package fits fits straight lines to measured points and prints them.
+package fits
--- /dev/null
+++ b/bench/internal/meter/doc.go
@@ -0,0 +1,2 @@
+// Package meter reads what the process used: processor time, heap, and bytes on connections.
+package meter
--- /dev/null
+++ b/bench/internal/slopes/place.go
@@ -0,0 +1,203 @@
+package slopes
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"arbutuswing.example/bench/internal/fits"
+	"arbutuswing.example/internal/decl"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/place"
+	"arbutuswing.example/internal/policy"
+	"arbutuswing.example/internal/state"
+)
+
+// errNoRoom reports a rig whose fleet has no room although it should.
+var errNoRoom = errors.New("no room for any task")
+
+const (
+	decisions = 10_000
+	// fillPart is the part of the fleet's processors that is reserved while decisions are measured.
+	fillPart   = 0.85
+	queuedJobs = 2_000
+	jobTasks   = 8
+	perRack    = 8
+	slowest    = int64(10 * time.Second)
+)
+
+// fixedEstimates stands for the learned sizes of the fold.
+type fixedEstimates struct{ sizes []model.Resources }
+
+// Estimate implements policy.Estimator.
+func (f fixedEstimates) Estimate(spec model.JobSpec) (state.Estimate, bool) {
+	size := f.sizes[len(spec.ID)%len(f.sizes)]
+	size.Cores = spec.Size.Cores
+	return state.Estimate{Size: size, RunTime: model.Duration(time.Minute), RunTimeHigh: model.Duration(4 * time.Minute), Count: 32}, true
+}
+
+// placer decides with the queue and the book as a round of the placer does, without the log.
+type placer struct {
+	rng        *rand.Rand
+	book       *place.Book
+	queue      *policy.Queue
+	learner    *policy.Learner
+	capacities []model.Resources
+	teams      int
+	next       int
+	running    []placed
+	round      *policy.Round
+}
+
+type placed struct {
+	worker model.WorkerID
+	team   model.TeamID
+	size   model.Resources
+}
+
+func newPlacer(workers, teams int) (*placer, error) {
+	book, err := place.New(place.Config{})
+	if err != nil {
+		return nil, fmt.Errorf("making a book: %w", err)
+	}
+	capacity := model.Resources{Cores: 64_000, Memory: 256 << 10}
+	p := &placer{
+		rng: rand.New(rand.NewPCG(1, 2)), book: book, capacities: []model.Resources{capacity}, teams: teams,
+		learner: policy.NewLearner(policy.Config{}, fixedEstimates{sizes: []model.Resources{{Memory: 4 << 10}, {Memory: 12 << 10}}}),
+	}
+	p.queue = policy.NewQueue(policy.Config{}, p.learner)
+	set := decl.Set{Classes: []decl.Class{
+		{Name: "urgent", Target: decl.Target{StartedWithin: model.Duration(4 * time.Second)}},
+		{Name: "overnight", Target: decl.Target{DoneBy: &decl.DoneBy{Time: "06:00", Zone: "UTC"}}},
+		{Name: "patient"},
+	}}
+	for i := range teams {
+		set.Teams = append(set.Teams, decl.Team{Name: teamName(i), Share: float64(1 + i%4)})
+	}
+	p.queue.Declare(set)
+	p.queue.SetTotal(capacity.Times(workers))
+	for i := range workers {
+		book.Set(place.Worker{
+			ID: model.WorkerID(fmt.Sprintf("w%05d", i)), Rack: model.RackID(fmt.Sprintf("r%04d", i/perRack)),
+			Capacity: capacity, Usable: true,
+		})
+	}
+	return p, p.fill(model.MilliCores(fillPart * float64(capacity.Times(workers).Cores)))
+}
+
+func teamName(i int) model.TeamID { return model.TeamID(fmt.Sprintf("team-%03d", i)) }
+
+// fill places tasks until the given processors are reserved.
+func (p *placer) fill(cores model.MilliCores) error {
+	for used := model.MilliCores(0); used < cores; {
+		p.top()
+		took, size, ok := p.decide()
+		if !ok {
+			return fmt.Errorf("filling the fleet after %s: %w", took, errNoRoom)
+		}
+		used += size.Cores
+	}
+	return nil
+}
+
+// top keeps queuedJobs jobs of all teams and classes waiting.
+func (p *placer) top() {
+	for p.queue.Len() < queuedJobs*jobTasks {
+		p.next++
+		spec := model.JobSpec{
+			ID: model.JobID(fmt.Sprintf("job-%d", p.next)), Team: teamName(p.next % p.teams), Kind: model.KindBatch,
+			Class: []model.ClassID{"patient", "overnight", "patient", "urgent"}[p.rng.IntN(4)], Tasks: jobTasks,
+			Size:    model.Resources{Cores: model.MilliCores(500 * (1 + p.rng.IntN(16))), Memory: model.Mebibytes(1024 * (1 + p.rng.IntN(16)))},
+			RunTime: model.Duration(time.Minute),
+		}
+		for i := range jobTasks {
+			task := state.Task{ID: model.TaskID{Job: spec.ID, Index: i}, Phase: state.PhaseQueued, QueuedAt: int64(p.next) * int64(time.Millisecond)}
+			p.queue.Put(task, spec, 0)
+		}
+	}
+}
+
+// decide takes the next task in order, reserves room for it and takes it out of the queue.
+func (p *placer) decide() (time.Duration, model.Resources, bool) {
+	began := time.Now()
+	if p.round == nil {
+		p.round = p.queue.Begin(time.Unix(1_000, 0))
+	}
+	c, ok := p.round.Next()
+	if !ok {
+		p.round.Close()
+		p.round = nil
+		return time.Since(began), model.Resources{}, false
+	}
+	size := p.learner.Reserve(c.Spec, c.Tasks[0].ID, p.capacities)
+	if !p.queue.Allows(c.Spec.Team, size, 1) {
+		p.round.Skip(c)
+		return time.Since(began), size, false
+	}
+	worker, ok := p.book.Place(place.Demand{Size: size})
+	if !ok {
+		p.round.Skip(c)
+		return time.Since(began), size, false
+	}
+	p.queue.Remove(c.Tasks[0].ID)
+	p.queue.Charge(c.Spec.Team, size, 1)
+	took := time.Since(began)
+	p.running = append(p.running, placed{worker: worker, team: c.Spec.Team, size: size})
+	return took, size, true
+}
+
+// end ends a random running task.
+func (p *placer) end() {
+	i := p.rng.IntN(len(p.running))
+	r := p.running[i]
+	p.running[i] = p.running[len(p.running)-1]
+	p.running = p.running[:len(p.running)-1]
+	p.book.Release(r.worker, r.size)
+	p.queue.Charge(r.team, model.Resources{}.Minus(r.size), -1)
+}
+
+// times measures decisions with the fleet nearly full: each follows the end of a random task.
+func (p *placer) times() *hdrhistogram.Histogram {
+	h := hdrhistogram.New(1, slowest, 3)
+	for range decisions {
+		p.end()
+		p.top()
+		took, _, _ := p.decide()
+		_ = h.RecordValue(min(int64(took), slowest))
+	}
+	return h
+}
+
+// placement measures decisions by the number of workers and of teams.
+func placement(Config) ([]fits.Series, error) {
+	var out []fits.Series
+	byWorkers, err := decisionTimes("worker (280 teams)", []int{50, 500, 5_000, 7_500}, func(n int) (*placer, error) { return newPlacer(n, 280) })
+	if err != nil {
+		return nil, err
+	}
+	byTeams, err := decisionTimes("team (7,500 workers)", []int{10, 70, 140, 280}, func(n int) (*placer, error) { return newPlacer(7_500, n) })
+	if err != nil {
+		return nil, err
+	}
+	out = append(out, byWorkers...)
+	return append(out, byTeams...), nil
+}
+
+func decisionTimes(size string, values []int, make func(n int) (*placer, error)) ([]fits.Series, error) {
+	var mean, high []fits.Point
+	for _, n := range values {
+		p, err := make(n)
+		if err != nil {
+			return nil, err
+		}
+		h := p.times()
+		mean = append(mean, fits.Point{X: float64(n), Y: h.Mean() / 1e3})
+		high = append(high, fits.Point{X: float64(n), Y: float64(h.ValueAtQuantile(99)) / 1e3})
+	}
+	return []fits.Series{
+		fits.New("placement decision, mean", size, "us", mean), fits.New("placement decision, p99", size, "us", high),
+	}, nil
+}
