--- a/bench/internal/slopes/codec.go
+++ b/bench/internal/slopes/codec.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/klauspost/compress/zstd"
+
 	"arbutuswing.example/bench/internal/fits"
 	"arbutuswing.example/bench/internal/meter"
 	"arbutuswing.example/bench/internal/rigs"
@@ -32,6 +34,13 @@
 			return record.JobAccepted{Spec: r.Size.Spec(i, 4), Key: rigs.Key(i % 10), Submitted: time.Now().UnixNano()}
 		}},
 		{"change", change},
+		{"member-joined", func(i int) record.Op {
+			return record.MemberJoined{
+				Instance: model.InstanceID(fmt.Sprintf("entry-dc01-%d", i)), Incarnation: 1_780_000_000_000_000_000, DataCentre: "dc01",
+				PeerAddress: "10.1.2.3:7002", AdminAddress: "10.1.2.3:7001",
+			}
+		}},
+		{"worker-seen", func(i int) record.Op { return r.Size.Worker(i) }},
 	}
 	var out []fits.Series
 	for _, m := range makers {
@@ -59,7 +68,11 @@
 }
 
 func codecOf(r *rigs.Rig, name string, op func(int) record.Op) ([]fits.Series, error) {
-	var size, encode, decode []fits.Point
+	var size, packed, encode, decode []fits.Point
+	compressor, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+	if err != nil {
+		return nil, fmt.Errorf("making a compressor: %w", err)
+	}
 	for _, n := range envelopeSizes {
 		ops := make([]record.Op, n)
 		for i := range ops {
@@ -72,6 +85,7 @@
 		}
 		x := float64(n)
 		size = append(size, fits.Point{X: x, Y: float64(len(data))})
+		packed = append(packed, fits.Point{X: x, Y: float64(len(compressor.EncodeAll(data, nil)))})
 		took, err := perCall(func() error { _, err := record.Encode(env); return err })
 		if err != nil {
 			return nil, err
@@ -85,6 +99,7 @@
 	per := name + " operation"
 	return []fits.Series{
 		fits.New("envelope of "+name+", encoded", per, "bytes", size),
+		fits.New("envelope of "+name+", encoded and compressed with zstd (not done today)", per, "bytes", packed),
 		fits.New("encoding an envelope of "+name, per, "us", encode),
 		fits.New("decoding an envelope of "+name, per, "us", decode),
 	}, nil
--- a/bench/internal/slopes/memory.go
+++ b/bench/internal/slopes/memory.go
@@ -23,6 +23,7 @@
 		{"bound task", []int{1000, 2500, 5000}, func(s rigs.Size, n int) rigs.Size { s.Bound = n; return s }},
 		{"queued task (jobs of 4)", []int{4000, 12000, 32000}, func(s rigs.Size, n int) rigs.Size { s.Queued = n; return s }},
 		{"finished job", []int{2000, 8000, 20000}, func(s rigs.Size, n int) rigs.Size { s.Finished = n; return s }},
+		{"finished job of which only the outcome is kept", []int{30000, 50000, 80000}, func(s rigs.Size, n int) rigs.Size { s.Finished = n; return s }},
 		{"team", []int{20, 100, 280}, func(s rigs.Size, n int) rigs.Size { s.Teams = n; return s }},
 	}
 	var out []fits.Series
--- a/bench/main.go
+++ b/bench/main.go
@@ -4,9 +4,11 @@
 	"errors"
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 
+	"arbutuswing.example/bench/internal/reqs"
 	"arbutuswing.example/bench/internal/slopes"
 )
 
@@ -22,8 +24,27 @@
 	return slopes.Run(slopes.Config{Platform: c.Platform, Only: c.Only, JSON: c.JSON})
 }
 
+// requestsCommand measures what an entry instance adds to a request.
+type requestsCommand struct {
+	Entry     string        `long:"entry" required:"true" description:"IP:port of an entry instance for callers"`
+	Process   int           `long:"process" description:"process ID of the entry instance, for its processor time"`
+	Endpoints []string      `long:"endpoint" required:"true" description:"IP:port of an endpoint; may be repeated"`
+	Rates     []int         `long:"rate" description:"requests per second; may be repeated (default: 500, 1000, 2000)"`
+	Slices    int           `long:"slices" description:"slices sent each way at each rate (default: 5)"`
+	Work      time.Duration `long:"work" description:"time that the endpoint works on a request (default: 1ms)"`
+	JSON      string        `long:"json" description:"file for the results"`
+}
+
+// Execute implements flags.Commander.
+func (c *requestsCommand) Execute([]string) error {
+	return reqs.Run(reqs.Config{
+		Entry: c.Entry, Process: c.Process, Endpoints: c.Endpoints, Rates: c.Rates, Slices: c.Slices, Work: c.Work, JSON: c.JSON,
+	})
+}
+
 type options struct {
-	Slopes slopesCommand `command:"slopes" description:"measure costs at several sizes and fit lines to them"`
+	Slopes   slopesCommand   `command:"slopes" description:"measure costs at several sizes and fit lines to them"`
+	Requests requestsCommand `command:"requests" description:"measure the time that an entry instance adds to a request"`
 }
 
 func main() {
