--- /dev/null
+++ b/bench/internal/trial/run.go
@@ -0,0 +1,106 @@
+package trial
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"arbutuswing.example/bench/internal/fleet"
+	"arbutuswing.example/bench/internal/mixes"
+)
+
+// ErrBadConfig reports settings that can't be run.
+var ErrBadConfig = errors.New("bad measure settings")
+
+// Config selects a run.
+type Config struct {
+	Seed uint64
+	// Baseline also runs the baseline on the same mix.
+	Baseline bool
+	// Load is the work of the night as a part of what the fleet could do.
+	Load float64
+	JSON string
+	Out  io.Writer
+}
+
+// WithDefaults returns the settings with a load that keeps the fleet full for most of the night.
+func (c Config) WithDefaults() Config {
+	if c.Seed == 0 {
+		c.Seed = 1
+	}
+	if c.Load == 0 {
+		c.Load = 0.75
+	}
+	if c.Out == nil {
+		c.Out = os.Stdout
+	}
+	return c
+}
+
+// Check returns ErrBadConfig for a load out of range.
+func (c Config) Check() error {
+	if c.Load <= 0 || c.Load > 2 {
+		return fmt.Errorf("%w: load %g", ErrBadConfig, c.Load)
+	}
+	return nil
+}
+
+// Run plays the mix and prints what was measured.
+func Run(cfg Config) error {
+	cfg = cfg.WithDefaults()
+	if err := cfg.Check(); err != nil {
+		return err
+	}
+	results := []Result{}
+	for _, baseline := range []bool{false, true} {
+		if baseline && !cfg.Baseline {
+			continue
+		}
+		r, err := cfg.play(baseline)
+		if err != nil {
+			return err
+		}
+		results = append(results, r)
+	}
+	if err := printResults(cfg, results); err != nil {
+		return err
+	}
+	if cfg.JSON == "" {
+		return nil
+	}
+	data, err := json.MarshalIndent(results, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encoding the results: %w", err)
+	}
+	if err := os.WriteFile(cfg.JSON, append(data, '\n'), 0o644); err != nil {
+		return fmt.Errorf("writing the results: %w", err)
+	}
+	return nil
+}
+
+func (c Config) play(baseline bool) (Result, error) {
+	cores := 0
+	for _, n := range workers {
+		cores += n * int(fleet.Capacity.Cores) / 1000
+	}
+	t := newTrial(mixes.New(c.Seed, centres, cores, c.Load))
+	name := "arbutuswing"
+	if baseline {
+		name = "baseline"
+		t.sched = newBaseline(t)
+	} else {
+		s, err := newSystem(t)
+		if err != nil {
+			return Result{}, err
+		}
+		t.sched = s
+	}
+	began := time.Now()
+	if err := t.run(); err != nil {
+		return Result{}, err
+	}
+	return t.result(name, c, time.Since(began)), nil
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -10,6 +10,7 @@
 
 	"arbutuswing.example/bench/internal/reqs"
 	"arbutuswing.example/bench/internal/slopes"
+	"arbutuswing.example/bench/internal/trial"
 )
 
 // slopesCommand measures costs at several sizes.
@@ -42,8 +43,22 @@
 	})
 }
 
+// measureCommand plays a mix of work through the decision modules.
+type measureCommand struct {
+	Baseline bool    `long:"baseline" description:"also run plain first-come first-fit on the same mix"`
+	Seed     uint64  `long:"seed" default:"1" description:"seed of the mix"`
+	Load     float64 `long:"load" description:"work of the night as a part of what the fleet can do (default: 0.75)"`
+	JSON     string  `long:"json" description:"file for the results"`
+}
+
+// Execute implements flags.Commander.
+func (c *measureCommand) Execute([]string) error {
+	return trial.Run(trial.Config{Seed: c.Seed, Baseline: c.Baseline, Load: c.Load, JSON: c.JSON})
+}
+
 type options struct {
 	Slopes   slopesCommand   `command:"slopes" description:"measure costs at several sizes and fit lines to them"`
+	Measure  measureCommand  `command:"measure" description:"measure scheduling with a seeded mix of work"`
 	Requests requestsCommand `command:"requests" description:"measure the time that an entry instance adds to a request"`
 }
 
