--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 BIN := $(CURDIR)/.bin
 GOLANGCI_LINT_VERSION := v2.15.0
 GOFUMPT_VERSION := v0.12.0
+MEASURE_SEEDS := 1 2
 
 .PHONY: build test vet lint format format-check house tools demo soak slopes measure clean
 
@@ -51,5 +52,10 @@
 slopes: build
 	scripts/measure-slopes
 
+measure: build
+	@mkdir -p .run/measure
+	@for seed in $(MEASURE_SEEDS); do \
+		$(BIN)/aw-bench measure --baseline --seed $$seed --json .run/measure/seed-$$seed.json || exit 1; done
+
 clean:
 	rm -rf $(BIN) .run
--- a/bench/internal/trial/score.go
+++ b/bench/internal/trial/score.go
@@ -8,11 +8,14 @@
 	"arbutuswing.example/bench/internal/fleet"
 	"arbutuswing.example/bench/internal/mixes"
 	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/state"
 )
 
 const (
 	slowest   = int64(length)
 	precision = 3
+	// maxFailures is the number of failed attempts after which both schedulers give a task up.
+	maxFailures = state.DefaultMaxFailures
 )
 
 // score counts what users measure.
@@ -25,13 +28,16 @@
 	waiting map[model.TeamID]model.Resources
 	shares  *shares
 
-	startedOut, switchedOff, preempted, failed int
-	starts, done                               int
-	planning                                   planning
-	packing                                    ratio
+	startedOut, switchedOff, preempted, failed, gaveUp int
+	starts, done                                       int
+	planning                                           planning
+	packing                                            ratio
 	// usefulBefore, usefulOut and usefulIn are the useful core-seconds at the start of the reference, at outAt and at inAt.
 	usefulBefore, usefulOut, usefulIn float64
 	doneWork                          float64
+	// usefulNight is the useful core-seconds while work arrived.
+	usefulNight float64
+	failures    map[model.TaskID]int
 }
 
 // planning is the outcome of the overnight jobs.
@@ -54,6 +60,7 @@
 	s := &score{
 		t: t, waits: make(map[model.ClassID]*hdrhistogram.Histogram), begun: make(map[model.TaskID]bool),
 		arrives: make(map[model.ClassID]int), left: make(map[model.JobID]int), waiting: make(map[model.TeamID]model.Resources),
+		failures: make(map[model.TaskID]int),
 	}
 	for _, class := range mixes.Classes {
 		s.waits[class] = hdrhistogram.New(1, slowest, precision)
@@ -90,6 +97,10 @@
 		return
 	case model.OutcomeFailed:
 		s.failed++
+		if s.failures[r.Attempt.Task]++; s.failures[r.Attempt.Task] >= maxFailures {
+			s.gaveUp++
+			return
+		}
 	default:
 		s.preempted++
 	}
@@ -120,6 +131,8 @@
 		s.usefulOut = useful
 	case inAt:
 		s.usefulIn = useful
+	case mixes.Night:
+		s.usefulNight = useful
 	}
 	full := s.shares.sample(now)
 	if full {
--- a/bench/internal/trial/shares.go
+++ b/bench/internal/trial/shares.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -28,7 +29,9 @@
 	seconds, fullMinutes int
 	// points is the largest distance in parts of the fleet, relative the largest in parts of the due share.
 	points, relative float64
-	meanPoints       ratio
+	// worst names the team and the minute of the largest distance.
+	worst      string
+	meanPoints ratio
 	// within counts the teams and minutes within 5% of the due share.
 	within ratio
 }
@@ -76,7 +79,7 @@
 		s.add(reserved, demand, total)
 	}
 	if now%time.Minute == 0 {
-		s.close()
+		s.close(now)
 	}
 	return full
 }
@@ -121,12 +124,15 @@
 }
 
 // close rates the minute if the fleet was full all along, and begins the next one.
-func (s *shares) close() {
+func (s *shares) close(now time.Duration) {
 	if s.seconds == perMinute {
 		s.fullMinutes++
 		for team, due := range s.due {
 			distance := math.Abs(s.usage[team] - due)
-			s.points = max(s.points, distance)
+			if distance > s.points {
+				s.points = distance
+				s.worst = fmt.Sprintf("%s at %s: has %.1f%%, is due %.1f%%", team, now, 100*s.usage[team], 100*due)
+			}
 			s.meanPoints.part += distance
 			s.meanPoints.whole++
 			if due >= smallShare {
