feat(sched): bound the cost of rounds on a full fleet

Backlogs are summed as they change instead of being counted anew, workers are kept in order instead of being sorted for each search, and a round that found no room for anything is followed by a rest of five intervals, which urgent work ends.

--- a/internal/place/config.go
+++ b/internal/place/config.go
@@ -30,13 +30,13 @@
 // Config holds the settings of a book.
 type Config struct {
 	// Shards is the number of separately locked parts of the book.
-	Shards int `json:"shards"`
+	Shards int
 	// Scan bounds the workers that are compared within one cell of the index.
-	Scan int `json:"scan"`
+	Scan int
 	// Strategy selects among the workers with room.
-	Strategy Strategy `json:"strategy"`
+	Strategy Strategy
 	// Balance weighs the imbalance of what stays free against the amount that stays free.
-	Balance float64 `json:"balance"`
+	Balance float64
 }
 
 // WithDefaults returns the settings with zero values replaced.
--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -35,7 +35,9 @@
 	// queued and at are when the task was queued and bound, in nanoseconds since 1970 by the writers' clocks.
 	queued, at int64
 
-	behind   bool
+	behind bool
+	// work is what the attempt adds to the backlog of its worker while it is behind others.
+	work     time.Duration
 	stopping bool
 	// pulled is set for attempts with a team's own runner; they are on no worker.
 	pulled bool
--- a/internal/sched/backlog.go
+++ b/internal/sched/backlog.go
@@ -25,10 +25,7 @@
 		return false
 	}
 	least, target := p.cfg.Backlog, (*session)(nil)
-	for i, s := range p.scan() {
-		if i == backlogTries {
-			break
-		}
+	for _, s := range p.scan(backlogTries) {
 		if work, ok := r.backlogWith(s, size, runTime); ok && (work < least || target == nil && work == least) {
 			least, target = work, s
 		}
@@ -38,7 +35,6 @@
 		return false
 	}
 	r.bind(c, c.Tasks[0], size, target.id, true)
-	r.behind[target.id] += share(runTime, size, target.worker.Capacity)
 	return true
 }
 
@@ -51,21 +47,19 @@
 	if avoid := p.avoid(r.now); avoid != nil && avoid(s.id) {
 		return 0, false
 	}
-	work, known := r.behind[s.id]
-	if !known {
-		for _, a := range s.bound {
-			if a.behind {
-				work += share(p.learner.RunTime(a.spec), a.reservation, s.worker.Capacity)
-			}
-		}
-		for _, t := range p.taking {
-			if t.op.Behind && t.op.Worker == s.id {
-				work += share(p.learner.RunTime(t.spec), t.op.Reservation, s.worker.Capacity)
-			}
-		}
-		r.behind[s.id] = work
+	return p.backlog[s.id] + share(runTime, size, s.worker.Capacity), true
+}
+
+// addBacklog changes the work that waits behind others on a worker.
+func (p *Placer) addBacklog(id model.WorkerID, work time.Duration) {
+	if p.backlog[id] += work; p.backlog[id] <= 0 {
+		delete(p.backlog, id)
 	}
-	return work + share(runTime, size, s.worker.Capacity), true
+}
+
+// workOf returns how long the whole worker would take for a task.
+func (p *Placer) workOf(spec model.JobSpec, size model.Resources, id model.WorkerID) time.Duration {
+	return share(p.learner.RunTime(spec), size, p.workers[id].Capacity)
 }
 
 // share returns the time that the whole worker would take for the work.
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -149,3 +149,33 @@
 		})
 	}
 }
+
+// BenchmarkFullFleet times rounds when nothing fits any more and the backlogs are full.
+func BenchmarkFullFleet(b *testing.B) {
+	for _, workers := range fleetSizes {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			s := newStage(b, workers, 512)
+			s.p.cfg.Backlog = time.Second
+			for _, host := range s.p.sessions {
+				host.held = true
+				free, _ := s.p.book.Free(host.id)
+				s.p.book.Reserve(host.id, free)
+			}
+			for more := true; more; more = len(s.p.decide()) > 0 {
+				s.p.changed, s.p.rest = true, time.Time{}
+			}
+			for range 3 * 280 * 8 {
+				s.submit()
+			}
+			hist := hdrhistogram.New(1, int64(10*time.Second), 3)
+			for b.Loop() {
+				s.p.changed, s.p.rest = true, time.Time{}
+				began := time.Now()
+				_ = s.p.decide()
+				_ = hist.RecordValue(int64(time.Since(began)))
+			}
+			b.ReportMetric(float64(hist.ValueAtQuantile(50))/1e3, "p50-us")
+			b.ReportMetric(float64(hist.ValueAtQuantile(99))/1e3, "p99-us")
+		})
+	}
+}
--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -138,7 +138,7 @@
 	var best []policy.Running
 	least := time.Duration(0)
 	found := false
-	for _, s := range p.scan() {
+	for _, s := range p.scan(maxScanned) {
 		if !s.held || s.leaving || !usable(s.worker) || !size.Fits(s.worker.Capacity) || (avoid != nil && avoid(s.id)) {
 			continue
 		}
@@ -158,16 +158,12 @@
 	return worker, out, found
 }
 
-// scan returns the next workers in turn, at most maxScanned of them.
-func (p *Placer) scan() []*session {
-	ids := make([]model.WorkerID, 0, len(p.sessions))
-	for id := range p.sessions {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	out := make([]*session, 0, min(len(ids), maxScanned))
-	for i := range min(len(ids), maxScanned) {
-		out = append(out, p.sessions[ids[(p.cursor+i)%len(ids)]])
+// scan returns the next workers in turn, at most limit of them.
+func (p *Placer) scan(limit int) []*session {
+	n := min(len(p.ids), limit)
+	out := make([]*session, 0, n)
+	for i := range n {
+		out = append(out, p.sessions[p.ids[(p.cursor+i)%len(p.ids)]])
 	}
 	p.cursor += len(out)
 	return out
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -16,6 +16,8 @@
 	op   record.Taken
 	task state.Task
 	spec model.JobSpec
+	// work is what the task adds to the backlog of its worker.
+	work time.Duration
 }
 
 // roundStats describes the last round, for the dump.
@@ -37,13 +39,15 @@
 	failedGangs []gangSize
 	// noBacklog is set once no worker took a backlog.
 	noBacklog bool
-	// behind caches the backlogs of workers.
-	behind map[model.WorkerID]time.Duration
 	// claimed is set once work at the head of the order asked for preemption beyond urgent work.
 	claimed bool
 	stats   roundStats
 }
 
+// fullRest is the number of intervals that the placer rests after a round that found room for nothing; on a full fleet
+// with a long queue, rounds at every interval took a third of a core.
+const fullRest = 5
+
 // gangSize is a number of tasks of one size that are to start together.
 type gangSize struct {
 	size  model.Resources
@@ -61,14 +65,17 @@
 	if _, connected := p.deps.Links.ConnectedSince(); !connected || !p.deps.Links.IsPlacer() || !p.serves() {
 		return nil
 	}
-	r := &round{p: p, now: now, behind: make(map[model.WorkerID]time.Duration)}
+	r := &round{p: p, now: now}
 	r.fulfilClaims()
-	if p.changed {
+	if p.changed && !now.Before(p.rest) {
 		p.changed = false
 		r.order = p.queue.Begin(now)
 		r.run()
 		r.order.Close()
 		p.stats = r.stats
+		if r.stats.Taken+r.stats.Behind+r.stats.Claims == 0 && r.stats.Failed > 0 {
+			p.rest = now.Add(fullRest * p.cfg.Interval)
+		}
 		p.reportFull(len(r.failed) > 0)
 	}
 	roundTime.Update(time.Since(began).Seconds())
@@ -243,6 +250,8 @@
 	r.p.taking[t.op.Attempt] = t
 	r.out = append(r.out, t)
 	if behind {
+		t.work = r.p.workOf(c.Spec, size, worker)
+		r.p.addBacklog(worker, t.work)
 		r.stats.Behind++
 		return
 	}
@@ -263,5 +272,6 @@
 		p.book.Release(t.op.Worker, t.op.Reservation)
 		p.countTaking(t, -1)
 	}
+	p.addBacklog(t.op.Worker, -t.work)
 	p.changed = true
 }
--- a/internal/sched/events.go
+++ b/internal/sched/events.go
@@ -86,6 +86,9 @@
 	wait := p.cfg.Policy.OfferStep * time.Duration(rank)
 	if rank == 0 || p.queue.Band(spec.Class) == policy.Urgent || p.isFull(order[0]) {
 		p.queue.Put(task, spec, wait)
+		if p.queue.Band(spec.Class) == policy.Urgent {
+			p.rest = time.Time{}
+		}
 		return
 	}
 	p.offers.Put(policy.Offer{Task: task, Spec: spec, First: order[0], Delay: wait, At: p.deps.Clock.Now().Add(wait)})
@@ -131,7 +134,10 @@
 	}
 	s := p.session(a.worker)
 	s.bound[id] = a
-	if !a.behind {
+	if a.behind {
+		a.work = p.workOf(spec, a.reservation, a.worker)
+		p.addBacklog(a.worker, a.work)
+	} else {
 		p.book.Reserve(a.worker, a.reservation)
 	}
 	p.countRack(a, 1)
@@ -177,6 +183,7 @@
 		return
 	}
 	a.behind = false
+	p.addBacklog(a.worker, -a.work)
 	if s := p.sessions[a.worker]; s != nil {
 		if _, stopped := s.stopped[a.id]; !stopped && a.evict == evictBacklog {
 			a.evict = evictNone
@@ -222,7 +229,9 @@
 		return
 	}
 	delete(s.bound, a.id)
-	if !a.behind {
+	if a.behind {
+		p.addBacklog(a.worker, -a.work)
+	} else {
 		p.book.Release(a.worker, a.reservation)
 	}
 	p.countRack(a, -1)
@@ -277,6 +286,8 @@
 	if s == nil {
 		s = newSession(id)
 		p.sessions[id] = s
+		at, _ := slices.BinarySearch(p.ids, id)
+		p.ids = slices.Insert(p.ids, at, id)
 	}
 	return s
 }
--- a/internal/sched/placer.go
+++ b/internal/sched/placer.go
@@ -51,8 +51,12 @@
 	never      *policy.Never
 
 	sessions map[model.WorkerID]*session
+	// ids lists the sessions in order.
+	ids []model.WorkerID
 	// taking holds bindings that were submitted and neither folded nor found void.
 	taking map[model.AttemptID]*taking
+	// backlog sums the work behind others by worker.
+	backlog map[model.WorkerID]time.Duration
 	// seenOn maps a task to the workers that last reported it as running.
 	seenOn map[model.TaskID][]model.WorkerID
 	head   headOfOrder
@@ -65,7 +69,9 @@
 	ends     []record.Ended
 	// changed is set when room or work came up since the last round.
 	changed bool
-	full    bool
+	// rest is when the next round may begin after one that found no room; urgent work ends it.
+	rest time.Time
+	full bool
 	// fullSeen holds which data centres reported themselves full.
 	fullSeen map[model.DataCentreID]bool
 	cursor   int
@@ -125,9 +131,13 @@
 	p.learner = policy.NewLearner(p.cfg.Policy, p.deps.View)
 	p.queue = policy.NewQueue(p.cfg.Policy, p.learner)
 	p.offers = policy.NewOffers()
-	p.quarantine = policy.NewQuarantine(p.cfg.Policy)
-	p.never = policy.NewNever(p.cfg.Policy)
+	if p.quarantine == nil {
+		// What failed on a worker is not in the fold, so it outlives a new description of the state.
+		p.quarantine, p.never = policy.NewQuarantine(p.cfg.Policy), policy.NewNever(p.cfg.Policy)
+	}
+	p.ids = nil
 	p.sessions = make(map[model.WorkerID]*session)
+	p.backlog = make(map[model.WorkerID]time.Duration)
 	p.seenOn = make(map[model.TaskID][]model.WorkerID)
 	p.taking = make(map[model.AttemptID]*taking)
 	p.claims = make(map[model.TaskID]*claim)
