--- a/entry/internal/admin/change.go
+++ b/entry/internal/admin/change.go
@@ -101,7 +101,8 @@
 	if refusal, recorded := s.submit(ctx, answer.Offset, record.Proposal{Change: operation}); !recorded {
 		return partly(refusal, answer.PartInForce)
 	}
-	s.config.Log.Info("change waits for approval", zap.String("change", request.ID), zap.Any("organisations", touched))
+	s.config.Log.Info("change waits for approval", zap.String("change", request.ID),
+		zap.String("organisations", fmt.Sprint(touched)))
 	return reply{fasthttp.StatusAccepted, answer}
 }
 
@@ -146,7 +147,8 @@
 
 // submit records one operation and waits until it is folded.
 func (s *Server) submit(parent context.Context, base model.Offset, operation record.Op) (reply, bool) {
-	ctx, cancel := context.WithTimeout(parent, s.config.SubmitTimeout)
+	// fasthttp ends the context of every open call when the server shuts down, which must not cut the change off.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(parent), s.config.SubmitTimeout)
 	defer cancel()
 	results, err := s.config.Submitter.Submit(ctx, operation)
 	if err != nil {
--- a/internal/ports/worker.go
+++ b/internal/ports/worker.go
@@ -72,13 +72,18 @@
 	Attempt     model.AttemptID `json:"attempt"`
 	Team        model.TeamID    `json:"team"`
 	Reservation model.Resources `json:"reservation"`
-	// Declared lets stand-ins derive a run time; workers of a real platform ignore it.
-	Declared model.Duration `json:"declared"`
-	Service  bool           `json:"service,omitempty"`
-	Payload  string         `json:"payload,omitempty"`
+	// Size and Declared are the submitter's estimates, from which stand-ins derive what the attempt really needs; workers
+	// of a real platform ignore them.
+	Size     model.Resources `json:"size,omitzero"`
+	Declared model.Duration  `json:"declared"`
+	Service  bool            `json:"service,omitempty"`
+	Payload  string          `json:"payload,omitempty"`
 	// Resume is the run time that an earlier attempt's checkpoint covers.
-	Resume  model.Duration `json:"resume,omitempty"`
+	Resume model.Duration `json:"resume,omitempty"`
+	// TaskTTL is the length of the first task lease, which counts from Basis, the worker's clock reading in the last
+	// report that the holder received. A start that arrives after that has no effect.
 	TaskTTL model.Duration `json:"task-ttl"`
+	Basis   model.Duration `json:"basis"`
 }
 
 // Worker commands one worker instance at a time; address comes from the list.
--- a/internal/state/config.go
+++ b/internal/state/config.go
@@ -8,6 +8,7 @@
 	"arbutuswing.example/internal/decl"
 	"arbutuswing.example/internal/invar"
 	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/strict"
 )
 
 // ErrConfig reports an unusable Config.
@@ -21,8 +22,9 @@
 	DefaultKeepIDs = model.Duration(48 * time.Hour)
 	// DefaultMaxFailures is the number of failed attempts after which a task is done.
 	DefaultMaxFailures = 3
-	// DefaultMaxTasks bounds the memory that one record can take.
-	DefaultMaxTasks = 100_000
+	// DefaultMaxTasks bounds what one record makes the fold do: it reports each task of an accepted or cancelled job
+	// by an event of about 0.5 KB.
+	DefaultMaxTasks = 10_000
 )
 
 // Config holds the functions and bounds of a machine; all instances that fold one log must use the same ones.
@@ -47,8 +49,21 @@
 	MaxTasks int
 }
 
-// WithDefaults returns the configuration with unset bounds filled in.
+// WithDefaults returns the configuration with unset bounds filled in, and the functions of package decl for those that
+// are missing.
 func (c Config) WithDefaults() Config {
+	if c.ParsePatch == nil {
+		c.ParsePatch = func(data []byte) (decl.Patch, error) { return decl.ParsePatch("change", data) }
+	}
+	if c.ApplyPatch == nil {
+		c.ApplyPatch = decl.Set.Apply
+	}
+	if c.CheckSet == nil {
+		c.CheckSet = func(set decl.Set) error { return strict.Faults(decl.Check(set)).Err() }
+	}
+	if c.Touches == nil {
+		c.Touches = decl.Touches
+	}
 	if c.DoneJobs == 0 {
 		c.DoneJobs = DefaultDoneJobs
 	}
--- a/internal/stream/status.go
+++ b/internal/stream/status.go
@@ -12,8 +12,14 @@
 	Direct time.Time `json:"direct"`
 	// Relayed is the same for reads through a peer.
 	Relayed time.Time `json:"relayed"`
+	// Steady is when the present period of fresh reads began: none of them was followed by more than the freshness
+	// bound without another.
+	Steady time.Time `json:"steady"`
 	// Applied is the offset of the last envelope folded, or model.NoOffset.
 	Applied model.Offset `json:"applied"`
+	// Restored is the offset of the last snapshot restored, or model.NoOffset; observers that have not taken an update
+	// from there on know an older state than the fold's.
+	Restored model.Offset `json:"restored"`
 	// Ready is set once the instance has had the newest state that it could get.
 	Ready bool `json:"ready"`
 	// Halted holds the reason why folding stopped for good, or nothing.
@@ -51,10 +57,20 @@
 	s.status.Applied = offset
 }
 
+func (s *Stream) setRestored(offset model.Offset) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.status.Applied, s.status.Restored = offset, offset
+}
+
 // setFresh records that a read that began at the given time reached the log's end.
 func (s *Stream) setFresh(via route, began time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.cfg.Clock.Now()
+	if now.Sub(s.status.Fresh()) >= s.cfg.FreshBound {
+		s.status.Steady = now
+	}
 	field := &s.status.Direct
 	if via == routeRelay {
 		field = &s.status.Relayed
