--- a/entry/internal/daemon/parts.go
+++ b/entry/internal/daemon/parts.go
@@ -13,11 +13,13 @@
 
 	"arbutuswing.example/entry/internal/admin"
 	"arbutuswing.example/entry/internal/front"
+	"arbutuswing.example/entry/internal/pulls"
 	"arbutuswing.example/internal/config"
 	"arbutuswing.example/internal/decl"
 	"arbutuswing.example/internal/ephttp"
 	"arbutuswing.example/internal/invar"
 	"arbutuswing.example/internal/lease"
+	"arbutuswing.example/internal/links"
 	"arbutuswing.example/internal/logs"
 	"arbutuswing.example/internal/member"
 	"arbutuswing.example/internal/model"
@@ -51,6 +53,7 @@
 	Admin    *admin.Server
 	Leases   *lease.Manager
 	Placer   *sched.Placer
+	Pulls    *pulls.Reaper
 	Feed     *feed
 	Health   *health
 }
@@ -61,7 +64,7 @@
 	providers := []any{
 		func() config.Entry { return settings },
 		newLog, newChecker, newSelf, newPlatform, newEndpoint, newMachine, newPeerClient, newTable, newStream,
-		newMembers, newOnce, newRouter, newPeerServer, newFeed, newLinks, newPlacer, newLeases, newHealth, newFront,
+		newMembers, newOnce, newRouter, newPeerServer, newFeed, newLinks, newPlacer, newLeases, newHealth, newPulls, newFront,
 		newAdmin,
 		clockwork.NewRealClock,
 	}
@@ -201,7 +204,7 @@
 }
 
 func newPlacer(
-	settings config.Entry, journal *stream.Stream, links *links, machine *state.Machine,
+	settings config.Entry, journal *stream.Stream, links *links.Links, machine *state.Machine,
 	checker *invar.Checker, log *zap.Logger, clock clockwork.Clock,
 ) (*sched.Placer, error) {
 	return sched.New(sched.Config{
@@ -213,7 +216,7 @@
 }
 
 func newLeases(
-	settings config.Entry, self member.Self, platform *platf.Client, links *links, journal *stream.Stream,
+	settings config.Entry, self member.Self, platform *platf.Client, links *links.Links, journal *stream.Stream,
 	placer *sched.Placer, log *zap.Logger, clock clockwork.Clock,
 ) (*lease.Manager, error) {
 	manager, err := lease.New(lease.Config{
@@ -230,6 +233,14 @@
 	return manager, nil
 }
 
+func newPulls(
+	journal *stream.Stream, members *member.Service, log *zap.Logger, clock clockwork.Clock,
+) (*pulls.Reaper, error) {
+	return pulls.New(pulls.Config{
+		Feed: journal.Subscribe(), Submit: journal, First: members.First, Clock: clock, Log: log,
+	})
+}
+
 func newFront(
 	settings config.Entry, router *route.Router, claims *once.Service, journal *stream.Stream,
 	machine *state.Machine, health *health, log *zap.Logger,
