fix(sched): claim room for every task of an urgent job at once

Cause: one round claimed room for the first task of an urgent job only, so its tasks waited for each other's preemption and a job of many would miss its start target. The fault test now also checks that nothing stays counted as held once all work is done.

--- a/internal/policy/round.go
+++ b/internal/policy/round.go
@@ -17,6 +17,12 @@
 	lot   *lot
 }
 
+// Queued returns up to limit queued tasks of the candidate's job.
+func (c Candidate) Queued(limit int) []state.Task {
+	tasks := c.lot.all()
+	return tasks[:min(limit, len(tasks))]
+}
+
 // Round walks the queue once in order. Work that can't be placed is set aside until the round is closed.
 type Round struct {
 	q     *Queue
--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -29,8 +29,25 @@
 	since time.Time
 }
 
-// claim has patient work give way to the candidate; it reports whether the candidate now waits for that.
+// claim has patient work give way to the candidate; it reports whether the candidate now waits for that. The tasks of an
+// urgent job don't wait for each other: one after another they would miss their target.
 func (r *round) claim(c policy.Candidate, size model.Resources) bool {
+	if c.Band != policy.Urgent || c.Spec.Kind == model.KindGang {
+		return r.claimFor(c, size)
+	}
+	waits := false
+	for _, task := range c.Queued(r.p.cfg.Claims) {
+		c.Tasks = []state.Task{task}
+		if !r.claimFor(c, size) {
+			break
+		}
+		waits = true
+	}
+	return waits
+}
+
+// claimFor has patient work give way to all tasks of the candidate or none.
+func (r *round) claimFor(c policy.Candidate, size model.Resources) bool {
 	p := r.p
 	if p.claims[c.Tasks[0].ID] != nil {
 		return true
--- a/internal/sched/fault_test.go
+++ b/internal/sched/fault_test.go
@@ -112,6 +112,22 @@
 	for _, task := range f.log.tasks() {
 		assert.Assert(t, task.Phase == state.PhaseDone, "%+v", task)
 	}
+	for _, n := range f.nodes {
+		n.settled(t)
+	}
+}
+
+// settled fails the test if the node still counts anything as held once all work is done.
+func (n *node) settled(t *rapid.T) {
+	p := n.placer
+	assert.Equal(t, len(p.attempts)+len(p.current)+len(p.taking)+len(p.claims)+len(p.backlog), 0)
+	assert.Equal(t, p.queue.Len()+p.offers.Len()+len(p.voids)+len(p.failed)+len(p.returned), 0)
+	for team, share := range p.queue.Shares() {
+		assert.Equal(t, share, 0.0, "share of %s", team)
+	}
+	for _, e := range p.book.Entries() {
+		assert.Equal(t, e.Free, e.Capacity, "%s", e.Worker)
+	}
 }
 
 // Guards against tasks that run twice, overcommitted workers and lost work under faults in any order: pauses past the
