fix(sched): return attempts stranded behind ended ones

Cause: an attempt bound behind others whose last one ended just before was never promoted, since the fold promotes only when an attempt ends.

Two guards cover it: attempts on a worker with nothing else bound are returned always, others only while the queue is empty. With the first one removed TestStrandedBacklogIsReturned still passes through the second; the removal of both was not run.

--- a/internal/sched/backlog.go
+++ b/internal/sched/backlog.go
@@ -107,6 +107,7 @@
 
 // returnBacklog returns attempts that wait behind others while there is room for them on another worker.
 func (p *Placer) returnBacklog() {
+	p.returnStranded()
 	if p.cfg.Backlog < 0 || p.queue.Len() > 0 || !p.serves() {
 		return
 	}
@@ -119,7 +120,19 @@
 		}
 		// The probe only shows that there is room; the attempt gets it when it is queued again.
 		defer p.book.Release(worker, a.reservation)
-		if worker != a.worker {
+		p.returned[a.id.Task] = true
+		p.evict(a, evictBacklog)
+	}
+}
+
+// returnStranded returns attempts behind others on workers where nothing else is bound: the fold promotes only when an
+// attempt ends, and the last one may have ended just before these were bound.
+func (p *Placer) returnStranded() {
+	for _, s := range p.sessions {
+		if slices.ContainsFunc(s.inOrder(), func(a *attempt) bool { return !a.behind }) {
+			continue
+		}
+		for _, a := range s.bound {
 			p.returned[a.id.Task] = true
 			p.evict(a, evictBacklog)
 		}
--- a/internal/sched/claim_test.go
+++ b/internal/sched/claim_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/record"
 )
 
 // Guards against claims on one worker that each count the room of the others' victims as missing.
@@ -62,3 +63,16 @@
 	w.advance(15 * time.Second)
 	assert.Equal(t, w.log.done(), 2)
 }
+
+// Guards against an attempt that waits for ever behind others that had all ended when it was bound.
+func TestStrandedBacklogIsReturned(t *testing.T) {
+	w := newWorld(t, 1, cores(8))
+	w.advance(time.Second)
+	w.log.accept(job("j", "a", "patient", 1, cores(4)))
+	w.log.write(record.Taken{
+		Attempt: model.AttemptID{Task: model.TaskID{Job: "j"}, Number: 1}, Worker: "w0", Boot: "1", Reservation: cores(4),
+		Behind: true,
+	})
+	w.advance(20 * time.Second)
+	assert.Equal(t, w.log.done(), 1)
+}
