--- a/faults/cluster_test.go
+++ b/faults/cluster_test.go
@@ -284,45 +284,6 @@
 	assert.Equal(c.t, code, 0, "%v: %s", args, out)
 }
 
-func (c *cluster) writeDeclarations(folder string, set map[string]any) string {
-	c.t.Helper()
-	return filepath.Dir(c.write(filepath.Join(folder, "declarations.json"), encode(c.t, set)))
-}
-
-// declarations returns the declarations of all tests; limit bounds the tasks of team pricing, zero doesn't.
-func declarations(limit int, moreClasses ...string) map[string]any {
-	const fixed = 3
-	classes := make([]any, 0, fixed+len(moreClasses))
-	classes = append(classes,
-		map[string]any{"name": quoteClass, "target": map[string]any{"answered-within": "2s"}},
-		map[string]any{"name": openClass, "open": true},
-		map[string]any{"name": batchClass},
-	)
-	for _, name := range moreClasses {
-		classes = append(classes, map[string]any{"name": name})
-	}
-	rows := make([]any, 0, len(centres))
-	for _, centre := range centres {
-		rows = append(rows, map[string]any{"name": centre, "region": "west"})
-	}
-	pricing := map[string]any{
-		"name": "pricing", "organisation": "harbour", "share": 1, "keys": []string{hash(pricingKey)},
-	}
-	if limit > 0 {
-		pricing["limit"] = map[string]any{"tasks": limit}
-	}
-	return map[string]any{
-		"classes": classes, "data-centres": rows,
-		"organisations": []any{
-			map[string]any{"name": "harbour", "approval-key": hash(harbourKey)},
-			map[string]any{"name": "orchard", "approval-key": hash("orchard-approval")},
-		},
-		"teams": []any{pricing, map[string]any{
-			"name": "research", "organisation": "orchard", "share": 1, "keys": []string{hash(researchKey)},
-		}},
-	}
-}
-
 // status is the part of an instance's status that tests read.
 type status struct {
 	Connectivity string            `json:"connectivity"`
