--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -76,7 +76,9 @@
 	boot     model.BootID
 	capacity model.Resources
 	leaving  bool
-	tasks    map[model.AttemptID]ports.TaskReport
+	// excess is the memory that running attempts use above their reservations; the book must not give it away again.
+	excess model.Mebibytes
+	tasks  map[model.AttemptID]ports.TaskReport
 	// stopped holds when a stop was last sent.
 	stopped map[model.AttemptID]time.Time
 }
--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -62,7 +62,7 @@
 
 func (p *Placer) setBook(s *session) {
 	p.book.Set(place.Worker{
-		ID: s.id, Rack: s.worker.Rack, Capacity: s.worker.Capacity,
+		ID: s.id, Rack: s.worker.Rack, Capacity: s.worker.Capacity.Minus(model.Resources{Memory: s.excess}),
 		Usable: usable(s.worker) && !s.leaving && p.serves(),
 	})
 }
--- a/internal/sched/placer_test.go
+++ b/internal/sched/placer_test.go
@@ -255,6 +255,27 @@
 	assert.Equal(t, w.log.done(), 4)
 }
 
+// Guards against memory that running attempts use above their reservations being given away again, which evicted the same
+// task every few seconds.
+func TestOverusedMemoryIsNotGivenAway(t *testing.T) {
+	w := newWorld(t, 1, cores(8))
+	w.fleet.runTime = 10 * time.Minute
+	w.fleet.peak = func(r ports.StartRequest) model.Resources {
+		if r.Attempt.Task.Job == "large" {
+			return model.Resources{Cores: 2000, Memory: 3 * 1024}
+		}
+		return r.Reservation
+	}
+	w.log.accept(job("large", "a", "nightly", 2, cores(2)))
+	w.log.accept(job("patient", "b", "patient", 2, cores(2)))
+	w.advance(time.Minute)
+	assert.Equal(t, w.fleet.running("large"), 2)
+	assert.Equal(t, w.fleet.running("patient"), 1)
+	for _, task := range w.log.tasks() {
+		assert.Assert(t, task.Attempt <= 2, "%s is at attempt %d", task.ID, task.Attempt)
+	}
+}
+
 // Guards against a worker that fails everything and goes on to get work.
 func TestFailingWorkerIsAvoided(t *testing.T) {
 	w := newWorld(t, 2, cores(8))
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -96,6 +96,8 @@
 	s.held = false
 	p.setTasks(s, nil)
 	clear(s.stopped)
+	s.excess = 0
+	p.setBook(s)
 }
 
 // over reports whether the fold holds the attempt's end, or forgot it because its whole job has ended.
--- a/internal/sched/usage.go
+++ b/internal/sched/usage.go
@@ -8,9 +8,30 @@
 	"arbutuswing.example/internal/ports"
 )
 
-// limitUsage has patient work give way while the attempts on a worker use more memory than it has. Processors above a
-// reservation are throttled when commands are made.
+// limitUsage has patient work give way while the attempts on a worker use more memory than it has, and takes what the
+// others use above their reservations out of the book. Processors above a reservation are throttled when commands are
+// made.
 func (p *Placer) limitUsage(s *session) {
+	p.relieveMemory(s)
+	if excess := s.memoryExcess(); excess != s.excess {
+		s.excess = excess
+		p.setBook(s)
+	}
+}
+
+// memoryExcess returns the memory that the running attempts use above their reservations, without those that give way.
+func (s *session) memoryExcess() model.Mebibytes {
+	var excess model.Mebibytes
+	for id, t := range s.tasks {
+		a := s.bound[id]
+		if t.Phase == ports.PhaseRunning && a != nil && a.evict == evictNone && !a.stopping {
+			excess += max(t.Usage.Peak.Memory-a.reservation.Memory, 0)
+		}
+	}
+	return excess
+}
+
+func (p *Placer) relieveMemory(s *session) {
 	used := model.Resources{}
 	var patient []*attempt
 	for id, t := range s.tasks {
