--- a/bench/internal/reqs/run.go
+++ b/bench/internal/reqs/run.go
@@ -1,6 +1,7 @@
 package reqs
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -51,18 +52,10 @@
 	if len(c.Rates) == 0 {
 		c.Rates = []int{500, 1_000, 2_000}
 	}
-	if c.Slices == 0 {
-		c.Slices = 5
-	}
-	if c.Slice == 0 {
-		c.Slice = time.Second
-	}
-	if c.Class == "" {
-		c.Class = "quote"
-	}
-	if c.Work == 0 {
-		c.Work = time.Millisecond
-	}
+	c.Slices = cmp.Or(c.Slices, 5)
+	c.Slice = cmp.Or(c.Slice, time.Second)
+	c.Class = cmp.Or(c.Class, "quote")
+	c.Work = cmp.Or(c.Work, time.Millisecond)
 	if c.Out == nil {
 		c.Out = os.Stdout
 	}
--- a/bench/internal/trial/run.go
+++ b/bench/internal/trial/run.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -28,12 +29,8 @@
 
 // WithDefaults returns the settings with a load that keeps the fleet full for most of the night.
 func (c Config) WithDefaults() Config {
-	if c.Seed == 0 {
-		c.Seed = 1
-	}
-	if c.Load == 0 {
-		c.Load = 0.75
-	}
+	c.Seed = cmp.Or(c.Seed, 1)
+	c.Load = cmp.Or(c.Load, 0.75)
 	if c.Out == nil {
 		c.Out = os.Stdout
 	}
--- a/endpt/internal/setup/setup.go
+++ b/endpt/internal/setup/setup.go
@@ -1,6 +1,7 @@
 package setup
 
 import (
+	"cmp"
 	"net"
 	"strconv"
 	"time"
@@ -70,21 +71,13 @@
 }
 
 func (g Group) withDefaults() Group {
-	g.Host = orElse(g.Host, defaultHost)
-	g.Slots = orElse(g.Slots, defaultSlots)
-	g.Connections = orElse(g.Connections, defaultConnections)
-	g.Work = orElse(g.Work, model.Duration(defaultWork))
+	g.Host = cmp.Or(g.Host, defaultHost)
+	g.Slots = cmp.Or(g.Slots, defaultSlots)
+	g.Connections = cmp.Or(g.Connections, defaultConnections)
+	g.Work = cmp.Or(g.Work, model.Duration(defaultWork))
 	return g
 }
 
-func orElse[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
-
 // Check returns the faults of the settings.
 func (s Settings) Check() []config.Problem {
 	c := &config.Checker{}
--- a/entry/internal/admin/config.go
+++ b/entry/internal/admin/config.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -80,9 +81,7 @@
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
-	if c.SubmitTimeout == 0 {
-		c.SubmitTimeout = 8 * time.Second
-	}
+	c.SubmitTimeout = cmp.Or(c.SubmitTimeout, 8*time.Second)
 	if c.Connectivity == nil {
 		c.Connectivity = func() string { return "" }
 	}
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -87,12 +88,8 @@
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
-	if c.SubmitTimeout == 0 {
-		c.SubmitTimeout = DefaultSubmitTimeout
-	}
-	if c.MaxBody == 0 {
-		c.MaxBody = DefaultMaxBody
-	}
+	c.SubmitTimeout = cmp.Or(c.SubmitTimeout, DefaultSubmitTimeout)
+	c.MaxBody = cmp.Or(c.MaxBody, DefaultMaxBody)
 	return c
 }
 
--- a/entry/internal/pulls/pulls.go
+++ b/entry/internal/pulls/pulls.go
@@ -1,6 +1,7 @@
 package pulls
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -57,9 +58,7 @@
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
-	if c.Margin == 0 {
-		c.Margin = DefaultMargin
-	}
+	c.Margin = cmp.Or(c.Margin, DefaultMargin)
 	return c
 }
 
--- a/internal/ephttp/client.go
+++ b/internal/ephttp/client.go
@@ -1,6 +1,7 @@
 package ephttp
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -68,9 +69,7 @@
 
 // WithDefaults returns the configuration with defaults for what is unset.
 func (c Config) WithDefaults() Config {
-	if c.Connections == 0 {
-		c.Connections = defaultConnections
-	}
+	c.Connections = cmp.Or(c.Connections, defaultConnections)
 	return c
 }
 
--- a/internal/httpc/pool.go
+++ b/internal/httpc/pool.go
@@ -1,6 +1,7 @@
 package httpc
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -57,27 +58,13 @@
 
 // WithDefaults returns the configuration with defaults for what is unset.
 func (c Config) WithDefaults() Config {
-	if c.Connections == 0 {
-		c.Connections = defaultConnections
-	}
-	if c.Idle == 0 {
-		c.Idle = defaultIdle
-	}
-	if c.ProbeAfter == 0 {
-		c.ProbeAfter = defaultProbeAfter
-	}
-	if c.ProbeTimeout == 0 {
-		c.ProbeTimeout = defaultProbeTimeout
-	}
-	if c.ProbePath == "" {
-		c.ProbePath = defaultProbePath
-	}
-	if c.SilentAfter == 0 {
-		c.SilentAfter = defaultSilentAfter
-	}
-	if c.MaxBody == 0 {
-		c.MaxBody = defaultMaxBody
-	}
+	c.Connections = cmp.Or(c.Connections, defaultConnections)
+	c.Idle = cmp.Or(c.Idle, defaultIdle)
+	c.ProbeAfter = cmp.Or(c.ProbeAfter, defaultProbeAfter)
+	c.ProbeTimeout = cmp.Or(c.ProbeTimeout, defaultProbeTimeout)
+	c.ProbePath = cmp.Or(c.ProbePath, defaultProbePath)
+	c.SilentAfter = cmp.Or(c.SilentAfter, defaultSilentAfter)
+	c.MaxBody = cmp.Or(c.MaxBody, defaultMaxBody)
 	return c
 }
 
--- a/internal/lease/config.go
+++ b/internal/lease/config.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"time"
@@ -52,26 +53,19 @@
 
 // WithDefaults returns the settings with zero values replaced.
 func (c Config) WithDefaults() Config {
-	setDefault(&c.Shards, defaultShards)
-	setDefault(&c.Parallel, defaultParallel)
-	setDefault(&c.TTL, defaultTTL)
-	setDefault(&c.Interval, defaultInterval)
-	setDefault(&c.TaskTTL, defaultTaskTTL)
-	setDefault(&c.SuspectAfter, defaultSuspectAfter)
-	setDefault(&c.Freshness, defaultFreshness)
-	setDefault(&c.Drift, defaultDrift)
-	setDefault(&c.ListEvery, defaultListEvery)
-	setDefault(&c.Poll, defaultPoll)
+	c.Shards = cmp.Or(c.Shards, defaultShards)
+	c.Parallel = cmp.Or(c.Parallel, defaultParallel)
+	c.TTL = cmp.Or(c.TTL, defaultTTL)
+	c.Interval = cmp.Or(c.Interval, defaultInterval)
+	c.TaskTTL = cmp.Or(c.TaskTTL, defaultTaskTTL)
+	c.SuspectAfter = cmp.Or(c.SuspectAfter, defaultSuspectAfter)
+	c.Freshness = cmp.Or(c.Freshness, defaultFreshness)
+	c.Drift = cmp.Or(c.Drift, defaultDrift)
+	c.ListEvery = cmp.Or(c.ListEvery, defaultListEvery)
+	c.Poll = cmp.Or(c.Poll, defaultPoll)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Check returns ErrBadConfig for settings out of range.
 func (c Config) Check() error {
 	if c.Instance == "" || c.DataCentre == "" {
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -1,6 +1,7 @@
 package links
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"time"
@@ -34,9 +35,7 @@
 	if c.Clock == nil {
 		c.Clock = clockwork.NewRealClock()
 	}
-	if c.Isolation == 0 {
-		c.Isolation = DefaultIsolation
-	}
+	c.Isolation = cmp.Or(c.Isolation, DefaultIsolation)
 	return c
 }
 
--- a/internal/member/config.go
+++ b/internal/member/config.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -54,11 +55,11 @@
 	if c.Clock == nil {
 		c.Clock = clockwork.NewRealClock()
 	}
-	setDefault(&c.DeadAfter, 2*time.Second)
-	setDefault(&c.FreshBound, 2*time.Second)
-	setDefault(&c.Grace, 3*time.Second)
-	setDefault(&c.IsolationLimit, 90*time.Minute)
-	setDefault(&c.PeerLimit, 1024)
+	c.DeadAfter = cmp.Or(c.DeadAfter, 2*time.Second)
+	c.FreshBound = cmp.Or(c.FreshBound, 2*time.Second)
+	c.Grace = cmp.Or(c.Grace, 3*time.Second)
+	c.IsolationLimit = cmp.Or(c.IsolationLimit, 90*time.Minute)
+	c.PeerLimit = cmp.Or(c.PeerLimit, 1024)
 	return c
 }
 
@@ -125,13 +126,13 @@
 	if c.Clock == nil {
 		c.Clock = clockwork.NewRealClock()
 	}
-	setDefault(&c.BeatInterval, 500*time.Millisecond)
-	setDefault(&c.FarPeers, 2)
-	setDefault(&c.ListInterval, 2*time.Second)
-	setDefault(&c.ReapInterval, time.Second)
-	setDefault(&c.ReapAfter, 10*time.Second)
-	setDefault(&c.SubmitTimeout, 5*time.Second)
-	setDefault(&c.RejoinPause, time.Second)
+	c.BeatInterval = cmp.Or(c.BeatInterval, 500*time.Millisecond)
+	c.FarPeers = cmp.Or(c.FarPeers, 2)
+	c.ListInterval = cmp.Or(c.ListInterval, 2*time.Second)
+	c.ReapInterval = cmp.Or(c.ReapInterval, time.Second)
+	c.ReapAfter = cmp.Or(c.ReapAfter, 10*time.Second)
+	c.SubmitTimeout = cmp.Or(c.SubmitTimeout, 5*time.Second)
+	c.RejoinPause = cmp.Or(c.RejoinPause, time.Second)
 	return c
 }
 
@@ -152,9 +153,3 @@
 	}
 	return nil
 }
-
-func setDefault[T ~int | ~int64](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
--- a/internal/once/service.go
+++ b/internal/once/service.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -113,18 +114,10 @@
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
-	if c.Retention == 0 {
-		c.Retention = DefaultRetention
-	}
-	if c.Validity == 0 {
-		c.Validity = DefaultValidity
-	}
-	if c.Longest == 0 {
-		c.Longest = DefaultLongest
-	}
-	if c.Capacity == 0 {
-		c.Capacity = DefaultCapacity
-	}
+	c.Retention = cmp.Or(c.Retention, DefaultRetention)
+	c.Validity = cmp.Or(c.Validity, DefaultValidity)
+	c.Longest = cmp.Or(c.Longest, DefaultLongest)
+	c.Capacity = cmp.Or(c.Capacity, DefaultCapacity)
 	if c.MayDecide == nil {
 		c.MayDecide = func() bool { return true }
 	}
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -39,14 +40,12 @@
 	if c.Clock == nil {
 		c.Clock = clockwork.NewRealClock()
 	}
-	setDefault(&c.BeatTimeout, 400*time.Millisecond)
-	setDefault(&c.CallTimeout, time.Second)
-	setDefault(&c.SnapshotTimeout, 10*time.Second)
-	setDefault(&c.DialTimeout, 300*time.Millisecond)
-	setDefault(&c.IdleTimeout, 30*time.Second)
-	if c.IdleConnections == 0 {
-		c.IdleConnections = 4
-	}
+	c.BeatTimeout = cmp.Or(c.BeatTimeout, 400*time.Millisecond)
+	c.CallTimeout = cmp.Or(c.CallTimeout, time.Second)
+	c.SnapshotTimeout = cmp.Or(c.SnapshotTimeout, 10*time.Second)
+	c.DialTimeout = cmp.Or(c.DialTimeout, 300*time.Millisecond)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, 30*time.Second)
+	c.IdleConnections = cmp.Or(c.IdleConnections, 4)
 	return c
 }
 
@@ -86,14 +85,10 @@
 	if c.Logger == nil {
 		c.Logger = zap.NewNop()
 	}
-	setDefault(&c.StopTimeout, 2*time.Second)
-	setDefault(&c.MaxWait, time.Second)
-	if c.MaxBody == 0 {
-		c.MaxBody = 1 << 20
-	}
-	if c.MaxRecords == 0 {
-		c.MaxRecords = 1000
-	}
+	c.StopTimeout = cmp.Or(c.StopTimeout, 2*time.Second)
+	c.MaxWait = cmp.Or(c.MaxWait, time.Second)
+	c.MaxBody = cmp.Or(c.MaxBody, 1<<20)
+	c.MaxRecords = cmp.Or(c.MaxRecords, 1000)
 	return c
 }
 
@@ -107,9 +102,3 @@
 	}
 	return nil
 }
-
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
--- a/internal/place/config.go
+++ b/internal/place/config.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 )
@@ -41,18 +42,10 @@
 
 // WithDefaults returns the settings with zero values replaced.
 func (c Config) WithDefaults() Config {
-	if c.Shards == 0 {
-		c.Shards = defaultShards
-	}
-	if c.Scan == 0 {
-		c.Scan = defaultScan
-	}
-	if c.Strategy == "" {
-		c.Strategy = Dominant
-	}
-	if c.Balance == 0 {
-		c.Balance = defaultBalance
-	}
+	c.Shards = cmp.Or(c.Shards, defaultShards)
+	c.Scan = cmp.Or(c.Scan, defaultScan)
+	c.Strategy = cmp.Or(c.Strategy, Dominant)
+	c.Balance = cmp.Or(c.Balance, defaultBalance)
 	return c
 }
 
--- a/internal/platf/client.go
+++ b/internal/platf/client.go
@@ -1,6 +1,7 @@
 package platf
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -42,15 +43,9 @@
 // WithDefaults returns the configuration with defaults for what is unset.
 func (c Config) WithDefaults() Config {
 	c.Address = strings.TrimSuffix(strings.TrimPrefix(c.Address, "http://"), "/")
-	if c.Timeout == 0 {
-		c.Timeout = defaultTimeout
-	}
-	if c.CommandTimeout == 0 {
-		c.CommandTimeout = ports.CommandTimeout
-	}
-	if c.Connections == 0 {
-		c.Connections = defaultConnections
-	}
+	c.Timeout = cmp.Or(c.Timeout, defaultTimeout)
+	c.CommandTimeout = cmp.Or(c.CommandTimeout, ports.CommandTimeout)
+	c.Connections = cmp.Or(c.Connections, defaultConnections)
 	return c
 }
 
--- a/internal/policy/config.go
+++ b/internal/policy/config.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"time"
@@ -49,27 +50,20 @@
 
 // WithDefaults returns the settings with zero values replaced.
 func (c Config) WithDefaults() Config {
-	setDefault(&c.LearnAfter, defaultLearnAfter)
-	setDefault(&c.Margin, defaultMargin)
-	setDefault(&c.Rise, defaultRise)
-	setDefault(&c.DueShare, defaultDueShare)
-	setDefault(&c.LotsPerTeam, defaultLotsPerTeam)
-	setDefault(&c.QuarantineRuns, defaultQuarantineRuns)
-	setDefault(&c.QuarantineJobs, defaultQuarantineJobs)
-	setDefault(&c.Quarantine, defaultQuarantine)
-	setDefault(&c.QuarantineMax, defaultQuarantineMax)
-	setDefault(&c.OfferStep, defaultOfferStep)
-	setDefault(&c.Settle, defaultSettle)
+	c.LearnAfter = cmp.Or(c.LearnAfter, defaultLearnAfter)
+	c.Margin = cmp.Or(c.Margin, defaultMargin)
+	c.Rise = cmp.Or(c.Rise, defaultRise)
+	c.DueShare = cmp.Or(c.DueShare, defaultDueShare)
+	c.LotsPerTeam = cmp.Or(c.LotsPerTeam, defaultLotsPerTeam)
+	c.QuarantineRuns = cmp.Or(c.QuarantineRuns, defaultQuarantineRuns)
+	c.QuarantineJobs = cmp.Or(c.QuarantineJobs, defaultQuarantineJobs)
+	c.Quarantine = cmp.Or(c.Quarantine, defaultQuarantine)
+	c.QuarantineMax = cmp.Or(c.QuarantineMax, defaultQuarantineMax)
+	c.OfferStep = cmp.Or(c.OfferStep, defaultOfferStep)
+	c.Settle = cmp.Or(c.Settle, defaultSettle)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Check returns ErrBadConfig for settings out of range.
 func (c Config) Check() error {
 	if c.LearnAfter < 1 || c.Margin < 0 {
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -88,15 +89,9 @@
 	if c.LocalOnly == nil {
 		c.LocalOnly = func() bool { return false }
 	}
-	if c.QueueLimit == 0 {
-		c.QueueLimit = DefaultQueueLimit
-	}
-	if c.RefreshInterval == 0 {
-		c.RefreshInterval = DefaultRefreshInterval
-	}
-	if c.MaxAttempts == 0 {
-		c.MaxAttempts = DefaultMaxAttempts
-	}
+	c.QueueLimit = cmp.Or(c.QueueLimit, DefaultQueueLimit)
+	c.RefreshInterval = cmp.Or(c.RefreshInterval, DefaultRefreshInterval)
+	c.MaxAttempts = cmp.Or(c.MaxAttempts, DefaultMaxAttempts)
 	return c
 }
 
--- a/internal/sched/config.go
+++ b/internal/sched/config.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"time"
@@ -70,32 +71,25 @@
 
 // WithDefaults returns the settings with zero values replaced.
 func (c Config) WithDefaults() Config {
-	setDefault(&c.Interval, defaultInterval)
-	setDefault(&c.Tick, defaultTick)
-	setDefault(&c.Batch, defaultBatch)
-	setDefault(&c.Parallel, defaultParallel)
-	setDefault(&c.StartBatch, defaultStartBatch)
-	setDefault(&c.Backlog, defaultBacklog)
-	setDefault(&c.StarveAfter, defaultStarveAfter)
-	setDefault(&c.EndsSoon, defaultEndsSoon)
-	setDefault(&c.Claims, defaultClaims)
-	setDefault(&c.ClaimTTL, defaultClaimTTL)
-	setDefault(&c.Retry, defaultRetry)
-	setDefault(&c.Failures, defaultFailures)
-	setDefault(&c.Moves, defaultMoves)
-	setDefault(&c.TaskTTL, defaultTaskTTL)
+	c.Interval = cmp.Or(c.Interval, defaultInterval)
+	c.Tick = cmp.Or(c.Tick, defaultTick)
+	c.Batch = cmp.Or(c.Batch, defaultBatch)
+	c.Parallel = cmp.Or(c.Parallel, defaultParallel)
+	c.StartBatch = cmp.Or(c.StartBatch, defaultStartBatch)
+	c.Backlog = cmp.Or(c.Backlog, defaultBacklog)
+	c.StarveAfter = cmp.Or(c.StarveAfter, defaultStarveAfter)
+	c.EndsSoon = cmp.Or(c.EndsSoon, defaultEndsSoon)
+	c.Claims = cmp.Or(c.Claims, defaultClaims)
+	c.ClaimTTL = cmp.Or(c.ClaimTTL, defaultClaimTTL)
+	c.Retry = cmp.Or(c.Retry, defaultRetry)
+	c.Failures = cmp.Or(c.Failures, defaultFailures)
+	c.Moves = cmp.Or(c.Moves, defaultMoves)
+	c.TaskTTL = cmp.Or(c.TaskTTL, defaultTaskTTL)
 	c.Policy = c.Policy.WithDefaults()
 	c.Place = c.Place.WithDefaults()
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Check returns ErrBadConfig, or the error of the part, for settings out of range.
 func (c Config) Check() error {
 	if c.DataCentre == "" {
--- a/internal/state/config.go
+++ b/internal/state/config.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"time"
@@ -64,18 +65,10 @@
 	if c.Touches == nil {
 		c.Touches = decl.Touches
 	}
-	if c.DoneJobs == 0 {
-		c.DoneJobs = DefaultDoneJobs
-	}
-	if c.KeepIDs == 0 {
-		c.KeepIDs = DefaultKeepIDs
-	}
-	if c.MaxFailures == 0 {
-		c.MaxFailures = DefaultMaxFailures
-	}
-	if c.MaxTasks == 0 {
-		c.MaxTasks = DefaultMaxTasks
-	}
+	c.DoneJobs = cmp.Or(c.DoneJobs, DefaultDoneJobs)
+	c.KeepIDs = cmp.Or(c.KeepIDs, DefaultKeepIDs)
+	c.MaxFailures = cmp.Or(c.MaxFailures, DefaultMaxFailures)
+	c.MaxTasks = cmp.Or(c.MaxTasks, DefaultMaxTasks)
 	return c
 }
 
--- a/internal/stream/config.go
+++ b/internal/stream/config.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -118,26 +119,26 @@
 	if c.Clock == nil {
 		c.Clock = clockwork.NewRealClock()
 	}
-	setDefault(&c.CommitUnit, 10*time.Millisecond)
-	setDefault(&c.CommitMax, 500*time.Millisecond)
-	setDefault(&c.PollWait, 400*time.Millisecond)
-	setDefault(&c.ReadTimeout, time.Second)
-	setDefault(&c.ReadLimit, 500)
-	setDefault(&c.AppendTimeout, time.Second)
-	setDefault(&c.ReadBackWait, time.Second)
-	setDefault(&c.RetryMin, 20*time.Millisecond)
-	setDefault(&c.RetryMax, 500*time.Millisecond)
-	setDefault(&c.RefuseAfter, 500*time.Millisecond)
-	setDefault(&c.FreshBound, 2*time.Second)
-	setDefault(&c.RelayAfter, c.FreshBound*3/5)
-	setDefault(&c.PeerWait, time.Second)
-	setDefault(&c.QueueOps, 8192)
-	setDefault(&c.QueueBytes, 4<<20)
-	setDefault(&c.EnvelopeLimit, 256<<10)
-	setDefault(&c.SnapshotRecords, 20_000)
-	setDefault(&c.SnapshotGap, 10*time.Second)
-	setDefault(&c.Retention, time.Hour)
-	setDefault(&c.SubscriberQueue, 1024)
+	c.CommitUnit = cmp.Or(c.CommitUnit, 10*time.Millisecond)
+	c.CommitMax = cmp.Or(c.CommitMax, 500*time.Millisecond)
+	c.PollWait = cmp.Or(c.PollWait, 400*time.Millisecond)
+	c.ReadTimeout = cmp.Or(c.ReadTimeout, time.Second)
+	c.ReadLimit = cmp.Or(c.ReadLimit, 500)
+	c.AppendTimeout = cmp.Or(c.AppendTimeout, time.Second)
+	c.ReadBackWait = cmp.Or(c.ReadBackWait, time.Second)
+	c.RetryMin = cmp.Or(c.RetryMin, 20*time.Millisecond)
+	c.RetryMax = cmp.Or(c.RetryMax, 500*time.Millisecond)
+	c.RefuseAfter = cmp.Or(c.RefuseAfter, 500*time.Millisecond)
+	c.FreshBound = cmp.Or(c.FreshBound, 2*time.Second)
+	c.RelayAfter = cmp.Or(c.RelayAfter, c.FreshBound*3/5)
+	c.PeerWait = cmp.Or(c.PeerWait, time.Second)
+	c.QueueOps = cmp.Or(c.QueueOps, 8192)
+	c.QueueBytes = cmp.Or(c.QueueBytes, 4<<20)
+	c.EnvelopeLimit = cmp.Or(c.EnvelopeLimit, 256<<10)
+	c.SnapshotRecords = cmp.Or(c.SnapshotRecords, 20_000)
+	c.SnapshotGap = cmp.Or(c.SnapshotGap, 10*time.Second)
+	c.Retention = cmp.Or(c.Retention, time.Hour)
+	c.SubscriberQueue = cmp.Or(c.SubscriberQueue, 1024)
 	return c
 }
 
@@ -166,9 +167,3 @@
 	}
 	return nil
 }
-
-func setDefault[T ~int | ~int64](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
--- a/standin/internal/setup/setup.go
+++ b/standin/internal/setup/setup.go
@@ -1,6 +1,7 @@
 package setup
 
 import (
+	"cmp"
 	"strconv"
 	"time"
 
@@ -77,9 +78,7 @@
 }
 
 func (g Group) withDefaults() Group {
-	if g.PerRack == 0 {
-		g.PerRack = defaultPerRack
-	}
+	g.PerRack = cmp.Or(g.PerRack, defaultPerRack)
 	if g.Capacity.Zero() {
 		g.Capacity = defaultCapacity
 	}
