--- a/internal/policy/config.go
+++ b/internal/policy/config.go
@@ -15,7 +15,7 @@
 	defaultMargin         = 0.10
 	defaultRise           = 10 * time.Minute
 	defaultDueShare       = 0.25
-	defaultLotsPerTeam    = 4
+	defaultLotsPerTeam    = 16
 	defaultQuarantineRuns = 5
 	defaultQuarantineJobs = 3
 	defaultQuarantine     = time.Minute
