fix(config): drop settings without effect, wire the quarantine's

Cause: ten settings were read, checked and documented, but nothing used them, which would mislead operators; the four of the quarantine were not handed on.

--- a/entry/internal/daemon/parts.go
+++ b/entry/internal/daemon/parts.go
@@ -26,6 +26,7 @@
 	"arbutuswing.example/internal/once"
 	"arbutuswing.example/internal/peer"
 	"arbutuswing.example/internal/platf"
+	"arbutuswing.example/internal/policy"
 	"arbutuswing.example/internal/route"
 	"arbutuswing.example/internal/sched"
 	"arbutuswing.example/internal/state"
@@ -210,6 +211,10 @@
 	return sched.New(sched.Config{
 		DataCentre: settings.DataCentre, Interval: settings.Sched.Round.Std(), Backlog: settings.Sched.Backlog.Std(),
 		TaskTTL: settings.Lease.Task.Std(),
+		Policy: policy.Config{
+			QuarantineRuns: settings.Sched.QuarantineFailures, QuarantineJobs: settings.Sched.QuarantineJobs,
+			Quarantine: settings.Sched.QuarantineFirst.Std(), QuarantineMax: settings.Sched.QuarantineMax.Std(),
+		},
 	}, sched.Deps{
 		Feed: journal.Subscribe(), Submit: journal, Links: links, View: machine, Invar: checker, Clock: clock, Log: log,
 	})
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -17,9 +17,9 @@
 		CutOff: seconds(3),
 	}
 	e.Route = defaultRoute()
-	e.Once = Once{Issued: minutes(10), Kept: seconds(60), Settling: seconds(60), Entries: 200_000}
+	e.Once = Once{Issued: minutes(10), Kept: seconds(60), Entries: 200_000}
 	e.Sched = Sched{
-		Round: ms(20), Backlog: seconds(60), Report: seconds(1), QuarantineFailures: 5, QuarantineJobs: 3,
+		Round: ms(20), Backlog: seconds(60), QuarantineFailures: 5, QuarantineJobs: 3,
 		QuarantineFirst: minutes(1), QuarantineMax: minutes(60),
 	}
 	e.Shutdown = Shutdown{Grace: seconds(30)}
@@ -36,14 +36,13 @@
 func defaultStream() Stream {
 	return Stream{
 		Commit: ms(10), CommitMax: ms(500), ReadWait: ms(500), RetryFirst: ms(20), RetryMax: ms(500),
-		Retention: minutes(60), SnapshotRecords: 20_000, SnapshotPart: 64 << 10, Pending: 20_000,
+		Retention: minutes(60), SnapshotRecords: 20_000, Pending: 20_000,
 	}
 }
 
 func defaultRoute() Route {
 	return Route{
-		Connections: 60, Slots: 8, RetryShare: 0.1, RetryBurst: 20, ProbeIdle: seconds(1), ProbeTimeout: ms(200),
-		SilentAfter: 2, Timeout: seconds(10), Queue: 4_000, List: seconds(1),
+		Connections: 60, Queue: 4_000, List: seconds(1),
 	}
 }
 
--- a/internal/config/entry.go
+++ b/internal/config/entry.go
@@ -64,8 +64,6 @@
 	Retention model.Duration `json:"retention,omitempty"`
 	// SnapshotRecords is the number of records after which a new snapshot is written.
 	SnapshotRecords int `json:"snapshot-records,omitempty"`
-	// SnapshotPart is the size limit of one snapshot part in bytes.
-	SnapshotPart int `json:"snapshot-part,omitempty"`
 	// Pending is the number of operations that may wait for a commit; more are refused.
 	Pending int `json:"pending,omitempty"`
 }
@@ -86,20 +84,6 @@
 type Route struct {
 	// Connections is the number of connections that an endpoint accepts from all entry instances together.
 	Connections int `json:"connections,omitempty"`
-	// Slots is the number of requests that an endpoint runs at once.
-	Slots int `json:"slots,omitempty"`
-	// RetryShare is the number of retries per request that the retry budget grows by.
-	RetryShare float64 `json:"retry-share,omitempty"`
-	// RetryBurst is the greatest number of retries that the budget holds.
-	RetryBurst int `json:"retry-burst,omitempty"`
-	// ProbeIdle is the idle time after which a connection is probed before a non-idempotent request uses it.
-	ProbeIdle model.Duration `json:"probe-idle,omitempty"`
-	// ProbeTimeout is how long a probe may take.
-	ProbeTimeout model.Duration `json:"probe-timeout,omitempty"`
-	// SilentAfter is the number of consecutive time-outs that closes all idle connections to an endpoint.
-	SilentAfter int `json:"silent-after,omitempty"`
-	// Timeout applies to requests whose class has no target and whose caller names no timeout.
-	Timeout model.Duration `json:"timeout,omitempty"`
 	// Queue is the number of requests that may wait for an endpoint; more are refused.
 	Queue int `json:"queue,omitempty"`
 	// List is the interval between reads of the platform's instance list.
@@ -112,8 +96,6 @@
 	Issued model.Duration `json:"issued,omitempty"`
 	// Kept is how long the entry of a caller's request ID outlives its request.
 	Kept model.Duration `json:"kept,omitempty"`
-	// Settling is how long a new owner answers "outcome unknown" for request IDs that it has not seen.
-	Settling model.Duration `json:"settling,omitempty"`
 	// Entries is the number of entries that are kept; more are refused.
 	Entries int `json:"entries,omitempty"`
 }
@@ -124,8 +106,6 @@
 	Round model.Duration `json:"round,omitempty"`
 	// Backlog is the work, in run time, that stays bound behind the running tasks of a worker.
 	Backlog model.Duration `json:"backlog,omitempty"`
-	// Report is the interval between reads of a worker's report.
-	Report model.Duration `json:"report,omitempty"`
 	// QuarantineFailures is the number of consecutive failures that puts a worker into quarantine.
 	QuarantineFailures int `json:"quarantine-failures,omitempty"`
 	// QuarantineJobs is the number of jobs that these failures must span.
