test(member): fix the seed of the property test and keep the failing one as known red

One such run failed: shows a partition that passes as an outage, after which an instance may start tasks although a change was folded elsewhere 5.1 s earlier. The cause in outageProof is not found yet.

--- a/internal/member/fuzz_test.go
+++ b/internal/member/fuzz_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"flag"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"arbutuswing.example/internal/model"
@@ -57,7 +59,18 @@
 
 // Guards against a change that does not bind an instance within 5 s, in any sequence of partitions between data centres
 // and from the log; above all against a partition that passes as an outage.
-func TestChangesBindAllInstancesInTime(t *testing.T) {
+func TestChangesBindAllInstancesInTime(t *testing.T) { checkChangesBind(t) }
+
+// Keeps the seed with which a partition passed as an outage: an instance that lacked a change went on starting tasks.
+func TestChangesBindAllInstancesInTimeSeed9320444613241779253(t *testing.T) {
+	seed := flag.Lookup("rapid.seed")
+	earlier := seed.Value.String()
+	assert.NilError(t, seed.Value.Set("9320444613241779253"))
+	defer func() { assert.NilError(t, seed.Value.Set(earlier)) }()
+	checkChangesBind(t)
+}
+
+func checkChangesBind(t *testing.T) {
 	centres := []model.DataCentreID{"north", "east", "south", "log"}
 	synctest.Test(t, func(outer *testing.T) {
 		rapid.Check(bubbleTB{outer}, func(t *rapid.T) {
--- /dev/null
+++ b/internal/member/main_test.go
@@ -0,0 +1,16 @@
+package member
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property-based tests unless the command line names one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
