--- /dev/null
+++ b/internal/config/node.go
@@ -0,0 +1,70 @@
+package config
+
+import "arbutuswing.example/internal/model"
+
+// Node holds the settings of aw-node.
+type Node struct {
+	// Node is the node's name on the platform.
+	Node string `json:"node" jsonschema:"required"`
+	// DataCentre is the data centre that the node runs in.
+	DataCentre model.DataCentreID `json:"data-centre" jsonschema:"required"`
+	// ClientAddress is the IP:port on which clients are served.
+	ClientAddress string `json:"client-address" jsonschema:"required"`
+	// ReadinessAddress is the IP:port on which the platform asks whether the node is ready.
+	ReadinessAddress string `json:"readiness-address" jsonschema:"required"`
+	// PeerAddress is the IP:port on which other nodes reach this one.
+	PeerAddress string `json:"peer-address" jsonschema:"required"`
+	// StoreAddress is the IP:port of the platform's store.
+	StoreAddress string `json:"store-address" jsonschema:"required"`
+	// AdviceAddress is the IP:port of the placement advice service; empty where no queue requires advice.
+	AdviceAddress string `json:"advice-address,omitempty"`
+	// LogLevel is the lowest level of the events that are logged.
+	LogLevel string `json:"log-level,omitempty" jsonschema:"enum=debug,enum=info,enum=warn,enum=error"`
+	// WorkerLease is the longest lease that workers grant.
+	WorkerLease model.Duration `json:"worker-lease,omitempty"`
+	// RenewLimit is how long an owner that lost the store goes on renewing leases.
+	RenewLimit model.Duration `json:"renew-limit,omitempty"`
+	// KillGrace is how long a worker may take to stop a run.
+	KillGrace model.Duration `json:"kill-grace,omitempty"`
+	// Retention is how long the state of an ended job is told.
+	Retention model.Duration `json:"retention,omitempty"`
+	// StopGrace is the time between the request to stop and the kill.
+	StopGrace model.Duration `json:"stop-grace,omitempty"`
+}
+
+// WithDefaults returns the settings with the defaults of all times.
+func (n Node) WithDefaults() Node {
+	n.LogLevel = "info"
+	n.WorkerLease = seconds(10)
+	// Long outages of the store are shorter.
+	n.RenewLimit = seconds(12)
+	n.KillGrace = ms(400)
+	n.Retention = seconds(120)
+	n.StopGrace = seconds(6)
+	return n
+}
+
+// Check returns the faults of the settings.
+func (n Node) Check() []Problem {
+	c := &Checker{}
+	c.Require(n.Node != "", "node", "must be set")
+	c.Require(n.DataCentre != "", "data-centre", "must be set")
+	c.Address("client-address", n.ClientAddress, true)
+	c.Address("readiness-address", n.ReadinessAddress, true)
+	c.Address("peer-address", n.PeerAddress, false)
+	c.Address("store-address", n.StoreAddress, false)
+	if n.AdviceAddress != "" {
+		c.Address("advice-address", n.AdviceAddress, false)
+	}
+	c.Level("log-level", n.LogLevel)
+	for _, d := range []struct {
+		path  string
+		value model.Duration
+	}{
+		{"worker-lease", n.WorkerLease}, {"renew-limit", n.RenewLimit}, {"kill-grace", n.KillGrace},
+		{"retention", n.Retention}, {"stop-grace", n.StopGrace},
+	} {
+		c.Require(d.value > 0, d.path, "must be greater than 0")
+	}
+	return c.Problems()
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,224 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"arbutuswing.example/internal/inbox"
+	"arbutuswing.example/internal/ledger"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/terms"
+	"arbutuswing.example/internal/work"
+)
+
+var (
+	// ErrNoOwner reports that no owner could be asked.
+	ErrNoOwner = errors.New("no owner answers")
+	// ErrUnknownJob reports a job that the owner doesn't know.
+	ErrUnknownJob = errors.New("unknown job")
+)
+
+const (
+	// comeBack is told to clients that were refused: the store and a new owner are usually back by then.
+	comeBack = time.Second
+	// cancelPrefix sets the records of cancellations apart from those of jobs.
+	cancelPrefix = "cancel/"
+	jobPrefix    = "job/"
+	maxIDBytes   = 64
+)
+
+// Records stores records.
+type Records interface {
+	Put(ctx context.Context, record ledger.Record) error
+}
+
+// Owner answers for the jobs that it decides on.
+type Owner interface {
+	// State returns ErrUnknownJob or ErrNoOwner if it can't.
+	State(ctx context.Context, id model.JobID) (work.State, error)
+	// Pending returns ErrNoOwner if it can't.
+	Pending(ctx context.Context, queue string) (int, error)
+}
+
+// Config describes an intake.
+type Config struct {
+	// Terms returns the configuration in force, or false before there is one.
+	Terms   func() (terms.Terms, bool)
+	Records Records
+	Owner   Owner
+	Log     *zap.Logger
+}
+
+// Intake admits calls.
+type Intake struct{ cfg Config }
+
+// New returns an intake.
+func New(cfg Config) *Intake { return &Intake{cfg} }
+
+// Call is where a client's call goes and with which key.
+type Call struct {
+	Host string
+	Path string
+	Key  string
+}
+
+// entry is a call that found its queue and team.
+type entry struct {
+	queue terms.Queue
+	team  model.TeamID
+	id    string
+	terms terms.Terms
+}
+
+func (i *Intake) enter(call Call) (entry, Outcome) {
+	t, ok := i.cfg.Terms()
+	if !ok {
+		return entry{}, NotNow{"no configuration yet", comeBack}
+	}
+	queue, ok := t.Route(call.Host, call.Path)
+	if !ok {
+		return entry{}, NoQueue{}
+	}
+	team, granted := t.TeamOf(call.Key)
+	if !granted && !queue.Anonymous {
+		return entry{}, NoKey{}
+	}
+	return entry{queue, team, call.Path[len(queue.Prefix):], t}, nil
+}
+
+// Enter checks where a call goes before its body is read: it returns nil, or the outcome that refuses the call.
+func (i *Intake) Enter(call Call, bodyBytes int) Outcome {
+	e, refused := i.enter(call)
+	if refused != nil {
+		return refused
+	}
+	if limit := e.terms.Limits.BodyBytes; limit > 0 && bodyBytes > limit {
+		return TooLarge{}
+	}
+	return nil
+}
+
+// Submit stores a job under the identifier that the call names; a repeated identifier stays one job.
+func (i *Intake) Submit(ctx context.Context, call Call, job work.Job) Outcome {
+	e, refused := i.enter(call)
+	if refused != nil {
+		return refused
+	}
+	if !validID(e.id) {
+		return Invalid{"malformed job identifier"}
+	}
+	job.ID, job.Queue, job.Team, job.Accepted = model.JobID(e.id), e.queue.Name, e.team, time.Now()
+	if err := job.Check(); err != nil {
+		i.cfg.Log.Info("job refused", zap.String("job", e.id), zap.String("queue", e.queue.Name), zap.Error(err))
+		return Invalid{err.Error()}
+	}
+	value, err := job.Encode()
+	if err != nil {
+		return Invalid{err.Error()}
+	}
+	begun := time.Now()
+	outcome := i.put(ctx, ledger.Record{Key: jobPrefix + e.id, Value: value})
+	i.cfg.Log.Info("job submitted", zap.String("job", e.id), zap.String("queue", e.queue.Name),
+		zap.String("team", string(e.team)), zap.Int64("config-version", e.terms.Version),
+		zap.Duration("took", time.Since(begun)), zap.String("outcome", name(outcome)))
+	return outcome
+}
+
+// Cancel stores the cancellation of a job.
+func (i *Intake) Cancel(ctx context.Context, call Call) Outcome {
+	e, refused := i.enter(call)
+	if refused != nil {
+		return refused
+	}
+	if !validID(e.id) {
+		return Unknown{}
+	}
+	outcome := i.put(ctx, ledger.Record{Key: cancelPrefix + e.id, Value: []byte{1}})
+	i.cfg.Log.Info("cancel submitted", zap.String("job", e.id), zap.String("outcome", name(outcome)))
+	return outcome
+}
+
+func (i *Intake) put(ctx context.Context, record ledger.Record) Outcome {
+	err := i.cfg.Records.Put(ctx, record)
+	switch {
+	case err == nil:
+		return Accepted{}
+	case errors.Is(err, inbox.ErrRefused):
+		return NotNow{"store unavailable", comeBack}
+	default:
+		return InDoubt{err.Error()}
+	}
+}
+
+// Look returns the state of a job, or the length of the queue if the call names no job.
+func (i *Intake) Look(ctx context.Context, call Call) Outcome {
+	e, refused := i.enter(call)
+	if refused != nil {
+		return refused
+	}
+	if e.id == "" {
+		n, err := i.cfg.Owner.Pending(ctx, e.queue.Name)
+		if err != nil {
+			return NotNow{err.Error(), comeBack}
+		}
+		return Length{n}
+	}
+	if !validID(e.id) {
+		return Unknown{}
+	}
+	state, err := i.cfg.Owner.State(ctx, model.JobID(e.id))
+	switch {
+	case err == nil:
+		return Known{state}
+	case errors.Is(err, ErrUnknownJob):
+		i.cfg.Log.Info("job unknown", zap.String("job", e.id))
+		return Unknown{}
+	default:
+		i.cfg.Log.Info("state not available", zap.String("job", e.id), zap.Error(err))
+		return NotNow{err.Error(), comeBack}
+	}
+}
+
+// validID accepts identifiers that are safe in keys and task names.
+func validID(id string) bool {
+	if id == "" || len(id) > maxIDBytes {
+		return false
+	}
+	for _, c := range id {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return true
+}
+
+func name(o Outcome) string {
+	switch o := o.(type) {
+	case Accepted:
+		return "accepted"
+	case NotNow:
+		return "refused: " + o.Reason
+	case InDoubt:
+		return "in doubt: " + o.Reason
+	default:
+		return "refused"
+	}
+}
+
+// ParseKey tells what a stored record is about; cancelled is true for a cancellation.
+func ParseKey(key string) (id model.JobID, cancelled, ok bool) {
+	switch {
+	case len(key) > len(cancelPrefix) && key[:len(cancelPrefix)] == cancelPrefix:
+		return model.JobID(key[len(cancelPrefix):]), true, true
+	case len(key) > len(jobPrefix) && key[:len(jobPrefix)] == jobPrefix:
+		return model.JobID(key[len(jobPrefix):]), false, true
+	default:
+		return "", false, false
+	}
+}
+
+// Keys returns the keys of the records about a job.
+func Keys(id string) []string { return []string{jobPrefix + id, cancelPrefix + id} }
--- /dev/null
+++ b/internal/owner/asks.go
@@ -0,0 +1,121 @@
+package owner
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"arbutuswing.example/internal/agent"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/shard"
+)
+
+const (
+	// longAsk is the service's time from which on a call may only take some of the nodes, so that short calls find a
+	// node without one.
+	longAsk = 150 * time.Millisecond
+	// shortOnlyShare is the share of the nodes that are kept for short calls.
+	shortOnlyShare = 0.3
+	// askSlack is added to the time that a call should take.
+	askSlack = 400 * time.Millisecond
+	// nodePenalty is how long a node that failed a call gets no other.
+	nodePenalty = 2 * time.Second
+	// nodeQueue is the service's time that calls of one node may wait for.
+	nodeQueue = 1200 * time.Millisecond
+)
+
+// asks spreads calls for advice over the nodes: the service handles one call of each node at a time.
+type asks struct {
+	tenure *tenure
+
+	mu      sync.Mutex
+	waiting []shard.Ask
+	// load is the service's time of the calls under way at each node.
+	load    map[Member]time.Duration
+	blocked map[Member]time.Time
+}
+
+func newAsks(t *tenure) *asks {
+	return &asks{tenure: t, load: make(map[Member]time.Duration), blocked: make(map[Member]time.Time)}
+}
+
+// add takes calls in and sends what a node can take now, the most urgent and shortest first.
+func (a *asks) add(ctx context.Context, more []shard.Ask) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(more) > 0 {
+		a.waiting = append(a.waiting, more...)
+		slices.SortStableFunc(a.waiting, func(x, y shard.Ask) int {
+			return cmp.Or(cmp.Compare(x.Urgency, y.Urgency), cmp.Compare(x.Cost, y.Cost))
+		})
+	}
+	if len(a.waiting) == 0 {
+		return
+	}
+	nodes := a.nodes()
+	kept := a.waiting[:0]
+	for _, ask := range a.waiting {
+		node, ok := a.pick(nodes, ask.Cost)
+		if !ok {
+			kept = append(kept, ask)
+			continue
+		}
+		a.load[node] += ask.Cost
+		go a.runAsk(ctx, node, ask, a.load[node])
+	}
+	a.waiting = kept
+}
+
+// nodes returns the nodes that may be asked, in the same order each time.
+func (a *asks) nodes() []Member {
+	nodes := a.tenure.cfg.Nodes()
+	if !slices.Contains(nodes, a.tenure.cfg.Self) {
+		nodes = append(nodes, a.tenure.cfg.Self)
+	}
+	nodes = slices.DeleteFunc(nodes, func(m Member) bool { return time.Now().Before(a.blocked[m]) })
+	slices.SortFunc(nodes, func(x, y Member) int { return cmp.Compare(x.String(), y.String()) })
+	return nodes
+}
+
+func (a *asks) pick(nodes []Member, cost time.Duration) (Member, bool) {
+	if cost >= longAsk && len(nodes) > 2 {
+		nodes = nodes[int(float64(len(nodes))*shortOnlyShare):]
+	}
+	var best Member
+	found := false
+	for _, node := range nodes {
+		if a.load[node] > 0 && a.load[node]+cost > nodeQueue {
+			continue
+		}
+		if !found || a.load[node] < a.load[best] {
+			best, found = node, true
+		}
+	}
+	return best, found
+}
+
+func (a *asks) runAsk(ctx context.Context, node Member, ask shard.Ask, load time.Duration) {
+	t := a.tenure
+	q := ask.Question
+	q.Timeout = model.Duration(load + askSlack)
+	advice, err := a.call(ctx, node, q)
+	a.mu.Lock()
+	a.load[node] -= ask.Cost
+	if err != nil && ctx.Err() == nil {
+		a.blocked[node] = time.Now().Add(nodePenalty)
+	}
+	a.mu.Unlock()
+	t.mu.Lock()
+	t.shard.Advised(ask, advice, err, t.now())
+	t.mu.Unlock()
+	t.kick()
+}
+
+func (a *asks) call(ctx context.Context, node Member, q agent.Question) (agent.Advice, error) {
+	if node == a.tenure.cfg.Self {
+		return a.tenure.cfg.Advisor.Advise(ctx, q)
+	}
+	return a.tenure.cfg.Peers.Advise(ctx, node.Address, q)
+}
--- /dev/null
+++ b/internal/owner/owner.go
@@ -0,0 +1,164 @@
+package owner
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"arbutuswing.example/internal/agent"
+	"arbutuswing.example/internal/ledger"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/peers"
+	"arbutuswing.example/internal/shard"
+	"arbutuswing.example/internal/terms"
+	"arbutuswing.example/internal/work"
+)
+
+// Topics and the partition of the one shard.
+const (
+	TopicInbox    ledger.Topic = "jobs"
+	TopicProgress ledger.Topic = "progress"
+	Partition                  = 0
+)
+
+const (
+	// joinEvery is the interval between renewals of the membership; three fit into its time to live.
+	joinEvery = 400 * time.Millisecond
+	// memberTTL is how long a member that fell silent keeps its partitions.
+	memberTTL = 1500 * time.Millisecond
+)
+
+// Config describes the part of a node that may own jobs.
+type Config struct {
+	Self     Member
+	Group    string
+	Ledger   ledger.Ledger
+	Workers  agent.Workers
+	Advisor  agent.Advisor
+	Peers    *peers.Client
+	Nodes    func() []Member
+	Terms    func() (terms.Terms, bool)
+	Registry func() ([]agent.Entry, bool)
+	// Shard holds the times of the shard; token and events are set for each ownership.
+	Shard shard.Config
+	Log   *zap.Logger
+}
+
+// Owner takes part in the group and owns the jobs while it holds their partition.
+type Owner struct {
+	cfg Config
+
+	mu     sync.Mutex
+	tenure *tenure
+}
+
+var _ peers.Owner = (*Owner)(nil)
+
+// New returns an owner that has not joined.
+func New(cfg Config) *Owner { return &Owner{cfg: cfg} }
+
+func (o *Owner) current() *tenure {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.tenure
+}
+
+// State returns the state of a job that this node owns.
+func (o *Owner) State(id model.JobID) (work.State, error) {
+	t := o.current()
+	if t == nil {
+		return "", peers.ErrNotOwner
+	}
+	return t.state(id)
+}
+
+// Pending returns how many jobs of a queue have not begun.
+func (o *Owner) Pending(queue string) (int, error) {
+	t := o.current()
+	if t == nil {
+		return 0, peers.ErrNotOwner
+	}
+	return t.pending(queue)
+}
+
+// TermsChanged puts a new configuration in force.
+func (o *Owner) TermsChanged(t terms.Terms) {
+	if current := o.current(); current != nil {
+		current.setTerms(t)
+	}
+}
+
+// RegistryChanged takes over the workers' entries.
+func (o *Owner) RegistryChanged(entries []agent.Entry) {
+	if current := o.current(); current != nil {
+		current.setRegistry(entries)
+	}
+}
+
+// Run takes part in the group until the context ends, and then hands over.
+func (o *Owner) Run(ctx context.Context) error {
+	m := ledger.Membership{Group: o.cfg.Group, Member: o.cfg.Self.String(), Topic: TopicProgress, TTL: memberTTL}
+	lost := int64(0)
+	for ctx.Err() == nil {
+		share, err := o.cfg.Ledger.Join(ctx, m)
+		current := o.current()
+		switch {
+		case ctx.Err() != nil:
+		case err != nil:
+			o.cfg.Log.Info("membership not renewed", zap.Error(err))
+		default:
+			m.Generation = share.Generation
+			holds := slices.Contains(share.Partitions, Partition)
+			if current != nil {
+				current.touched()
+			}
+			switch {
+			case current != nil && !holds:
+				o.end(current, "partition was reassigned")
+				// Joining with this generation releases the partition.
+				continue
+			case current != nil && current.ended():
+				lost = share.Generation
+				o.end(current, "a newer owner exists")
+				o.leave(m)
+				continue
+			case current == nil && holds && share.Generation > lost:
+				o.begin(ctx, share.Generation)
+			}
+		}
+		sleep(ctx, joinEvery)
+	}
+	if current := o.current(); current != nil {
+		o.end(current, "stopping")
+	}
+	o.leave(m)
+	return nil
+}
+
+func (o *Owner) leave(m ledger.Membership) {
+	ctx, cancel := context.WithTimeout(context.Background(), memberTTL)
+	defer cancel()
+	if err := o.cfg.Ledger.Leave(ctx, m); err != nil {
+		o.cfg.Log.Info("membership not given up", zap.Error(err))
+	}
+}
+
+func (o *Owner) begin(ctx context.Context, generation int64) {
+	t := newTenure(o.cfg, generation)
+	o.cfg.Log.Info("ownership won", zap.Int64("epoch", generation))
+	o.mu.Lock()
+	o.tenure = t
+	o.mu.Unlock()
+	go t.run(ctx)
+}
+
+func (o *Owner) end(t *tenure, why string) {
+	o.mu.Lock()
+	o.tenure = nil
+	o.mu.Unlock()
+	t.stop()
+	o.cfg.Log.Info("ownership ended", zap.Int64("epoch", t.epoch), zap.String("reason", why))
+}
--- /dev/null
+++ b/internal/shard/config.go
@@ -0,0 +1,91 @@
+package shard
+
+import (
+	"errors"
+	"time"
+
+	"arbutuswing.example/internal/work"
+)
+
+// ErrStopped reports that the owner was fenced and decides no more.
+var ErrStopped = errors.New("shard has a newer owner")
+
+const (
+	// clockDrift is how much slower a worker's clock may run, as a fraction.
+	clockDrift = 0.02
+	// lapseMargin covers the rounding of clocks when a lease is taken as lapsed.
+	lapseMargin = 150 * time.Millisecond
+	// retryOrder is the pause before a command without an answer is repeated.
+	retryOrder = 150 * time.Millisecond
+	// gangBreakGrace is the time in which workers end the members of a broken gang by themselves.
+	gangBreakGrace = 200 * time.Millisecond
+	// suspectAfter is the silence after which a worker gets no new tasks: two missed reports.
+	suspectAfter = 2500 * time.Millisecond
+	// ticketMargin is the least validity of a ticket with which a start is decided: it covers the commit and the call.
+	ticketMargin = 250 * time.Millisecond
+	// quarantineTime is how long a worker that keeps failing gets no tasks of jobs that have failed before.
+	quarantineTime = 4 * time.Second
+	// quarantineAfter is how many failures in a row, of different jobs, put a worker into quarantine.
+	quarantineAfter = 2
+	// stallAfter is how long a run may show no progress before it is stopped and started elsewhere.
+	stallAfter = 2500 * time.Millisecond
+	// minSurplusBurst is the burst of a team's rate for owed jobs, in jobs.
+	minSurplusBurst = 2
+	// scanLimit bounds how many waiting stages are tried in one pass.
+	scanLimit = 400
+	// restoredAge bounds the age that a job from a former owner is given, because clocks of instances differ.
+	restoredAge = 30 * time.Second
+)
+
+// Config describes a shard.
+type Config struct {
+	// Token is the fencing token of this ownership.
+	Token int64
+	// Lease is the lease that a worker gets with each hold.
+	Lease time.Duration
+	// RenewLimit is how long a former owner may have gone on renewing leases after it lost its ownership.
+	RenewLimit time.Duration
+	// KillGrace is how long a stopped run may take to end.
+	KillGrace time.Duration
+	// Retention is how long a final job is still known.
+	Retention time.Duration
+	// Events receives each decision; it may be nil.
+	Events func(Event)
+}
+
+// Event is a decision or a changed belief, for the log.
+type Event struct {
+	Name   string
+	Job    string
+	Task   string
+	Worker string
+	Detail string
+	// Value is a figure that decided, with its meaning told by the name.
+	Value int64
+}
+
+// Orders are the commands that may be carried out now.
+type Orders struct {
+	Starts []StartOrder
+	Stops  []StopOrder
+	Asks   []Ask
+}
+
+// Commit is what has to be recorded: the whole progress of each changed job, and the jobs to drop.
+type Commit struct {
+	Batch    uint64
+	Progress []JobProgress
+	// Dropped names final jobs whose submission needs no longer be kept.
+	Dropped []string
+	// Expired names final jobs that need no longer be known.
+	Expired []string
+}
+
+// JobProgress is the progress of one job.
+type JobProgress struct {
+	ID       string
+	Progress work.Progress
+}
+
+// Empty reports whether there is nothing to record.
+func (c Commit) Empty() bool { return len(c.Progress)+len(c.Dropped)+len(c.Expired) == 0 }
--- /dev/null
+++ b/internal/shard/job.go
@@ -0,0 +1,255 @@
+package shard
+
+import (
+	"time"
+
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/terms"
+	"arbutuswing.example/internal/work"
+)
+
+// job is the state of one accepted job.
+type job struct {
+	spec     work.Job
+	queue    terms.Queue
+	received time.Duration
+	// objective is the moment by which the job should be completed.
+	objective time.Duration
+	surplus   bool
+	cancelled bool
+	begun     bool
+	final     work.State
+	// finalBatch carries the final state; it is told only once recorded.
+	finalBatch uint64
+	finalAt    time.Duration
+	stages     []*stage
+	dirty      bool
+	// avoid holds the workers on which a task of the job has failed or stalled.
+	avoid map[model.WorkerID]bool
+}
+
+// stage is the state of one occurrence of a stage.
+type stage struct {
+	job        *job
+	spec       *work.Stage
+	occurrence int
+	index      int
+	tasks      []task
+	left       int
+	// failures and failedRun count failed runs of a gang.
+	failures  int
+	failedRun int
+	// verdicts holds what the advice service said about workers.
+	verdicts map[model.WorkerID]verdict
+	asking   bool
+	// askAfter is the earliest moment for another call after one that failed.
+	askAfter time.Duration
+	// reserved is room kept while a call for advice is under way, or until stopped runs have ended.
+	reserved      map[*worker]model.Resources
+	reservedUntil time.Duration
+	waitingSince  time.Duration
+}
+
+type verdict struct {
+	good    bool
+	ticket  string
+	expires time.Duration
+}
+
+type task struct {
+	done       bool
+	lastRun    int
+	failures   int
+	attempts   []*attempt
+	checkpoint string
+}
+
+type phase int
+
+const (
+	// phaseBound: the run is recorded or about to be, and no start was confirmed.
+	phaseBound phase = iota
+	phaseStarted
+	phaseStopping
+)
+
+// attempt is a run of a task that may be present on a worker.
+type attempt struct {
+	stage  *stage
+	index  int
+	run    int
+	worker *worker
+	phase  phase
+	batch  uint64
+	ticket string
+	// calling is set while a command is under way, unsettled once a start was left without an answer.
+	calling   bool
+	unsettled bool
+	notBefore time.Duration
+	// settled is the worker's clock from which on a report without this run proves its absence; negative if unknown.
+	settled    time.Duration
+	checkpoint string
+	percent    int
+	changedAt  time.Duration
+}
+
+func (a *attempt) task() *task { return &a.stage.tasks[a.index] }
+
+func (a *attempt) ref() work.TaskRef {
+	return work.TaskRef{Job: a.stage.job.spec.ID, Occurrence: a.stage.occurrence, Stage: a.stage.index, Index: a.index}
+}
+
+func (a *attempt) size() model.Resources {
+	if a.stage.spec.Scavenger {
+		return model.Resources{}
+	}
+	return a.stage.spec.Size
+}
+
+func (a *attempt) key() runKey { return runKey{a.ref(), a.run} }
+
+type runKey struct {
+	task work.TaskRef
+	run  int
+}
+
+func newJob(spec work.Job, queue terms.Queue, now time.Duration) *job {
+	j := &job{spec: spec, queue: queue, received: now, avoid: make(map[model.WorkerID]bool)}
+	for k := range spec.Runs() {
+		for i := range spec.Stages {
+			j.stages = append(j.stages, &stage{
+				job: j, spec: &j.spec.Stages[i], occurrence: k, index: i, tasks: make([]task, spec.Stages[i].Count),
+				left: spec.Stages[i].Count, verdicts: make(map[model.WorkerID]verdict), waitingSince: now,
+			})
+		}
+	}
+	j.objective = now + j.allowance()
+	return j
+}
+
+// adviceWorkers is the number of workers that the objective allows one call for advice for.
+const adviceWorkers = 30
+
+// allowance is the time in which the job should be completed, by the submitter's estimates.
+func (j *job) allowance() time.Duration {
+	extra := time.Duration(0)
+	if advice := j.queue.Advice; advice != nil {
+		extra = advice.Decide + adviceWorkers*advice.PerWorker
+	}
+	return time.Duration(float64(j.spec.ChainTime(extra))*max(j.queue.Stretch, 1)) + j.queue.Latency
+}
+
+func (j *job) stage(occurrence, index int) *stage {
+	at := occurrence*len(j.spec.Stages) + index
+	if occurrence < 0 || index < 0 || index >= len(j.spec.Stages) || at >= len(j.stages) {
+		return nil
+	}
+	return j.stages[at]
+}
+
+// open reports whether tasks of the job may still be started.
+func (j *job) open() bool { return j.final == "" && !j.cancelled }
+
+// ready reports whether the stage's turn has come; wall is the time of day.
+func (st *stage) ready(wall time.Time) bool {
+	if due := st.job.spec.Due(st.occurrence); !due.IsZero() && wall.Before(due) {
+		return false
+	}
+	for _, earlier := range st.spec.After {
+		if st.job.stage(st.occurrence, earlier).left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// waiting returns the tasks that have neither succeeded nor a run that may be present anywhere. A gang waits as a
+// whole until the last run of its former members is gone.
+func (st *stage) waiting() []int {
+	var tasks []int
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		switch {
+		case t.done:
+		case len(t.attempts) == 0:
+			tasks = append(tasks, i)
+		case st.spec.Gang:
+			return nil
+		}
+	}
+	return tasks
+}
+
+func (st *stage) nextRun(index int) int {
+	if !st.spec.Gang {
+		return st.tasks[index].lastRun + 1
+	}
+	run := 0
+	for i := range st.tasks {
+		run = max(run, st.tasks[i].lastRun)
+	}
+	return run + 1
+}
+
+// startCheckpoint is the progress to start a task from; all members of a gang carry the same.
+func (st *stage) startCheckpoint(index int) string {
+	if !st.spec.Gang {
+		return st.tasks[index].checkpoint
+	}
+	return st.tasks[0].checkpoint
+}
+
+func (st *stage) saveCheckpoint(index int, checkpoint string) {
+	if checkpoint == "" {
+		return
+	}
+	if !st.spec.Gang {
+		st.tasks[index].checkpoint = checkpoint
+		return
+	}
+	for i := range st.tasks {
+		st.tasks[i].checkpoint = checkpoint
+	}
+}
+
+// live calls f for each run of the job that may be present on a worker.
+func (j *job) live(f func(*attempt)) {
+	for _, st := range j.stages {
+		for i := range st.tasks {
+			for _, a := range append([]*attempt(nil), st.tasks[i].attempts...) {
+				f(a)
+			}
+		}
+	}
+}
+
+// progress returns the record of the job's state.
+func (j *job) progress() work.Progress {
+	p := work.Progress{Final: j.final, Begun: j.begun}
+	for _, st := range j.stages {
+		for i := range st.tasks {
+			t := &st.tasks[i]
+			if t.lastRun == 0 && !t.done {
+				continue
+			}
+			failures := t.failures
+			if st.spec.Gang {
+				failures = st.failures
+			}
+			tp := work.TaskProgress{
+				Occurrence: st.occurrence, Stage: st.index, Index: i, Done: t.done, LastRun: t.lastRun, Failures: failures,
+			}
+			if !t.done && j.open() {
+				tp.Checkpoint = t.checkpoint
+			}
+			for _, a := range t.attempts {
+				tp.Bindings = append(tp.Bindings, work.Binding{Run: a.run, Worker: a.worker.id, Born: a.worker.born})
+			}
+			if j.final != "" && len(tp.Bindings) == 0 {
+				continue
+			}
+			p.Tasks = append(p.Tasks, tp)
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/shard/plan.go
@@ -0,0 +1,344 @@
+package shard
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"arbutuswing.example/internal/model"
+)
+
+// candidate is a worker with the number of a stage's tasks that fit on it now.
+type candidate struct {
+	worker *worker
+	slots  int
+	free   model.Resources
+	ticket string
+}
+
+// plan starts what can be started, the most urgent stages first.
+func (s *Shard) plan(now time.Duration, wall time.Time) {
+	waiting := s.waitingStages(now, wall)
+	if !s.replan {
+		return
+	}
+	s.replan = false
+	for i, st := range waiting {
+		if i == scanLimit {
+			break
+		}
+		s.place(st, now)
+	}
+}
+
+// waitingStages returns the stages that have tasks to start, in the order in which they are served: work that can
+// still meet its objective before late work, owed work before surplus, then by priority and objective.
+func (s *Shard) waitingStages(now time.Duration, wall time.Time) []*stage {
+	var waiting []*stage
+	for _, st := range s.active {
+		if len(st.reserved) > 0 && now > st.reservedUntil && !st.asking {
+			s.release(st)
+			s.replan = true
+		}
+		if st.left == 0 || !st.job.open() || !st.ready(wall) {
+			continue
+		}
+		if len(st.waiting()) > 0 {
+			waiting = append(waiting, st)
+			s.replan = s.replan || (!st.asking && st.askAfter > 0 && now >= st.askAfter)
+		}
+	}
+	slices.SortStableFunc(waiting, func(a, b *stage) int {
+		return cmp.Or(
+			compareBool(now > a.job.objective, now > b.job.objective), compareBool(a.job.surplus, b.job.surplus),
+			cmp.Compare(a.job.queue.Priority, b.job.queue.Priority), cmp.Compare(a.job.objective, b.job.objective),
+			cmp.Compare(a.job.spec.ID, b.job.spec.ID), cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.index, b.index))
+	})
+	return waiting
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// place binds as many waiting tasks of the stage as fit, or all of a gang or none, and sees to what the rest needs.
+func (s *Shard) place(st *stage, now time.Duration) {
+	waiting := st.waiting()
+	room := s.teamRoom(st, len(waiting))
+	if room == 0 || (st.spec.Gang && room < len(waiting)) {
+		return
+	}
+	waiting = waiting[:room]
+	chosen := s.choose(st, s.candidates(st, now, true), len(waiting))
+	if len(chosen) == len(waiting) || !st.spec.Gang {
+		run := st.nextRun(waiting[0])
+		for i, c := range chosen {
+			if !st.spec.Gang {
+				run = st.nextRun(waiting[i])
+			}
+			s.bind(st, waiting[i], run, c, now)
+		}
+		waiting = waiting[len(chosen):]
+	}
+	if len(waiting) == 0 {
+		s.release(st)
+		return
+	}
+	if s.ask(st, len(waiting), now) {
+		return
+	}
+	s.preempt(st, len(waiting), now)
+}
+
+// teamRoom returns how many of n tasks the team's upper limit allows.
+func (s *Shard) teamRoom(st *stage, n int) int {
+	limit, used := s.terms.Teams[st.job.spec.Team].Limit, s.usage[st.job.spec.Team]
+	return min(n, fitCount(limit, used, st.spec.Size, n))
+}
+
+// fitCount returns how many times size fits between used and limit, at most n; a zero dimension of limit is unlimited.
+func fitCount(limit, used, size model.Resources, n int) int {
+	dims := [][3]int64{
+		{int64(limit.Cores), int64(used.Cores), int64(size.Cores)},
+		{int64(limit.Memory), int64(used.Memory), int64(size.Memory)},
+		{limit.Accelerators, used.Accelerators, size.Accelerators},
+	}
+	for _, d := range dims {
+		if d[0] > 0 && d[2] > 0 {
+			n = min(n, int(max(d[0]-d[1], 0)/d[2]))
+		}
+	}
+	return n
+}
+
+// slots returns how many tasks of size fit into free, at most n.
+func slots(free, size model.Resources, n int) int {
+	if free.Negative() {
+		return 0
+	}
+	dims := [][2]int64{
+		{int64(free.Cores), int64(size.Cores)}, {int64(free.Memory), int64(size.Memory)}, {free.Accelerators, size.Accelerators},
+	}
+	for _, d := range dims {
+		if d[1] > 0 {
+			n = min(n, int(d[0]/d[1]))
+		}
+	}
+	return n
+}
+
+// allowed reports whether the stage's declared constraints let it run on the worker at all.
+func (s *Shard) allowed(st *stage, w *worker, now time.Duration) bool {
+	if !w.usable(now) || w.entry.Pool != st.job.queue.Pool || s.terms.Out(w.entry.DataCentre) || s.terms.Standby(w.entry.Pool) {
+		return false
+	}
+	if now < w.quarantinedUntil || st.job.avoid[w.id] {
+		return false
+	}
+	return st.spec.Label == "" || slices.Contains(w.entry.Labels, st.spec.Label)
+}
+
+// candidates returns the allowed workers that have room; with tickets set, only those that may run the stage now.
+func (s *Shard) candidates(st *stage, now time.Duration, tickets bool) []candidate {
+	var list []candidate
+	consider := func(w *worker, ticket string) {
+		if w == nil || !s.allowed(st, w, now) {
+			return
+		}
+		free := w.free(st)
+		n := slots(free, st.spec.Size, st.spec.Count)
+		if st.spec.Scavenger {
+			n = st.spec.Count
+		}
+		if st.spec.MaxPerWorker > 0 {
+			n = min(n, st.spec.MaxPerWorker-st.runsOn(w))
+		}
+		if n > 0 {
+			list = append(list, candidate{w, n, free, ticket})
+		}
+	}
+	if st.job.queue.Advice == nil {
+		for _, w := range s.workers {
+			consider(w, "")
+		}
+	} else {
+		for id, v := range st.verdicts {
+			if v.good && (!tickets || now+ticketMargin < v.expires) {
+				consider(s.workers[id], v.ticket)
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b candidate) int { return s.prefer(st, a, b) })
+	return list
+}
+
+// prefer puts first the rack that holds the data, then for gangs the emptiest workers, so that few are involved, and
+// for others the fullest, so that large holes stay for gangs.
+func (s *Shard) prefer(st *stage, a, b candidate) int {
+	near := 0
+	if st.spec.NearRack != "" {
+		near = compareBool(a.worker.entry.Rack != st.spec.NearRack, b.worker.entry.Rack != st.spec.NearRack)
+	}
+	byFree := cmp.Compare(a.free.Cores, b.free.Cores)
+	if st.spec.Gang {
+		byFree = -byFree
+	}
+	return cmp.Or(near, byFree, cmp.Compare(a.worker.id, b.worker.id))
+}
+
+// choose assigns n tasks to the candidates in their order; a gang that wants one rack gets the first rack that holds
+// it, or any workers if none does.
+func (s *Shard) choose(st *stage, list []candidate, n int) []candidate {
+	if st.spec.Gang && st.spec.OneRack {
+		var racks []string
+		byRack := make(map[string][]candidate)
+		for _, c := range list {
+			rack := c.worker.entry.Rack
+			if byRack[rack] == nil {
+				racks = append(racks, rack)
+			}
+			byRack[rack] = append(byRack[rack], c)
+		}
+		for _, rack := range racks {
+			if chosen := fill(byRack[rack], n); len(chosen) == n {
+				return chosen
+			}
+		}
+	}
+	return fill(list, n)
+}
+
+func fill(list []candidate, n int) []candidate {
+	var chosen []candidate
+	for _, c := range list {
+		for range c.slots {
+			if len(chosen) == n {
+				return chosen
+			}
+			chosen = append(chosen, c)
+		}
+	}
+	return chosen
+}
+
+func (st *stage) runsOn(w *worker) int {
+	n := 0
+	for i := range st.tasks {
+		for _, a := range st.tasks[i].attempts {
+			if a.worker == w {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// bind decides a run; its start may be sent once the decision is recorded.
+func (s *Shard) bind(st *stage, index, run int, c candidate, now time.Duration) {
+	t, w := &st.tasks[index], c.worker
+	t.lastRun = run
+	a := &attempt{
+		stage: st, index: index, run: run, worker: w, batch: s.next, ticket: c.ticket, settled: -1,
+		checkpoint: st.startCheckpoint(index), changedAt: now,
+	}
+	s.attach(a)
+	s.touch(st.job)
+	s.event("run-bound", string(st.job.spec.ID), a.ref().String(), w, "", int64(run))
+}
+
+func (s *Shard) attach(a *attempt) {
+	a.worker.attempts[a.key()] = a
+	a.worker.used = a.worker.used.Plus(a.size())
+	team := a.stage.job.spec.Team
+	s.usage[team] = s.usage[team].Plus(a.stage.spec.Size)
+	t := a.task()
+	t.attempts = append(t.attempts, a)
+}
+
+// preempt stops runs of less urgent work that saves its progress, so that n tasks of the stage fit.
+func (s *Shard) preempt(st *stage, n int, now time.Duration) {
+	if now > st.job.objective || st.job.surplus || st.spec.Scavenger || len(st.reserved) > 0 {
+		return
+	}
+	type plan struct {
+		worker  *worker
+		victims []*attempt
+		slots   int
+	}
+	var plans []plan
+	total := 0
+	for _, w := range s.goodWorkers(st, now) {
+		p, free := plan{worker: w}, w.free(st)
+		for _, a := range sortedAttempts(w) {
+			if slots(free, st.spec.Size, n) >= n {
+				break
+			}
+			if victim(st, a) {
+				p.victims = append(p.victims, a)
+				free = free.Plus(a.size())
+			}
+		}
+		p.slots = slots(free, st.spec.Size, n)
+		if st.spec.MaxPerWorker > 0 {
+			p.slots = min(p.slots, st.spec.MaxPerWorker-st.runsOn(w))
+		}
+		if p.slots > 0 {
+			plans = append(plans, p)
+			total += p.slots
+		}
+	}
+	if total == 0 || (st.spec.Gang && total < n) {
+		return
+	}
+	slices.SortStableFunc(plans, func(a, b plan) int {
+		return cmp.Compare(len(a.victims)*b.slots, len(b.victims)*a.slots)
+	})
+	st.reserved = make(map[*worker]model.Resources)
+	st.reservedUntil = now + s.cfg.KillGrace + 2*ticketMargin
+	for _, p := range plans {
+		if n <= 0 {
+			break
+		}
+		take := min(n, p.slots)
+		n -= take
+		p.worker.reservations[st] = st.spec.Size.Times(take)
+		st.reserved[p.worker] = st.spec.Size.Times(take)
+		for _, a := range p.victims {
+			s.event("run-preempted", string(a.stage.job.spec.ID), a.ref().String(), p.worker, string(st.job.spec.ID), int64(a.run))
+			s.stop(a, now)
+		}
+	}
+}
+
+// victim reports whether a run may be stopped for the stage: it is less urgent and loses little.
+func victim(st *stage, a *attempt) bool {
+	return a.phase == phaseStarted && a.stage.spec.Checkpoints && !a.stage.spec.Gang && !a.stage.spec.Service &&
+		a.stage.job.queue.Priority > st.job.queue.Priority
+}
+
+// goodWorkers returns the allowed workers that may run the stage, whether or not they have room.
+func (s *Shard) goodWorkers(st *stage, now time.Duration) []*worker {
+	var list []*worker
+	for id, w := range s.workers {
+		if (st.job.queue.Advice == nil || st.verdicts[id].good) && s.allowed(st, w, now) {
+			list = append(list, w)
+		}
+	}
+	slices.SortFunc(list, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
+	return list
+}
+
+// expire makes the next start on a worker ask for a new ticket.
+func (st *stage) expire(id model.WorkerID) {
+	if v, ok := st.verdicts[id]; ok {
+		v.expires = 0
+		st.verdicts[id] = v
+	}
+}
--- /dev/null
+++ b/internal/shard/restore.go
@@ -0,0 +1,108 @@
+package shard
+
+import (
+	"time"
+
+	"arbutuswing.example/internal/agent"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/terms"
+	"arbutuswing.example/internal/work"
+)
+
+// Restored is what a former owner recorded.
+type Restored struct {
+	Jobs      []work.Job
+	Progress  map[model.JobID]work.Progress
+	Cancelled []model.JobID
+}
+
+// Restore takes over the recorded state. Runs that were bound may be present on their workers until these report under
+// the new token, or until the longest lease that the former owner may have given has lapsed.
+func (s *Shard) Restore(r Restored, now time.Duration, wall time.Time) {
+	for _, spec := range r.Jobs {
+		if _, ok := s.jobs[spec.ID]; ok {
+			continue
+		}
+		queue, _ := s.terms.Queue(spec.Queue)
+		age := min(max(wall.Sub(spec.Accepted), 0), restoredAge)
+		j := newJob(spec, queue, now-age)
+		s.add(j)
+		if p, ok := r.Progress[spec.ID]; ok {
+			s.restoreProgress(j, p, now)
+		}
+	}
+	for id, p := range r.Progress {
+		if _, ok := s.jobs[id]; !ok && p.Final != "" {
+			// The submission was dropped once the job was final; only its state is still needed.
+			s.restoreProgress(s.addFinal(id), p, now)
+		}
+	}
+	for _, id := range r.Cancelled {
+		s.Cancel(id, now)
+	}
+	limit := now + s.cfg.RenewLimit + time.Duration(float64(s.cfg.Lease)/(1-clockDrift)) + lapseMargin
+	for _, w := range s.workers {
+		w.leaseEnd = limit
+	}
+}
+
+func (s *Shard) addFinal(id model.JobID) *job {
+	j := newJob(work.Job{ID: id}, terms.Queue{}, 0)
+	s.jobs[id] = j
+	return j
+}
+
+func (s *Shard) restoreProgress(j *job, p work.Progress, now time.Duration) {
+	j.begun = p.Begun
+	for _, tp := range p.Tasks {
+		st := j.stage(tp.Occurrence, tp.Stage)
+		if st == nil || tp.Index < 0 || tp.Index >= len(st.tasks) {
+			s.event("progress-mismatch", string(j.spec.ID), "", nil, "", int64(tp.Index))
+			continue
+		}
+		t := &st.tasks[tp.Index]
+		t.lastRun, t.failures, t.checkpoint = tp.LastRun, tp.Failures, tp.Checkpoint
+		if st.spec.Gang {
+			st.failures = max(st.failures, tp.Failures)
+		}
+		if tp.Done {
+			t.done = true
+			st.left--
+		}
+		for _, b := range tp.Bindings {
+			s.restoreBinding(st, tp.Index, b, now)
+		}
+	}
+	if p.Final != "" {
+		j.final, j.finalAt = p.Final, now
+		s.finals = append(s.finals, j)
+		active := s.active[:0]
+		for _, st := range s.active {
+			if st.job != j {
+				active = append(active, st)
+			}
+		}
+		s.active = active
+		j.live(func(a *attempt) { s.stop(a, now) })
+	}
+}
+
+// restoreBinding notes a run that may be present on its worker.
+func (s *Shard) restoreBinding(st *stage, index int, b work.Binding, now time.Duration) {
+	w := s.workers[b.Worker]
+	if w == nil {
+		w = newWorker(b.Worker)
+		s.workers[b.Worker] = w
+	}
+	if b.Born < w.born {
+		// A later life of the worker was already bound to, so this run is gone.
+		return
+	}
+	if b.Born > w.born {
+		for _, a := range sortedAttempts(w) {
+			s.ended(a, agent.HowLapsed, "", now)
+		}
+		w.born = b.Born
+	}
+	s.attach(&attempt{stage: st, index: index, run: b.Run, worker: w, settled: 0, changedAt: now})
+}
--- /dev/null
+++ b/internal/shard/shard.go
@@ -0,0 +1,333 @@
+package shard
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"arbutuswing.example/internal/agent"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/terms"
+	"arbutuswing.example/internal/work"
+)
+
+// Shard is the state of one ownership; it isn't safe for concurrent use.
+type Shard struct {
+	cfg     Config
+	terms   terms.Terms
+	jobs    map[model.JobID]*job
+	workers map[model.WorkerID]*worker
+	usage   map[model.TeamID]model.Resources
+	rates   map[model.TeamID]*bucket
+	// active lists the stages with tasks that have not succeeded, of jobs that are not final.
+	active []*stage
+	// cancelled remembers cancellations that came before their job.
+	cancelled map[model.JobID]bool
+
+	asks []Ask
+	// goodShares holds, for each queue, the share of workers that its tasks may run on.
+	goodShares map[string]float64
+
+	dirty     []*job
+	dropped   []model.JobID
+	finals    []*job
+	next      uint64
+	committed uint64
+	stopped   bool
+	replan    bool
+}
+
+// bucket counts a team's jobs against the rate up to which its work is owed.
+type bucket struct {
+	tokens float64
+	at     time.Duration
+}
+
+// New returns a shard without jobs or workers.
+func New(cfg Config) *Shard {
+	return &Shard{
+		cfg: cfg, jobs: make(map[model.JobID]*job), workers: make(map[model.WorkerID]*worker),
+		usage: make(map[model.TeamID]model.Resources), rates: make(map[model.TeamID]*bucket),
+		cancelled: make(map[model.JobID]bool), goodShares: make(map[string]float64), next: 1,
+	}
+}
+
+func (s *Shard) event(name, jobID, task string, w *worker, detail string, value int64) {
+	if s.cfg.Events == nil {
+		return
+	}
+	e := Event{Name: name, Job: jobID, Task: task, Detail: detail, Value: value}
+	if w != nil {
+		e.Worker = string(w.id)
+	}
+	s.cfg.Events(e)
+}
+
+// SetTerms puts a configuration in force; jobs of queues that it no longer has keep their queue's last terms.
+func (s *Shard) SetTerms(t terms.Terms) {
+	s.terms = t
+	for _, j := range s.jobs {
+		if queue, ok := t.Queue(j.spec.Queue); ok {
+			j.queue = queue
+		}
+	}
+	s.replan = true
+}
+
+// Submit takes a job in; a repeated identifier changes nothing.
+func (s *Shard) Submit(spec work.Job, now time.Duration) {
+	if known, ok := s.jobs[spec.ID]; ok {
+		if known.final != "" && known.finalBatch <= s.committed {
+			s.dropped = append(s.dropped, spec.ID)
+		}
+		return
+	}
+	queue, _ := s.terms.Queue(spec.Queue)
+	j := newJob(spec, queue, now)
+	j.surplus = s.isSurplus(spec.Team, now)
+	s.add(j)
+	s.event("job-taken", string(spec.ID), "", nil, spec.Queue, int64(len(s.active)))
+	if s.cancelled[spec.ID] {
+		s.Cancel(spec.ID, now)
+	}
+}
+
+func (s *Shard) add(j *job) {
+	s.jobs[j.spec.ID] = j
+	s.active = append(s.active, j.stages...)
+	s.replan = true
+}
+
+// isSurplus reports whether a team has handed in more than its share of jobs a second.
+func (s *Shard) isSurplus(team model.TeamID, now time.Duration) bool {
+	rate := s.terms.Teams[team].Share
+	if rate <= 0 {
+		return false
+	}
+	burst := max(rate, minSurplusBurst)
+	b, ok := s.rates[team]
+	if !ok {
+		b = &bucket{tokens: burst, at: now}
+		s.rates[team] = b
+	}
+	b.tokens = min(burst, b.tokens+rate*(now-b.at).Seconds())
+	b.at = now
+	if b.tokens < 1 {
+		return true
+	}
+	b.tokens--
+	return false
+}
+
+// Cancel ends a job: nothing more of it starts, and what runs is stopped.
+func (s *Shard) Cancel(id model.JobID, now time.Duration) {
+	s.cancelled[id] = true
+	j, ok := s.jobs[id]
+	if !ok || j.final != "" {
+		return
+	}
+	j.cancelled = true
+	s.event("job-cancelled", string(id), "", nil, "", 0)
+	s.finish(j, work.StateCancelled, now)
+}
+
+// finish makes a job final and stops what may still run of it.
+func (s *Shard) finish(j *job, state work.State, now time.Duration) {
+	j.final, j.finalBatch, j.finalAt = state, s.next, now
+	s.touch(j)
+	s.finals = append(s.finals, j)
+	s.dropped = append(s.dropped, j.spec.ID)
+	j.live(func(a *attempt) { s.stop(a, now) })
+	for _, st := range j.stages {
+		s.release(st)
+	}
+	s.active = slices.DeleteFunc(s.active, func(st *stage) bool { return st.job == j })
+	s.replan = true
+	s.event("job-"+string(state), string(j.spec.ID), "", nil, j.spec.Queue, (now - j.received).Milliseconds())
+}
+
+func (s *Shard) release(st *stage) {
+	for w := range st.reserved {
+		w.unreserve(st)
+	}
+	st.reserved = nil
+}
+
+func (s *Shard) touch(j *job) {
+	if !j.dirty {
+		j.dirty = true
+		s.dirty = append(s.dirty, j)
+	}
+}
+
+// Registry replaces what is known of the workers' entries.
+func (s *Shard) Registry(entries []agent.Entry) {
+	listed := make(map[model.WorkerID]bool, len(entries))
+	for _, entry := range entries {
+		listed[entry.ID] = true
+		w := s.workers[entry.ID]
+		if w == nil {
+			w = newWorker(entry.ID)
+			s.workers[entry.ID] = w
+		}
+		if w.entry.Draining != entry.Draining {
+			s.event("worker-draining", "", "", w, "", entry.Leaves.Milliseconds())
+		}
+		w.entry, w.listed = entry, true
+	}
+	for id, w := range s.workers {
+		if listed[id] {
+			continue
+		}
+		if w.listed {
+			s.event("worker-unlisted", "", "", w, "", int64(len(w.attempts)))
+		}
+		w.listed = false
+		if len(w.attempts) == 0 {
+			delete(s.workers, id)
+			s.forgetWorker(id)
+		}
+	}
+	s.replan = true
+}
+
+func (s *Shard) forgetWorker(id model.WorkerID) {
+	for _, st := range s.active {
+		delete(st.verdicts, id)
+	}
+}
+
+// Targets returns the workers that have to be held, with their addresses.
+func (s *Shard) Targets() []agent.Target {
+	targets := make([]agent.Target, 0, len(s.workers))
+	for _, w := range s.workers {
+		if w.entry.Address != "" {
+			targets = append(targets, agent.Target{ID: w.id, Address: w.entry.Address})
+		}
+	}
+	return targets
+}
+
+// State returns the recorded state of a job, or false if the job is unknown.
+func (s *Shard) State(id model.JobID) (work.State, bool) {
+	j, ok := s.jobs[id]
+	switch {
+	case !ok:
+		return "", false
+	case j.final != "" && j.finalBatch <= s.committed:
+		return j.final, true
+	case j.begun:
+		return work.StateRunning, true
+	default:
+		return work.StateQueued, true
+	}
+}
+
+// Pending returns how many accepted jobs of a queue have not begun.
+func (s *Shard) Pending(queue string) int {
+	n := 0
+	for _, j := range s.jobs {
+		if j.spec.Queue == queue && j.final == "" && !j.begun {
+			n++
+		}
+	}
+	return n
+}
+
+// Stop ends the ownership; no more orders come out.
+func (s *Shard) Stop() { s.stopped = true }
+
+// Committed notes that a commit and all before it are recorded.
+func (s *Shard) Committed(batch uint64) {
+	s.committed = max(s.committed, batch)
+}
+
+// TakeCommit returns what has changed since the last call; only one commit may be under way at a time.
+func (s *Shard) TakeCommit(now time.Duration) Commit {
+	c := Commit{Batch: s.next}
+	for _, j := range s.dirty {
+		j.dirty = false
+		c.Progress = append(c.Progress, JobProgress{ID: string(j.spec.ID), Progress: j.progress()})
+	}
+	kept := s.dropped[:0]
+	for _, id := range s.dropped {
+		if j := s.jobs[id]; j != nil && j.finalBatch > s.committed {
+			kept = append(kept, id)
+			continue
+		}
+		c.Dropped = append(c.Dropped, string(id))
+	}
+	s.dropped = kept
+	for len(s.finals) > 0 && now-s.finals[0].finalAt > s.cfg.Retention {
+		id := s.finals[0].spec.ID
+		c.Expired = append(c.Expired, string(id))
+		delete(s.jobs, id)
+		delete(s.cancelled, id)
+		s.finals = s.finals[1:]
+	}
+	s.dirty = nil
+	if !c.Empty() {
+		s.next++
+	}
+	return c
+}
+
+// Dirty reports whether there is something to record.
+func (s *Shard) Dirty() bool { return len(s.dirty)+len(s.dropped) > 0 }
+
+// Tick applies what the passing of time proves and plans new starts; wall is the time of day.
+func (s *Shard) Tick(now time.Duration, wall time.Time) {
+	if s.stopped {
+		return
+	}
+	s.lapse(now)
+	s.findStalls(now)
+	s.plan(now, wall)
+}
+
+// lapse ends the runs on workers whose leases have lapsed for certain and that gave no report since.
+func (s *Shard) lapse(now time.Duration) {
+	for _, w := range s.workers {
+		if len(w.attempts) == 0 || now <= w.leaseEnd || w.answered > w.leaseEnd {
+			continue
+		}
+		if now-w.answered < suspectAfter {
+			continue
+		}
+		s.event("worker-lapsed", "", "", w, "", (now - w.answered).Milliseconds())
+		for _, a := range sortedAttempts(w) {
+			s.ended(a, agent.HowLapsed, "", now)
+		}
+	}
+}
+
+// findStalls stops runs that show no progress.
+func (s *Shard) findStalls(now time.Duration) {
+	for _, w := range s.workers {
+		if now-w.answered > suspectAfter {
+			continue
+		}
+		for _, a := range w.attempts {
+			if a.phase != phaseStarted || a.stage.spec.Service || now-a.changedAt < stallAfter || a.stage.spec.Gang {
+				continue
+			}
+			a.stage.job.avoid[w.id] = true
+			w.quarantinedUntil = now + quarantineTime
+			s.event("run-stalled", string(a.stage.job.spec.ID), a.ref().String(), w, "", int64(a.percent))
+			s.stop(a, now)
+		}
+	}
+}
+
+func sortedAttempts(w *worker) []*attempt {
+	list := make([]*attempt, 0, len(w.attempts))
+	for _, a := range w.attempts {
+		list = append(list, a)
+	}
+	slices.SortFunc(list, func(a, b *attempt) int {
+		x, y := a.ref(), b.ref()
+		return cmp.Or(cmp.Compare(x.Job, y.Job), cmp.Compare(x.Occurrence, y.Occurrence), cmp.Compare(x.Stage, y.Stage),
+			cmp.Compare(x.Index, y.Index), cmp.Compare(a.run, b.run))
+	})
+	return list
+}
--- /dev/null
+++ b/internal/work/job.go
@@ -0,0 +1,145 @@
+package work
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"arbutuswing.example/internal/model"
+)
+
+// ErrBadJob reports a job that can't be accepted as it stands.
+var ErrBadJob = errors.New("bad job")
+
+const (
+	maxStages = 64
+	maxTasks  = 10_000
+)
+
+// Stage is a set of equal tasks of a job; sizes and run times are the submitter's estimates.
+type Stage struct {
+	Count int             `json:"count"`
+	Size  model.Resources `json:"size"`
+	// RunTime is a rough estimate of one task's run time.
+	RunTime model.Duration `json:"run-time,omitempty"`
+	// After lists the earlier stages whose tasks must all have succeeded before this stage starts.
+	After []int `json:"after,omitempty"`
+	// Gang runs all tasks together or none.
+	Gang bool `json:"gang,omitempty"`
+	// OneRack asks for workers of one rack, where the tasks of a gang are faster.
+	OneRack bool `json:"one-rack,omitempty"`
+	// Label must be among a worker's labels.
+	Label string `json:"label,omitempty"`
+	// NearRack names the rack that holds the input data.
+	NearRack string `json:"near-rack,omitempty"`
+	// MaxPerWorker bounds how many tasks of the stage run on one worker; zero sets no bound.
+	MaxPerWorker int `json:"max-per-worker,omitempty"`
+	// Speculative allows copies of one task to run at the same time; the first to succeed counts.
+	Speculative bool `json:"speculative,omitempty"`
+	// Service keeps the tasks running until the job is cancelled.
+	Service bool `json:"service,omitempty"`
+	// Checkpoints tells that the tasks save their progress.
+	Checkpoints bool `json:"checkpoints,omitempty"`
+	// Scavenger runs the tasks on what others leave unused; their size doesn't count against a worker's capacity.
+	Scavenger bool `json:"scavenger,omitempty"`
+	// Image names the program of the tasks.
+	Image string `json:"image,omitempty"`
+	// LatencyTarget bounds the tail of the response times of a service's tasks.
+	LatencyTarget model.Duration `json:"latency-target,omitempty"`
+	// MaxUnavailable bounds how many tasks of a service may be away because of the scheduler's own actions.
+	MaxUnavailable int `json:"max-unavailable,omitempty"`
+}
+
+// Job is what a submitter hands in; an identifier names the same job for ever.
+type Job struct {
+	ID     model.JobID  `json:"id"`
+	Queue  string       `json:"queue"`
+	Team   model.TeamID `json:"team"`
+	Stages []Stage      `json:"stages"`
+	// Payload is handed to the workers unread.
+	Payload string `json:"payload,omitempty"`
+	// Accepted is the accepting instance's time of day; it orders jobs after a change of owner, nothing else.
+	Accepted time.Time `json:"accepted,omitzero"`
+	// Occurrences is how often the stages run, the first at Start and the others at multiples of Interval after it; zero
+	// means once, at once.
+	Occurrences int            `json:"occurrences,omitempty"`
+	Start       time.Time      `json:"start,omitzero"`
+	Interval    model.Duration `json:"interval,omitempty"`
+}
+
+// Runs returns how often the stages run.
+func (j Job) Runs() int { return max(j.Occurrences, 1) }
+
+// Due returns when occurrence k may start; the zero time means at once.
+func (j Job) Due(k int) time.Time {
+	if j.Occurrences == 0 {
+		return time.Time{}
+	}
+	return j.Start.Add(time.Duration(k) * j.Interval.Std())
+}
+
+// Check returns ErrBadJob for a job without tasks, with negative figures, with a stage that waits for itself or a later
+// one, or beyond the size limits.
+func (j Job) Check() error {
+	if len(j.Stages) == 0 || len(j.Stages) > maxStages {
+		return fmt.Errorf("%w: %d stages: must be 1 to %d", ErrBadJob, len(j.Stages), maxStages)
+	}
+	if j.Occurrences < 0 || j.Interval < 0 {
+		return fmt.Errorf("%w: negative occurrences or interval", ErrBadJob)
+	}
+	for i, stage := range j.Stages {
+		if err := stage.check(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s Stage) check(index int) error {
+	if s.Count < 1 || s.Count > maxTasks {
+		return fmt.Errorf("%w: stage %d has %d tasks: must be 1 to %d", ErrBadJob, index, s.Count, maxTasks)
+	}
+	if s.Size.Negative() || s.RunTime < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 || s.LatencyTarget < 0 {
+		return fmt.Errorf("%w: stage %d has a negative figure", ErrBadJob, index)
+	}
+	for _, earlier := range s.After {
+		if earlier < 0 || earlier >= index {
+			return fmt.Errorf("%w: stage %d waits for stage %d, which is not an earlier one", ErrBadJob, index, earlier)
+		}
+	}
+	return nil
+}
+
+// ChainTime returns the estimated run time of the longest chain of stages, with extra added for each stage on it.
+func (j Job) ChainTime(extra time.Duration) time.Duration {
+	ends, longest := make([]time.Duration, len(j.Stages)), time.Duration(0)
+	for i, stage := range j.Stages {
+		begin := time.Duration(0)
+		for _, earlier := range stage.After {
+			begin = max(begin, ends[earlier])
+		}
+		ends[i] = begin + stage.RunTime.Std() + extra
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// TaskRef names one task of one occurrence of a job's stage.
+type TaskRef struct {
+	Job        model.JobID
+	Occurrence int
+	Stage      int
+	Index      int
+}
+
+// String formats the reference as job/occurrence/stage/index.
+func (t TaskRef) String() string {
+	return fmt.Sprintf("%s/%d/%d/%d", t.Job, t.Occurrence, t.Stage, t.Index)
+}
+
+// StageRef names one occurrence of a job's stage.
+type StageRef struct {
+	Job        model.JobID `json:"job"`
+	Occurrence int         `json:"occurrence"`
+	Stage      int         `json:"stage"`
+}
--- /dev/null
+++ b/node/internal/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds is the command line of aw-node.
+package cmds
--- /dev/null
+++ b/node/internal/daemon/parts.go
@@ -0,0 +1,136 @@
+package daemon
+
+import (
+	"os"
+	"strconv"
+	"time"
+
+	"go.uber.org/dig"
+	"go.uber.org/zap"
+
+	"arbutuswing.example/internal/agent"
+	"arbutuswing.example/internal/config"
+	"arbutuswing.example/internal/inbox"
+	"arbutuswing.example/internal/intake"
+	"arbutuswing.example/internal/ledger"
+	"arbutuswing.example/internal/logs"
+	"arbutuswing.example/internal/mirror"
+	"arbutuswing.example/internal/owner"
+	"arbutuswing.example/internal/peers"
+	"arbutuswing.example/internal/shard"
+	adapt "arbutuswing.example/platform"
+)
+
+const (
+	// ownerGroup is the group in the store whose members may own jobs.
+	ownerGroup = "owners"
+	// termsWait is how long a read of the configuration waits for a change.
+	termsWait = 2 * time.Second
+	// registryPause is kept between readings of the workers' entries, which change all the time.
+	registryPause = 300 * time.Millisecond
+)
+
+// parts are the components of a node that are run and stopped.
+type parts struct {
+	dig.In
+
+	Settings  config.Node
+	Log       *zap.Logger
+	Buffer    *logs.Buffer
+	View      *view
+	Inbox     *inbox.Inbox
+	Directory *owner.Directory
+	Owner     *owner.Owner
+	Peers     *peers.Server
+	Ingress   *adapt.Ingress
+}
+
+func build(settings config.Node) (*dig.Container, error) {
+	c := dig.New()
+	providers := []any{
+		func() config.Node { return settings },
+		func() *logs.Buffer { return logs.NewBuffer(os.Stdout) },
+		func(s config.Node, b *logs.Buffer) (*zap.Logger, error) {
+			log, err := logs.New(b, s.LogLevel)
+			if err != nil {
+				return nil, err
+			}
+			return log.With(zap.String("node", s.Node)), nil
+		},
+		func(s config.Node) (ledger.Ledger, error) { return adapt.NewStore(s.StoreAddress) },
+		func() agent.Workers { return adapt.NewWorkers() },
+		newAdvisor,
+		self,
+		peers.NewClient,
+		newView,
+		newInbox,
+		newDirectory,
+		newOwner,
+		newPeerServer,
+		newIntake,
+		adapt.NewIngress,
+	}
+	for _, provider := range providers {
+		if err := c.Provide(provider); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// self names this boot of the node.
+func self(s config.Node) owner.Member {
+	boot := strconv.FormatInt(time.Now().UnixNano(), 36) + strconv.Itoa(os.Getpid())
+	return owner.Member{Node: s.Node, Address: s.PeerAddress, Boot: boot}
+}
+
+func newAdvisor(s config.Node) (agent.Advisor, error) {
+	if s.AdviceAddress == "" {
+		return noAdvice{}, nil
+	}
+	return adapt.NewAdvice(s.AdviceAddress)
+}
+
+func newInbox(l ledger.Ledger, m owner.Member, log *zap.Logger) *inbox.Inbox {
+	return inbox.New(inbox.Config{
+		Ledger: l, Topic: owner.TopicInbox, Partition: owner.Partition, Producer: m.Node + "-" + m.Boot, Log: log,
+	})
+}
+
+func newDirectory(l ledger.Ledger, client *peers.Client, log *zap.Logger) *owner.Directory {
+	return owner.NewDirectory(l, ownerGroup, client, log)
+}
+
+func newOwner(
+	s config.Node, m owner.Member, l ledger.Ledger, workers agent.Workers, advisor agent.Advisor, client *peers.Client,
+	directory *owner.Directory, v *view, log *zap.Logger,
+) *owner.Owner {
+	o := owner.New(owner.Config{
+		Self: m, Group: ownerGroup, Ledger: l, Workers: workers, Advisor: advisor, Peers: client, Nodes: directory.Nodes,
+		Terms: v.Terms, Registry: v.Registry, Log: log,
+		Shard: shard.Config{
+			Lease: s.WorkerLease.Std(), RenewLimit: s.RenewLimit.Std(), KillGrace: s.KillGrace.Std(), Retention: s.Retention.Std(),
+		},
+	})
+	v.follow(o)
+	return o
+}
+
+func newPeerServer(s config.Node, o *owner.Owner, advisor agent.Advisor, log *zap.Logger) *peers.Server {
+	return peers.NewServer(peers.ServerConfig{Address: s.PeerAddress, Owner: o, Advisor: advisor, Log: log})
+}
+
+func newIntake(v *view, in *inbox.Inbox, directory *owner.Directory, log *zap.Logger) *intake.Intake {
+	return intake.New(intake.Config{Terms: v.Terms, Records: in, Owner: directory, Log: log})
+}
+
+func newView(l ledger.Ledger, log *zap.Logger) *view {
+	v := &view{log: log}
+	v.termsMirror = mirror.New(mirror.Config{
+		Ledger: l, Topic: adapt.TopicOperators, Wait: termsWait, Changed: v.termsRead, Log: log,
+	})
+	v.registryMirror = mirror.New(mirror.Config{
+		Ledger: l, Topic: adapt.TopicWorkers, Pause: registryPause, Changed: v.registryRead, Log: log,
+	})
+	return v
+}
--- /dev/null
+++ b/node/internal/daemon/view.go
@@ -0,0 +1,108 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"arbutuswing.example/internal/agent"
+	"arbutuswing.example/internal/mirror"
+	"arbutuswing.example/internal/owner"
+	"arbutuswing.example/internal/terms"
+	adapt "arbutuswing.example/platform"
+)
+
+// readyFor is the age of the configuration's last reading up to which the node wants new connections.
+const readyFor = 5 * time.Second
+
+var errNoAdvice = errors.New("no placement advice service is configured")
+
+// noAdvice stands for a deployment without an advice service.
+type noAdvice struct{}
+
+// Advise always fails.
+func (noAdvice) Advise(context.Context, agent.Question) (agent.Advice, error) {
+	return agent.Advice{}, errNoAdvice
+}
+
+// view is what the node has read of the operators' configuration and of the workers' entries.
+type view struct {
+	log            *zap.Logger
+	termsMirror    *mirror.Mirror
+	registryMirror *mirror.Mirror
+
+	mu       sync.Mutex
+	owner    *owner.Owner
+	terms    terms.Terms
+	hasTerms bool
+	entries  []agent.Entry
+	read     bool
+}
+
+func (v *view) follow(o *owner.Owner) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.owner = o
+}
+
+// Terms returns the configuration in force, or false before there is one.
+func (v *view) Terms() (terms.Terms, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.terms, v.hasTerms
+}
+
+// Registry returns the workers' entries, or false before they were read.
+func (v *view) Registry() ([]agent.Entry, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.entries, v.read
+}
+
+func (v *view) ready() bool {
+	_, ok := v.Terms()
+	return ok && time.Since(v.termsMirror.Current()) < readyFor
+}
+
+// termsRead puts a configuration in force; an older version than the one in force is never taken back.
+func (v *view) termsRead(records map[string][]byte) {
+	t, err := adapt.DecodeTerms(records)
+	v.mu.Lock()
+	if err != nil || (v.hasTerms && t.Version < v.terms.Version) {
+		has := v.hasTerms
+		v.mu.Unlock()
+		if has || len(records) > 0 {
+			v.log.Warn("configuration not taken", zap.Int64("version", t.Version), zap.Error(err))
+		}
+		return
+	}
+	v.terms, v.hasTerms = t, true
+	o := v.owner
+	v.mu.Unlock()
+	v.log.Info("configuration in force", zap.Int64("version", t.Version), zap.Int("queues", len(t.Queues)))
+	if o != nil {
+		o.TermsChanged(t)
+	}
+}
+
+func (v *view) registryRead(records map[string][]byte) {
+	entries := make([]agent.Entry, 0, len(records))
+	for id, value := range records {
+		entry, err := adapt.DecodeEntry(id, value)
+		if err != nil {
+			v.log.Debug("worker entry left out", zap.Error(err))
+			continue
+		}
+		entries = append(entries, entry)
+	}
+	v.mu.Lock()
+	v.entries, v.read = entries, true
+	o := v.owner
+	v.mu.Unlock()
+	if o != nil {
+		o.RegistryChanged(entries)
+	}
+}
