perf(owner): keep the owner while it lives, spread calls for advice by node

Cause: the store deals partitions anew whenever a member joins, and each move cost 0.4 s and a new visit to all workers; calls for advice piled up at nodes that were down or cut off until the first of them timed out, up to 100 of them. Now the owner stays while it is a member, a node has two calls under way at most, and each node sends one call at a time. Leases are 7 s and renewed for 3 s without the store, so a takeover waits 10 s for a silent worker, not 22 s; runs of a gang that a worker reported broken are not waited for. Ruled out: too few workers named (the share that may run a stage is as configured); full workers (half of the capacity was free).

--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -20,8 +20,10 @@
 	AdviceAddress string `json:"advice-address,omitempty"`
 	// LogLevel is the lowest level of the events that are logged.
 	LogLevel string `json:"log-level,omitempty" jsonschema:"enum=debug,enum=info,enum=warn,enum=error"`
-	// WorkerLease is the longest lease that workers grant.
+	// WorkerLease is the lease that a worker gets with each report: longer than a cut between instances usually lasts.
 	WorkerLease model.Duration `json:"worker-lease,omitempty"`
+	// WorkerLeaseMax is the longest lease that workers grant.
+	WorkerLeaseMax model.Duration `json:"worker-lease-max,omitempty"`
 	// RenewLimit is how long an owner that lost the store goes on renewing leases.
 	RenewLimit model.Duration `json:"renew-limit,omitempty"`
 	// KillGrace is how long a worker may take to stop a run.
@@ -35,9 +37,10 @@
 // WithDefaults returns the settings with the defaults of all times.
 func (n Node) WithDefaults() Node {
 	n.LogLevel = "info"
-	n.WorkerLease = seconds(10)
-	// Long outages of the store are shorter.
-	n.RenewLimit = seconds(12)
+	n.WorkerLease = seconds(7)
+	n.WorkerLeaseMax = seconds(10)
+	// Together with the lease this is longer than outages of the store usually last.
+	n.RenewLimit = seconds(3)
 	n.KillGrace = ms(400)
 	n.Retention = seconds(120)
 	n.StopGrace = seconds(6)
@@ -61,7 +64,7 @@
 		path  string
 		value model.Duration
 	}{
-		{"worker-lease", n.WorkerLease}, {"renew-limit", n.RenewLimit}, {"kill-grace", n.KillGrace},
+		{"worker-lease", n.WorkerLease}, {"worker-lease-max", n.WorkerLeaseMax}, {"renew-limit", n.RenewLimit}, {"kill-grace", n.KillGrace},
 		{"retention", n.Retention}, {"stop-grace", n.StopGrace},
 	} {
 		c.Require(d.value > 0, d.path, "must be greater than 0")
--- a/internal/owner/asks.go
+++ b/internal/owner/asks.go
@@ -18,12 +18,15 @@
 	longAsk = 150 * time.Millisecond
 	// shortOnlyShare is the share of the nodes that are kept for short calls.
 	shortOnlyShare = 0.3
-	// askSlack is added to the time that a call should take.
-	askSlack = 400 * time.Millisecond
+	// askSlack is added to the time that a call should take: a node that doesn't answer by then is cut off or down.
+	askSlack = 250 * time.Millisecond
 	// nodePenalty is how long a node that failed a call gets no other.
 	nodePenalty = 2 * time.Second
-	// nodeQueue is the service's time that calls of one node may wait for.
-	nodeQueue = 1200 * time.Millisecond
+	// behindAsk is the service's time of a call behind which another one may wait at a node, so that the service is not
+	// idle between them.
+	behindAsk = 40 * time.Millisecond
+	// nodeCalls is the most calls under way at one node; the others wait here, where any node can take them.
+	nodeCalls = 2
 )
 
 // asks spreads calls for advice over the nodes: the service handles one call of each node at a time.
@@ -32,13 +35,14 @@
 
 	mu      sync.Mutex
 	waiting []shard.Ask
-	// load is the service's time of the calls under way at each node.
+	// load is the service's time of the calls under way at each node, and calls their number.
 	load    map[Member]time.Duration
+	calls   map[Member]int
 	blocked map[Member]time.Time
 }
 
 func newAsks(t *tenure) *asks {
-	return &asks{tenure: t, load: make(map[Member]time.Duration), blocked: make(map[Member]time.Time)}
+	return &asks{tenure: t, load: make(map[Member]time.Duration), calls: make(map[Member]int), blocked: make(map[Member]time.Time)}
 }
 
 // add takes calls in and sends what a node can take now, the most urgent and shortest first.
@@ -63,6 +67,7 @@
 			continue
 		}
 		a.load[node] += ask.Cost
+		a.calls[node]++
 		go a.runAsk(ctx, node, ask, a.load[node])
 	}
 	a.waiting = kept
@@ -86,7 +91,7 @@
 	var best Member
 	found := false
 	for _, node := range nodes {
-		if a.load[node] > 0 && a.load[node]+cost > nodeQueue {
+		if a.calls[node] > 0 && (a.load[node] > behindAsk || a.calls[node] >= nodeCalls) {
 			continue
 		}
 		if !found || a.load[node] < a.load[best] {
@@ -103,6 +108,7 @@
 	advice, err := a.call(ctx, node, q)
 	a.mu.Lock()
 	a.load[node] -= ask.Cost
+	a.calls[node]--
 	if err != nil && ctx.Err() == nil {
 		a.blocked[node] = time.Now().Add(nodePenalty)
 	}
--- a/internal/owner/directory.go
+++ b/internal/owner/directory.go
@@ -47,6 +47,7 @@
 // Directory knows which node owns the jobs and which nodes there are; it asks the owner for clients.
 type Directory struct {
 	ledger ledger.Ledger
+	self   Member
 	group  string
 	client *peers.Client
 	log    *zap.Logger
@@ -60,8 +61,8 @@
 var _ intake.Owner = (*Directory)(nil)
 
 // NewDirectory returns an empty directory of a group.
-func NewDirectory(l ledger.Ledger, group string, client *peers.Client, log *zap.Logger) *Directory {
-	return &Directory{ledger: l, group: group, client: client, log: log, kick: make(chan struct{}, 1)}
+func NewDirectory(l ledger.Ledger, self Member, group string, client *peers.Client, log *zap.Logger) *Directory {
+	return &Directory{ledger: l, self: self, group: group, client: client, log: log, kick: make(chan struct{}, 1)}
 }
 
 // Run keeps the directory current until the context ends.
@@ -81,33 +82,40 @@
 }
 
 func (d *Directory) refresh(ctx context.Context) {
+	owner, err := readOwner(ctx, d.ledger)
+	if err != nil {
+		d.log.Info("owner not read", zap.Error(err))
+		return
+	}
+	d.mu.Lock()
+	if owner != d.owner {
+		d.log.Info("owner changed", zap.String("from", d.owner.Node), zap.String("to", owner.Node))
+	}
+	d.owner = owner
+	d.mu.Unlock()
+	if owner == d.self {
+		d.refreshNodes(ctx)
+	}
+}
+
+// refreshNodes reads which nodes there are; only an owner needs to know.
+func (d *Directory) refreshNodes(ctx context.Context) {
 	holders, err := d.ledger.Holders(ctx, d.group)
 	if err != nil {
-		d.log.Info("owners not read", zap.Error(err))
+		d.log.Info("members not read", zap.Error(err))
 		return
 	}
 	seen := make(map[Member]bool)
-	var owner Member
 	var nodes []Member
 	for _, h := range holders {
-		m, ok := parseMember(h.Member)
-		if !ok {
-			continue
-		}
-		if h.Partition == Partition {
-			owner = m
-		}
-		if !seen[m] {
+		if m, ok := parseMember(h.Member); ok && !seen[m] {
 			seen[m] = true
 			nodes = append(nodes, m)
 		}
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if owner != d.owner {
-		d.log.Info("owner changed", zap.String("from", d.owner.Node), zap.String("to", owner.Node))
-	}
-	d.owner, d.nodes = owner, nodes
+	d.nodes = nodes
 }
 
 // Nodes returns the nodes that take part.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -21,14 +21,17 @@
 const (
 	TopicInbox    ledger.Topic = "jobs"
 	TopicProgress ledger.Topic = "progress"
+	TopicOwner    ledger.Topic = "owner"
 	Partition                  = 0
 )
 
 const (
 	// joinEvery is the interval between renewals of the membership; three fit into its time to live.
-	joinEvery = 400 * time.Millisecond
-	// memberTTL is how long a member that fell silent keeps its partitions.
-	memberTTL = 1500 * time.Millisecond
+	joinEvery = 300 * time.Millisecond
+	// memberTTL is how long a member that fell silent stays in the group: the least that the store takes.
+	memberTTL = time.Second
+	// ownerKey is the key of the record that names the owner.
+	ownerKey = "owner"
 )
 
 // Config describes the part of a node that may own jobs.
@@ -98,10 +101,12 @@
 	}
 }
 
-// Run takes part in the group until the context ends, and then hands over.
+// Run takes part in the group until the context ends, and then hands over. An owner stays one as long as it is a member
+// of the group; when it isn't any more, the member that holds the shard's partition takes over, under the group's
+// generation as its epoch, which no other member has for that partition.
 func (o *Owner) Run(ctx context.Context) error {
 	m := ledger.Membership{Group: o.cfg.Group, Member: o.cfg.Self.String(), Topic: TopicProgress, TTL: memberTTL}
-	lost := int64(0)
+	checked := int64(0)
 	for ctx.Err() == nil {
 		share, err := o.cfg.Ledger.Join(ctx, m)
 		current := o.current()
@@ -111,22 +116,18 @@
 			o.cfg.Log.Info("membership not renewed", zap.Error(err))
 		default:
 			m.Generation = share.Generation
-			holds := slices.Contains(share.Partitions, Partition)
-			if current != nil {
-				current.touched()
-			}
 			switch {
-			case current != nil && !holds:
-				o.end(current, "partition was reassigned")
-				// Joining with this generation releases the partition.
-				continue
 			case current != nil && current.ended():
-				lost = share.Generation
+				checked = share.Generation
 				o.end(current, "a newer owner exists")
-				o.leave(m)
-				continue
-			case current == nil && holds && share.Generation > lost:
-				o.begin(ctx, share.Generation)
+			case current != nil:
+				current.touched()
+			case slices.Contains(share.Partitions, Partition) && share.Generation > checked:
+				if o.vacant(ctx) {
+					o.begin(ctx, share.Generation)
+				} else if ctx.Err() == nil {
+					checked = share.Generation
+				}
 			}
 		}
 		sleep(ctx, joinEvery)
@@ -138,6 +139,38 @@
 	return nil
 }
 
+// vacant reports whether the recorded owner is no longer a member of the group.
+func (o *Owner) vacant(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		owner, err := readOwner(ctx, o.cfg.Ledger)
+		if err == nil {
+			var holders []ledger.Holder
+			holders, err = o.cfg.Ledger.Holders(ctx, o.cfg.Group)
+			if err == nil {
+				return !slices.ContainsFunc(holders, func(h ledger.Holder) bool { return h.Member == owner.String() })
+			}
+		}
+		o.cfg.Log.Info("owner not read", zap.Error(err))
+		sleep(ctx, joinEvery)
+	}
+	return false
+}
+
+// readOwner returns the member that last took over; the zero member if none has.
+func readOwner(ctx context.Context, l ledger.Ledger) (Member, error) {
+	page, err := l.Newest(ctx, TopicOwner, Partition)
+	if err != nil {
+		return Member{}, err
+	}
+	for _, r := range page.Records {
+		if r.Key == ownerKey {
+			m, _ := parseMember(string(r.Value))
+			return m, nil
+		}
+	}
+	return Member{}, nil
+}
+
 func (o *Owner) leave(m ledger.Membership) {
 	ctx, cancel := context.WithTimeout(context.Background(), memberTTL)
 	defer cancel()
--- a/internal/owner/tenure.go
+++ b/internal/owner/tenure.go
@@ -23,6 +23,8 @@
 	producer = "owner"
 	// tickEvery is how often the passing of time is applied.
 	tickEvery = 50 * time.Millisecond
+	// loadEvery is the interval between lines that sum up the load.
+	loadEvery = time.Second
 	// settle gathers what happens at the same time before the next decision.
 	settle = 3 * time.Millisecond
 	// readWait is how long a read of new jobs waits.
@@ -202,6 +204,10 @@
 			return 0, err
 		}
 	}
+	self := ledger.Record{Key: ownerKey, Value: []byte(t.cfg.Self.String())}
+	if err := t.append(ctx, TopicOwner, []ledger.Record{self}); err != nil {
+		return 0, err
+	}
 	progress, err := t.newest(ctx, TopicProgress)
 	if err != nil {
 		return 0, err
@@ -408,12 +414,25 @@
 	}
 }
 
+// logLoad writes down what there is to do; the lock is held.
+func (t *tenure) logLoad() {
+	l := t.shard.Load(t.now(), time.Now())
+	t.cfg.Log.Info("load", zap.Int64("epoch", t.epoch), zap.Int("jobs", l.Jobs), zap.Int("waiting-stages", l.Waiting),
+		zap.Int("late-stages", l.Late), zap.Int("runs", l.Runs), zap.Int("workers", l.Workers), zap.Int("usable-workers", l.Usable),
+		zap.Int64("used-milli-cores", int64(l.Used.Cores)), zap.Int64("usable-milli-cores", int64(l.Capacity.Cores)))
+}
+
 // loop decides and sends commands.
 func (t *tenure) loop(ctx context.Context) {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
+	told := time.Now()
 	for {
 		t.mu.Lock()
+		if time.Since(told) > loadEvery {
+			told = time.Now()
+			t.logLoad()
+		}
 		t.shard.Tick(t.now(), time.Now())
 		orders := t.shard.TakeOrders(t.now())
 		t.followTargets(ctx)
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"arbutuswing.example/internal/agent"
@@ -22,7 +23,7 @@
 	// firstGoodShare is the assumed share of workers that may run a stage, until answers tell.
 	firstGoodShare = 0.4
 	// retryAsk is the pause after a call for advice that failed.
-	retryAsk = 150 * time.Millisecond
+	retryAsk = 20 * time.Millisecond
 	// reserveSlack is added to the time of a call while which room is kept for the stage.
 	reserveSlack = 500 * time.Millisecond
 )
@@ -187,5 +188,5 @@
 	if len(ask.Question.Workers) >= minNamed {
 		s.goodShares[queue] = 0.9*s.goodShare(queue) + 0.1*share
 	}
-	s.event("advised", string(st.job.spec.ID), "", nil, "", int64(good))
+	s.event("advised", string(st.job.spec.ID), "", nil, st.job.queue.Name+" named "+strconv.Itoa(len(ask.Question.Workers)), int64(good))
 }
--- a/internal/shard/config.go
+++ b/internal/shard/config.go
@@ -43,6 +43,8 @@
 	Token int64
 	// Lease is the lease that a worker gets with each hold.
 	Lease time.Duration
+	// MaxLease is the longest lease that a worker grants to any owner.
+	MaxLease time.Duration
 	// RenewLimit is how long a former owner may have gone on renewing leases after it lost its ownership.
 	RenewLimit time.Duration
 	// KillGrace is how long a stopped run may take to end.
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -91,6 +91,8 @@
 	checkpoint string
 	percent    int
 	changedAt  time.Duration
+	// goneAt is when the run has ended for certain because a member of its gang was reported broken; zero if unknown.
+	goneAt time.Duration
 }
 
 func (a *attempt) task() *task { return &a.stage.tasks[a.index] }
@@ -223,6 +225,18 @@
 	}
 }
 
+// hasRuns reports whether a run of the job may be present on a worker.
+func (j *job) hasRuns() bool {
+	for _, st := range j.stages {
+		for i := range st.tasks {
+			if len(st.tasks[i].attempts) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // progress returns the record of the job's state.
 func (j *job) progress() work.Progress {
 	p := work.Progress{Final: j.final, Begun: j.begun}
--- a/internal/shard/orders.go
+++ b/internal/shard/orders.go
@@ -36,14 +36,14 @@
 		}
 		target := agent.Target{ID: w.id, Address: w.entry.Address}
 		for _, a := range w.attempts {
-			if a.calling || now < a.notBefore {
+			if a.calling || now < a.notBefore || now-w.answered > suspectAfter {
 				continue
 			}
 			switch {
 			case a.phase == phaseBound && a.batch <= s.committed && w.visited && a.settled < 0:
 				a.calling = true
 				o.Starts = append(o.Starts, StartOrder{target, s.startOf(a, now), a})
-			case a.phase == phaseStopping && a.notBefore >= 0:
+			case a.phase == phaseStopping:
 				a.calling = true
 				stop := agent.Stop{Task: a.ref(), Run: a.run, Token: s.cfg.Token}
 				o.Stops = append(o.Stops, StopOrder{target, stop, a, w, a.key()})
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -42,7 +42,7 @@
 	}
 	if !w.visited {
 		// From here on no other owner extends the lease, and none is longer than the maximum.
-		w.leaseEnd = now + time.Duration(float64(s.cfg.Lease)/(1-clockDrift)) + lapseMargin
+		w.leaseEnd = now + time.Duration(float64(s.cfg.MaxLease)/(1-clockDrift)) + lapseMargin
 	}
 	w.visited, w.clock, w.clockAt, w.answered = true, r.Clock, now, now
 	listed := make(map[runKey]bool, len(r.Running)+len(r.Ended))
@@ -103,6 +103,9 @@
 	if end.Number > w.seen {
 		w.seen = end.Number
 		if a, ok := w.attempts[key]; ok {
+			if end.How == agent.HowBroken {
+				s.gangEnded(a, now)
+			}
 			s.ended(a, end.How, end.Checkpoint, now)
 		}
 		w.acks = append(w.acks, pendingAck{end.Number, s.next})
@@ -132,6 +135,18 @@
 	}
 }
 
+// gangEnded notes that all members of a run have ended, since one was reported broken; members on workers that don't
+// answer needn't be waited for until their leases lapse.
+func (s *Shard) gangEnded(a *attempt, now time.Duration) {
+	for i := range a.stage.tasks {
+		for _, other := range a.stage.tasks[i].attempts {
+			if other != a && other.run == a.run {
+				other.goneAt = now + s.cfg.KillGrace + suspectAfter
+			}
+		}
+	}
+}
+
 // begin notes that a task of the job has started.
 func (s *Shard) begin(a *attempt) {
 	if !a.stage.job.begun {
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -251,7 +251,8 @@
 	}
 	kept := s.dropped[:0]
 	for _, id := range s.dropped {
-		if j := s.jobs[id]; j != nil && j.finalBatch > s.committed {
+		// The submission tells a later owner the size of runs that may still be present.
+		if j := s.jobs[id]; j != nil && (j.finalBatch > s.committed || j.hasRuns()) {
 			kept = append(kept, id)
 			continue
 		}
@@ -272,6 +273,42 @@
 	return c
 }
 
+// Load sums up what the shard has to do.
+type Load struct {
+	// Jobs are those that are not final; Waiting and Late count stages with tasks to start, late ones past their objective.
+	Jobs, Waiting, Late int
+	// Runs are those that may be present on workers; Usable counts the workers that may get more.
+	Runs, Usable, Workers int
+	Used, Capacity        model.Resources
+}
+
+// Load returns the current load.
+func (s *Shard) Load(now time.Duration, wall time.Time) Load {
+	l := Load{Workers: len(s.workers)}
+	for _, j := range s.jobs {
+		if j.final == "" {
+			l.Jobs++
+		}
+	}
+	for _, st := range s.active {
+		if st.left > 0 && st.ready(wall) && len(st.waiting()) > 0 {
+			l.Waiting++
+			if now > st.job.objective {
+				l.Late++
+			}
+		}
+	}
+	for _, w := range s.workers {
+		l.Runs += len(w.attempts)
+		if w.usable(now) && !s.terms.Out(w.entry.DataCentre) {
+			l.Usable++
+			l.Capacity = l.Capacity.Plus(w.entry.Capacity)
+			l.Used = l.Used.Plus(w.used)
+		}
+	}
+	return l
+}
+
 // Dirty reports whether there is something to record.
 func (s *Shard) Dirty() bool { return len(s.dirty)+len(s.dropped) > 0 }
 
@@ -288,10 +325,15 @@
 // lapse ends the runs on workers whose leases have lapsed for certain and that gave no report since.
 func (s *Shard) lapse(now time.Duration) {
 	for _, w := range s.workers {
-		if len(w.attempts) == 0 || now <= w.leaseEnd || w.answered > w.leaseEnd {
+		if len(w.attempts) == 0 || now-w.answered < suspectAfter {
 			continue
 		}
-		if now-w.answered < suspectAfter {
+		for _, a := range sortedAttempts(w) {
+			if a.goneAt > 0 && now > a.goneAt {
+				s.ended(a, agent.HowBroken, "", now)
+			}
+		}
+		if now <= w.leaseEnd {
 			continue
 		}
 		s.event("worker-lapsed", "", "", w, "", (now - w.answered).Milliseconds())
--- a/node/internal/daemon/parts.go
+++ b/node/internal/daemon/parts.go
@@ -88,7 +88,11 @@
 	if s.AdviceAddress == "" {
 		return noAdvice{}, nil
 	}
-	return adapt.NewAdvice(s.AdviceAddress)
+	service, err := adapt.NewAdvice(s.AdviceAddress)
+	if err != nil {
+		return nil, err
+	}
+	return agent.NewQueue(service), nil
 }
 
 func newInbox(l ledger.Ledger, m owner.Member, log *zap.Logger) *inbox.Inbox {
@@ -97,8 +101,8 @@
 	})
 }
 
-func newDirectory(l ledger.Ledger, client *peers.Client, log *zap.Logger) *owner.Directory {
-	return owner.NewDirectory(l, ownerGroup, client, log)
+func newDirectory(l ledger.Ledger, m owner.Member, client *peers.Client, log *zap.Logger) *owner.Directory {
+	return owner.NewDirectory(l, m, ownerGroup, client, log)
 }
 
 func newOwner(
@@ -109,7 +113,8 @@
 		Self: m, Group: ownerGroup, Ledger: l, Workers: workers, Advisor: advisor, Peers: client, Nodes: directory.Nodes,
 		Terms: v.Terms, Registry: v.Registry, Log: log,
 		Shard: shard.Config{
-			Lease: s.WorkerLease.Std(), RenewLimit: s.RenewLimit.Std(), KillGrace: s.KillGrace.Std(), Retention: s.Retention.Std(),
+			Lease: min(s.WorkerLease.Std(), s.WorkerLeaseMax.Std()), MaxLease: s.WorkerLeaseMax.Std(),
+			RenewLimit: s.RenewLimit.Std(), KillGrace: s.KillGrace.Std(), Retention: s.Retention.Std(),
 		},
 	})
 	v.follow(o)
