fix(shard): count failures that a worker reports after the run was taken as lapsed

Cause: a worker cut off past its lease ran a task to its failure; the task was started again elsewhere, and the late end was acknowledged without counting, so the task ran once more than its queue allows. Failures are now recorded as run numbers, so that an end reported to two owners counts once. Ruled out: a lost record of the failure (the owner's commits were answered). Test: TestFailureReportedAfterLapseCounts failed before.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 export CGO_ENABLED := 1
 export GOFLAGS := -mod=readonly
 
-MODULES := internal entry ctl standin endpt caller bench faults
+MODULES := internal platform entry node ctl standin endpt caller bench faults
 PROGRAMS := entry ctl standin endpt caller bench
 PACKAGES := $(MODULES:%=./%/...)
 BIN := $(CURDIR)/.bin
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -64,8 +64,12 @@
 		path  string
 		value model.Duration
 	}{
-		{"worker-lease", n.WorkerLease}, {"worker-lease-max", n.WorkerLeaseMax}, {"renew-limit", n.RenewLimit}, {"kill-grace", n.KillGrace},
-		{"retention", n.Retention}, {"stop-grace", n.StopGrace},
+		{"worker-lease", n.WorkerLease},
+		{"worker-lease-max", n.WorkerLeaseMax},
+		{"renew-limit", n.RenewLimit},
+		{"kill-grace", n.KillGrace},
+		{"retention", n.Retention},
+		{"stop-grace", n.StopGrace},
 	} {
 		c.Require(d.value > 0, d.path, "must be greater than 0")
 	}
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"arbutuswing.example/internal/model"
@@ -36,9 +37,6 @@
 	index      int
 	tasks      []task
 	left       int
-	// failures and failedRun count failed runs of a gang.
-	failures  int
-	failedRun int
 	// verdicts holds what the advice service said about workers.
 	verdicts map[model.WorkerID]verdict
 	asking   bool
@@ -59,7 +57,7 @@
 type task struct {
 	done       bool
 	lastRun    int
-	failures   int
+	failedRuns []int
 	attempts   []*attempt
 	checkpoint string
 }
@@ -193,6 +191,24 @@
 	return run + 1
 }
 
+// countFailure notes a failed run of a task and returns how many runs of the task, or of the gang, have failed.
+func (st *stage) countFailure(index, run int) int {
+	t := &st.tasks[index]
+	if !slices.Contains(t.failedRuns, run) {
+		t.failedRuns = append(t.failedRuns, run)
+	}
+	if !st.spec.Gang {
+		return len(t.failedRuns)
+	}
+	runs := make(map[int]bool)
+	for i := range st.tasks {
+		for _, failed := range st.tasks[i].failedRuns {
+			runs[failed] = true
+		}
+	}
+	return len(runs)
+}
+
 // startCheckpoint is the progress to start a task from; all members of a gang carry the same.
 func (st *stage) startCheckpoint(index int) string {
 	if !st.spec.Gang {
@@ -246,12 +262,9 @@
 			if t.lastRun == 0 && !t.done {
 				continue
 			}
-			failures := t.failures
-			if st.spec.Gang {
-				failures = st.failures
-			}
 			tp := work.TaskProgress{
-				Occurrence: st.occurrence, Stage: st.index, Index: i, Done: t.done, LastRun: t.lastRun, Failures: failures,
+				Occurrence: st.occurrence, Stage: st.index, Index: i, Done: t.done, LastRun: t.lastRun,
+				FailedRuns: slices.Clone(t.failedRuns),
 			}
 			if !t.done && j.open() {
 				tp.Checkpoint = t.checkpoint
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -107,6 +107,8 @@
 				s.gangEnded(a, now)
 			}
 			s.ended(a, end.How, end.Checkpoint, now)
+		} else if end.How == agent.HowFailed {
+			s.failedUnexpected(end, now)
 		}
 		w.acks = append(w.acks, pendingAck{end.Number, s.next})
 	}
@@ -135,6 +137,24 @@
 	}
 }
 
+// failedUnexpected counts the failure of a run that was taken as lapsed: acknowledging the end makes it count.
+func (s *Shard) failedUnexpected(end agent.Ended, now time.Duration) {
+	j := s.jobs[end.Task.Job]
+	if j == nil || j.final != "" {
+		return
+	}
+	st := j.stage(end.Task.Occurrence, end.Task.Stage)
+	if st == nil || end.Task.Index < 0 || end.Task.Index >= len(st.tasks) || st.spec.Service {
+		return
+	}
+	s.touch(j)
+	failures := st.countFailure(end.Task.Index, end.Run)
+	s.event("late-failure", string(j.spec.ID), end.Task.String(), nil, "", int64(failures))
+	if st.left > 0 && failures >= max(j.queue.Attempts, 1) && !st.tasks[end.Task.Index].done {
+		s.finish(j, work.StateFailed, now)
+	}
+}
+
 // gangEnded notes that all members of a run have ended, since one was reported broken; members on workers that don't
 // answer needn't be waited for until their leases lapse.
 func (s *Shard) gangEnded(a *attempt, now time.Duration) {
@@ -232,17 +252,7 @@
 		w.quarantinedUntil = now + quarantineTime
 		s.event("worker-quarantined", "", "", w, "", int64(w.failures))
 	}
-	failures := 0
-	if st.spec.Gang {
-		if st.failedRun != a.run {
-			st.failedRun = a.run
-			st.failures++
-		}
-		failures = st.failures
-	} else {
-		a.task().failures++
-		failures = a.task().failures
-	}
+	failures := st.countFailure(a.index, a.run)
 	if !st.spec.Service && failures >= max(j.queue.Attempts, 1) {
 		s.finish(j, work.StateFailed, now)
 		return
--- a/internal/shard/restore.go
+++ b/internal/shard/restore.go
@@ -61,10 +61,7 @@
 			continue
 		}
 		t := &st.tasks[tp.Index]
-		t.lastRun, t.failures, t.checkpoint = tp.LastRun, tp.Failures, tp.Checkpoint
-		if st.spec.Gang {
-			st.failures = max(st.failures, tp.Failures)
-		}
+		t.lastRun, t.failedRuns, t.checkpoint = tp.LastRun, tp.FailedRuns, tp.Checkpoint
 		if tp.Done {
 			t.done = true
 			st.left--
--- a/internal/work/progress.go
+++ b/internal/work/progress.go
@@ -37,9 +37,10 @@
 	Index      int  `json:"index,omitempty"`
 	Done       bool `json:"done,omitempty"`
 	// LastRun is the highest run number used so far.
-	LastRun  int       `json:"last-run,omitempty"`
-	Failures int       `json:"failures,omitempty"`
-	Bindings []Binding `json:"bindings,omitempty"`
+	LastRun int `json:"last-run,omitempty"`
+	// FailedRuns names the runs that failed; an end may be reported again to a later owner and must count once.
+	FailedRuns []int     `json:"failed-runs,omitempty"`
+	Bindings   []Binding `json:"bindings,omitempty"`
 	// Checkpoint is the newest saved progress, as the worker gave it.
 	Checkpoint string `json:"checkpoint,omitempty"`
 }
