perf(node): send clients elsewhere while the store is silent, read the registry in the owner only

Cause: in a cut, clients stayed at nodes that could store nothing: 356 refusals in one zone in 6 s. A node is ready only while the store answered within 0.9 s and closes connections while it isn't. Jobs with time are told to come back after up to 2 s, so that four attempts outlast an outage.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -24,6 +24,10 @@
 const (
 	// comeBack is told to clients that were refused: the store and a new owner are usually back by then.
 	comeBack = time.Second
+	// comeBackMax is told to clients whose jobs have time, so that their few attempts outlast an outage of the store.
+	comeBackMax = 2 * time.Second
+	// comeBackShare is the share of a job's time to its objective that one attempt may wait.
+	comeBackShare = 0.25
 	// cancelPrefix sets the records of cancellations apart from those of jobs.
 	cancelPrefix = "cancel/"
 	jobPrefix    = "job/"
@@ -121,12 +125,22 @@
 	}
 	begun := time.Now()
 	outcome := i.put(ctx, ledger.Record{Key: jobPrefix + e.id, Value: value})
+	if refused, ok := outcome.(NotNow); ok {
+		refused.After = attemptPause(job, e.queue)
+		outcome = refused
+	}
 	i.cfg.Log.Info("job submitted", zap.String("job", e.id), zap.String("queue", e.queue.Name),
 		zap.String("team", string(e.team)), zap.Int64("config-version", e.terms.Version),
 		zap.Duration("took", time.Since(begun)), zap.String("outcome", name(outcome)))
 	return outcome
 }
 
+// attemptPause is how long a client should wait before it hands the job in again.
+func attemptPause(job work.Job, queue terms.Queue) time.Duration {
+	objective := float64(job.ChainTime(0))*queue.Stretch + float64(queue.Latency)
+	return min(max(time.Duration(objective*comeBackShare), comeBack), comeBackMax)
+}
+
 // Cancel stores the cancellation of a job.
 func (i *Intake) Cancel(ctx context.Context, call Call) Outcome {
 	e, refused := i.enter(call)
--- /dev/null
+++ b/internal/ledger/monitor.go
@@ -0,0 +1,78 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+)
+
+// Monitor passes calls on to a store and remembers when it last answered.
+type Monitor struct {
+	store Ledger
+	start time.Time
+	// answered is the time of the last answer since start; the steady clock counts.
+	answered atomic.Int64
+}
+
+var _ Ledger = (*Monitor)(nil)
+
+// NewMonitor returns a monitor of a store that has not answered yet.
+func NewMonitor(store Ledger) *Monitor {
+	m := &Monitor{store: store, start: time.Now()}
+	m.answered.Store(-int64(time.Hour))
+	return m
+}
+
+// Silence returns how long ago the store last answered.
+func (m *Monitor) Silence() time.Duration {
+	return time.Since(m.start) - time.Duration(m.answered.Load())
+}
+
+func (m *Monitor) note(err error) {
+	if !errors.Is(err, ErrRefused) && !errors.Is(err, ErrNoAnswer) {
+		m.answered.Store(int64(time.Since(m.start)))
+	}
+}
+
+// Append appends a batch.
+func (m *Monitor) Append(ctx context.Context, batch Batch) error {
+	err := m.store.Append(ctx, batch)
+	m.note(err)
+	return err
+}
+
+// Newest returns the newest record of each key.
+func (m *Monitor) Newest(ctx context.Context, topic Topic, partition int) (Page, error) {
+	page, err := m.store.Newest(ctx, topic, partition)
+	m.note(err)
+	return page, err
+}
+
+// Read returns records from an offset.
+func (m *Monitor) Read(ctx context.Context, topic Topic, partition int, from int64, wait time.Duration) (Page, error) {
+	page, err := m.store.Read(ctx, topic, partition, from, wait)
+	m.note(err)
+	return page, err
+}
+
+// Join joins a group or keeps the member in it.
+func (m *Monitor) Join(ctx context.Context, member Membership) (Share, error) {
+	share, err := m.store.Join(ctx, member)
+	m.note(err)
+	return share, err
+}
+
+// Leave gives up a membership.
+func (m *Monitor) Leave(ctx context.Context, member Membership) error {
+	err := m.store.Leave(ctx, member)
+	m.note(err)
+	return err
+}
+
+// Holders returns who holds which partition.
+func (m *Monitor) Holders(ctx context.Context, group string) ([]Holder, error) {
+	holders, err := m.store.Holders(ctx, group)
+	m.note(err)
+	return holders, err
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -39,20 +39,12 @@
 
 	mu      sync.Mutex
 	records map[string][]byte
-	current time.Time
 	loaded  bool
 }
 
 // New returns an empty mirror.
 func New(cfg Config) *Mirror { return &Mirror{cfg: cfg, records: make(map[string][]byte)} }
 
-// Current returns when the copy was last known to be complete; the zero time means never.
-func (m *Mirror) Current() time.Time {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.current
-}
-
 // Run reads until the context ends.
 func (m *Mirror) Run(ctx context.Context) error {
 	pause := retryFirst
@@ -86,28 +78,26 @@
 
 // follow reads the newest records and then what is added; it returns nil when a new scan is due.
 func (m *Mirror) follow(ctx context.Context, ok func()) error {
-	begun := time.Now()
 	page, err := m.cfg.Ledger.Newest(ctx, m.cfg.Topic, m.cfg.Partition)
 	if err != nil {
 		return err
 	}
 	ok()
-	m.replace(page.Records, begun)
+	m.replace(page.Records)
 	next := page.Next
 	for scanned := time.Now(); time.Since(scanned) < rescanEvery; {
-		begun := time.Now()
 		page, err := m.cfg.Ledger.Read(ctx, m.cfg.Topic, m.cfg.Partition, next, m.cfg.Wait)
 		if err != nil {
 			return err
 		}
 		next = page.Next
-		m.apply(page.Records, begun)
+		m.apply(page.Records)
 		sleep(ctx, m.cfg.Pause)
 	}
 	return nil
 }
 
-func (m *Mirror) replace(records []ledger.Record, at time.Time) {
+func (m *Mirror) replace(records []ledger.Record) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	fresh := make(map[string][]byte, len(records))
@@ -118,16 +108,15 @@
 			fresh[r.Key] = r.Value
 		}
 	}
-	m.records, m.current, m.loaded = fresh, at, true
+	m.records, m.loaded = fresh, true
 	if changed {
 		m.cfg.Changed(m.records)
 	}
 }
 
-func (m *Mirror) apply(records []ledger.Record, at time.Time) {
+func (m *Mirror) apply(records []ledger.Record) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.current = at
 	for _, r := range records {
 		if len(r.Value) == 0 {
 			delete(m.records, r.Key)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -34,17 +34,23 @@
 	ownerKey = "owner"
 )
 
+// Runner runs until its context ends.
+type Runner interface {
+	Run(ctx context.Context) error
+}
+
 // Config describes the part of a node that may own jobs.
 type Config struct {
-	Self     Member
-	Group    string
-	Ledger   ledger.Ledger
-	Workers  agent.Workers
-	Advisor  agent.Advisor
-	Peers    *peers.Client
-	Nodes    func() []Member
-	Terms    func() (terms.Terms, bool)
-	Registry func() ([]agent.Entry, bool)
+	Self    Member
+	Group   string
+	Ledger  ledger.Ledger
+	Workers agent.Workers
+	Advisor agent.Advisor
+	Peers   *peers.Client
+	Nodes   func() []Member
+	Terms   func() (terms.Terms, bool)
+	// Registry returns a runner that calls changed with the workers' entries whenever they change.
+	Registry func(changed func([]agent.Entry)) Runner
 	// Shard holds the times of the shard; token and events are set for each ownership.
 	Shard shard.Config
 	Log   *zap.Logger
@@ -94,13 +100,6 @@
 	}
 }
 
-// RegistryChanged takes over the workers' entries.
-func (o *Owner) RegistryChanged(entries []agent.Entry) {
-	if current := o.current(); current != nil {
-		current.setRegistry(entries)
-	}
-}
-
 // Run takes part in the group until the context ends, and then hands over. An owner stays one as long as it is a member
 // of the group; when it isn't any more, the member that holds the shard's partition takes over, under the group's
 // generation as its epoch, which no other member has for that partition.
--- a/internal/owner/tenure.go
+++ b/internal/owner/tenure.go
@@ -54,6 +54,9 @@
 	fenced   bool
 	shard    *shard.Shard
 	links    map[model.WorkerID]*link
+	// entries are the workers' entries, once listed is set.
+	entries []agent.Entry
+	listed  bool
 	// contact is the last answer of the store, inboxRead the last complete read of new jobs.
 	contact   time.Time
 	inboxRead time.Time
@@ -138,11 +141,15 @@
 	t.kick()
 }
 
+// setRegistry takes the workers' entries over, or keeps them until the former owner's state has been read.
 func (t *tenure) setRegistry(entries []agent.Entry) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.shard.Registry(entries)
-	t.kick()
+	t.entries, t.listed = entries, true
+	if t.restored {
+		t.shard.Registry(entries)
+		t.kick()
+	}
 }
 
 func (t *tenure) state(id model.JobID) (work.State, error) {
@@ -174,8 +181,12 @@
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	go t.runCancel(ctx, cancel)
+	t.group.Add(1)
+	go t.runRegistry(ctx)
 	next, err := t.takeOver(ctx)
 	if err != nil {
+		cancel()
+		t.group.Wait()
 		t.cfg.Log.Info("takeover ended", zap.Int64("epoch", t.epoch), zap.Error(err))
 		return
 	}
@@ -196,6 +207,14 @@
 	cancel()
 }
 
+// runRegistry follows the workers' entries.
+func (t *tenure) runRegistry(ctx context.Context) {
+	defer t.group.Done()
+	if err := t.cfg.Registry(t.setRegistry).Run(ctx); err != nil {
+		t.cfg.Log.Error("registry not followed", zap.Error(err))
+	}
+}
+
 // takeOver fences the former owner in the store and reads what it recorded; it returns where new jobs begin.
 func (t *tenure) takeOver(ctx context.Context) (int64, error) {
 	begun := time.Now()
@@ -216,7 +235,7 @@
 	if err != nil {
 		return 0, err
 	}
-	current, entries, err := t.surroundings(ctx)
+	current, err := t.surroundings(ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -237,7 +256,7 @@
 	defer t.mu.Unlock()
 	t.shard.SetTerms(current)
 	t.shard.Restore(restored, t.now(), time.Now())
-	t.shard.Registry(entries)
+	t.shard.Registry(t.entries)
 	t.restored, t.inboxRead = true, time.Now()
 	t.cfg.Log.Info("takeover done", zap.Int64("epoch", t.epoch), zap.Int("jobs", len(restored.Jobs)),
 		zap.Int("progress", len(restored.Progress)), zap.Duration("took", time.Since(begun)))
@@ -245,16 +264,18 @@
 }
 
 // surroundings waits until the configuration and the registry have been read.
-func (t *tenure) surroundings(ctx context.Context) (terms.Terms, []agent.Entry, error) {
+func (t *tenure) surroundings(ctx context.Context) (terms.Terms, error) {
 	for {
-		current, okTerms := t.cfg.Terms()
-		entries, okEntries := t.cfg.Registry()
-		if okTerms && okEntries {
-			return current, entries, nil
+		current, ok := t.cfg.Terms()
+		t.mu.Lock()
+		listed := t.listed
+		t.mu.Unlock()
+		if ok && listed {
+			return current, nil
 		}
-		sleep(ctx, tickEvery)
+		sleep(ctx, settle)
 		if ctx.Err() != nil {
-			return terms.Terms{}, nil, ctx.Err()
+			return terms.Terms{}, ctx.Err()
 		}
 	}
 }
--- a/node/internal/daemon/daemon.go
+++ b/node/internal/daemon/daemon.go
@@ -68,7 +68,6 @@
 	})
 	group, ctx := errgroup.WithContext(base)
 	group.Go(func() error { return d.View.termsMirror.Run(ctx) })
-	group.Go(func() error { return d.View.registryMirror.Run(ctx) })
 	group.Go(func() error { return d.Inbox.Run(ctx) })
 	group.Go(func() error { return d.Directory.Run(ctx) })
 	group.Go(func() error { return d.Peers.Run(ctx) })
--- a/node/internal/daemon/parts.go
+++ b/node/internal/daemon/parts.go
@@ -27,7 +27,7 @@
 	// termsWait is how long a read of the configuration waits for a change.
 	termsWait = 2 * time.Second
 	// registryPause is kept between readings of the workers' entries, which change all the time.
-	registryPause = 300 * time.Millisecond
+	registryPause = 250 * time.Millisecond
 )
 
 // parts are the components of a node that are run and stopped.
@@ -57,7 +57,8 @@
 			}
 			return log.With(zap.String("node", s.Node)), nil
 		},
-		func(s config.Node) (ledger.Ledger, error) { return adapt.NewStore(s.StoreAddress) },
+		newStore,
+		func(m *ledger.Monitor) ledger.Ledger { return m },
 		func() agent.Workers { return adapt.NewWorkers() },
 		newAdvisor,
 		self,
@@ -68,7 +69,7 @@
 		newOwner,
 		newPeerServer,
 		newIntake,
-		adapt.NewIngress,
+		func(in *intake.Intake, v *view) *adapt.Ingress { return adapt.NewIngress(in, v.ready) },
 	}
 	for _, provider := range providers {
 		if err := c.Provide(provider); err != nil {
@@ -78,6 +79,14 @@
 	return c, nil
 }
 
+func newStore(s config.Node) (*ledger.Monitor, error) {
+	store, err := adapt.NewStore(s.StoreAddress)
+	if err != nil {
+		return nil, err
+	}
+	return ledger.NewMonitor(store), nil
+}
+
 // self names this boot of the node.
 func self(s config.Node) owner.Member {
 	boot := strconv.FormatInt(time.Now().UnixNano(), 36) + strconv.Itoa(os.Getpid())
@@ -111,7 +120,7 @@
 ) *owner.Owner {
 	o := owner.New(owner.Config{
 		Self: m, Group: ownerGroup, Ledger: l, Workers: workers, Advisor: advisor, Peers: client, Nodes: directory.Nodes,
-		Terms: v.Terms, Registry: v.Registry, Log: log,
+		Terms: v.Terms, Registry: newRegistry(l, log), Log: log,
 		Shard: shard.Config{
 			Lease: min(s.WorkerLease.Std(), s.WorkerLeaseMax.Std()), MaxLease: s.WorkerLeaseMax.Std(),
 			RenewLimit: s.RenewLimit.Std(), KillGrace: s.KillGrace.Std(), Retention: s.Retention.Std(),
@@ -129,13 +138,33 @@
 	return intake.New(intake.Config{Terms: v.Terms, Records: in, Owner: directory, Log: log})
 }
 
-func newView(l ledger.Ledger, log *zap.Logger) *view {
-	v := &view{log: log}
+func newView(l *ledger.Monitor, log *zap.Logger) *view {
+	v := &view{log: log, store: l}
 	v.termsMirror = mirror.New(mirror.Config{
 		Ledger: l, Topic: adapt.TopicOperators, Wait: termsWait, Changed: v.termsRead, Log: log,
 	})
-	v.registryMirror = mirror.New(mirror.Config{
-		Ledger: l, Topic: adapt.TopicWorkers, Pause: registryPause, Changed: v.registryRead, Log: log,
-	})
 	return v
 }
+
+// newRegistry returns the mirror of the workers' entries; only an owner runs it.
+func newRegistry(l ledger.Ledger, log *zap.Logger) func(changed func([]agent.Entry)) owner.Runner {
+	return func(changed func([]agent.Entry)) owner.Runner {
+		return mirror.New(mirror.Config{
+			Ledger: l, Topic: adapt.TopicWorkers, Pause: registryPause, Log: log,
+			Changed: func(records map[string][]byte) { changed(decodeEntries(records, log)) },
+		})
+	}
+}
+
+func decodeEntries(records map[string][]byte, log *zap.Logger) []agent.Entry {
+	entries := make([]agent.Entry, 0, len(records))
+	for id, value := range records {
+		entry, err := adapt.DecodeEntry(id, value)
+		if err != nil {
+			log.Debug("worker entry left out", zap.Error(err))
+			continue
+		}
+		entries = append(entries, entry)
+	}
+	return entries
+}
--- a/node/internal/daemon/view.go
+++ b/node/internal/daemon/view.go
@@ -9,14 +9,16 @@
 	"go.uber.org/zap"
 
 	"arbutuswing.example/internal/agent"
+	"arbutuswing.example/internal/ledger"
 	"arbutuswing.example/internal/mirror"
 	"arbutuswing.example/internal/owner"
 	"arbutuswing.example/internal/terms"
 	adapt "arbutuswing.example/platform"
 )
 
-// readyFor is the age of the configuration's last reading up to which the node wants new connections.
-const readyFor = 5 * time.Second
+// readyFor is the silence of the store up to which the node wants new connections: the membership is renewed more
+// often, and clients of a node that is cut off are served elsewhere.
+const readyFor = 900 * time.Millisecond
 
 var errNoAdvice = errors.New("no placement advice service is configured")
 
@@ -28,18 +30,16 @@
 	return agent.Advice{}, errNoAdvice
 }
 
-// view is what the node has read of the operators' configuration and of the workers' entries.
+// view is what the node has read of the operators' configuration, and whether it reaches the store.
 type view struct {
-	log            *zap.Logger
-	termsMirror    *mirror.Mirror
-	registryMirror *mirror.Mirror
+	log         *zap.Logger
+	store       *ledger.Monitor
+	termsMirror *mirror.Mirror
 
 	mu       sync.Mutex
 	owner    *owner.Owner
 	terms    terms.Terms
 	hasTerms bool
-	entries  []agent.Entry
-	read     bool
 }
 
 func (v *view) follow(o *owner.Owner) {
@@ -55,16 +55,9 @@
 	return v.terms, v.hasTerms
 }
 
-// Registry returns the workers' entries, or false before they were read.
-func (v *view) Registry() ([]agent.Entry, bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.entries, v.read
-}
-
 func (v *view) ready() bool {
 	_, ok := v.Terms()
-	return ok && time.Since(v.termsMirror.Current()) < readyFor
+	return ok && v.store.Silence() < readyFor
 }
 
 // termsRead puts a configuration in force; an older version than the one in force is never taken back.
@@ -87,22 +80,3 @@
 		o.TermsChanged(t)
 	}
 }
-
-func (v *view) registryRead(records map[string][]byte) {
-	entries := make([]agent.Entry, 0, len(records))
-	for id, value := range records {
-		entry, err := adapt.DecodeEntry(id, value)
-		if err != nil {
-			v.log.Debug("worker entry left out", zap.Error(err))
-			continue
-		}
-		entries = append(entries, entry)
-	}
-	v.mu.Lock()
-	v.entries, v.read = entries, true
-	o := v.owner
-	v.mu.Unlock()
-	if o != nil {
-		o.RegistryChanged(entries)
-	}
-}
