fix(shard): keep runs that a worker's new life has ended; break gangs that lack a member after a takeover

Cause: a start that reached a worker's next life before the owner had seen it ended there; the end was taken for one of the former life, acknowledged and ignored, and the task ran again. And a gang of which only some bindings were recorded for the worker's last life kept its other members waiting. Ruled out: orders carried out late (they belong to the life that got them). Decisions no longer depend on map order.

--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -86,8 +86,8 @@
 func (s *Shard) unknown(st *stage, n int, now time.Duration) []candidate {
 	var list []candidate
 	room := false
-	for id, w := range s.workers {
-		if _, known := st.verdicts[id]; known || !s.allowed(st, w, now) {
+	for _, w := range s.byID {
+		if _, known := st.verdicts[w.id]; known || !s.allowed(st, w, now) {
 			continue
 		}
 		free := w.free(st)
--- a/internal/shard/orders.go
+++ b/internal/shard/orders.go
@@ -30,12 +30,12 @@
 	if s.stopped {
 		return o
 	}
-	for _, w := range s.workers {
+	for _, w := range s.byID {
 		if w.entry.Address == "" {
 			continue
 		}
 		target := agent.Target{ID: w.id, Address: w.entry.Address}
-		for _, a := range w.attempts {
+		for _, a := range sortedAttempts(w) {
 			if a.calling || now < a.notBefore || now-w.answered > suspectAfter {
 				continue
 			}
@@ -145,6 +145,6 @@
 
 // Forget drops the pending answers of an ownership that ended.
 func (s *Shard) Forget() {
-	s.jobs, s.workers, s.active = nil, nil, nil
+	s.jobs, s.workers, s.byID, s.active = nil, nil, nil, nil
 	s.usage = make(map[model.TeamID]model.Resources)
 }
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -165,7 +165,7 @@
 		}
 	}
 	if st.job.queue.Advice == nil {
-		for _, w := range s.workers {
+		for _, w := range s.byID {
 			consider(w, "")
 		}
 	} else {
@@ -326,12 +326,11 @@
 // goodWorkers returns the allowed workers that may run the stage, whether or not they have room.
 func (s *Shard) goodWorkers(st *stage, now time.Duration) []*worker {
 	var list []*worker
-	for id, w := range s.workers {
-		if (st.job.queue.Advice == nil || st.verdicts[id].good) && s.allowed(st, w, now) {
+	for _, w := range s.byID {
+		if (st.job.queue.Advice == nil || st.verdicts[w.id].good) && s.allowed(st, w, now) {
 			list = append(list, w)
 		}
 	}
-	slices.SortFunc(list, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
 	return list
 }
 
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -71,7 +71,8 @@
 }
 
 // reborn ends what ran in the worker's former life. A start without an answer may still reach the new life, so that
-// run stays until a stop is confirmed; so does a run that the new life reports, since a late start brought it there.
+// run stays until a stop is confirmed; so does a run that the new life reports, since the start
+// reached that life.
 func (s *Shard) reborn(w *worker, r agent.Report, now time.Duration) {
 	first, born := w.born == 0, r.Born
 	w.born, w.clock, w.seen, w.acked, w.acks = born, 0, 0, 0, nil
@@ -85,6 +86,9 @@
 	for _, row := range r.Running {
 		present[runKey{row.Task, row.Run}] = true
 	}
+	for _, end := range r.Ended {
+		present[runKey{end.Task, end.Run}] = true
+	}
 	for _, a := range sortedAttempts(w) {
 		if present[a.key()] {
 			continue
--- a/internal/shard/restore.go
+++ b/internal/shard/restore.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"arbutuswing.example/internal/agent"
@@ -31,21 +33,37 @@
 			s.restoreProgress(j, p, now)
 		}
 	}
-	for id, p := range r.Progress {
+	for _, id := range slices.Sorted(maps.Keys(r.Progress)) {
+		p := r.Progress[id]
 		if _, ok := s.jobs[id]; !ok && p.Final != "" {
 			// The submission was dropped once the job was final; only its state is still needed.
 			s.restoreProgress(s.addFinal(id), p, now)
 		}
 	}
+	for _, st := range s.active {
+		s.breakPartial(st, now)
+	}
 	for _, id := range r.Cancelled {
 		s.Cancel(id, now)
 	}
 	limit := now + s.cfg.RenewLimit + time.Duration(float64(s.cfg.Lease)/(1-clockDrift)) + lapseMargin
-	for _, w := range s.workers {
+	for _, w := range s.byID {
 		w.leaseEnd = limit
 	}
 }
 
+// breakPartial stops what is left of a gang that is known to lack a member.
+func (s *Shard) breakPartial(st *stage, now time.Duration) {
+	if !st.spec.Gang || st.left == 0 || !slices.ContainsFunc(st.tasks, func(t task) bool { return len(t.attempts) == 0 }) {
+		return
+	}
+	for i := range st.tasks {
+		for _, a := range st.tasks[i].attempts {
+			s.stop(a, now)
+		}
+	}
+}
+
 func (s *Shard) addFinal(id model.JobID) *job {
 	j := newJob(work.Job{ID: id}, terms.Queue{}, 0)
 	s.jobs[id] = j
@@ -86,11 +104,7 @@
 
 // restoreBinding notes a run that may be present on its worker.
 func (s *Shard) restoreBinding(st *stage, index int, b work.Binding, now time.Duration) {
-	w := s.workers[b.Worker]
-	if w == nil {
-		w = newWorker(b.Worker)
-		s.workers[b.Worker] = w
-	}
+	w := s.worker(b.Worker)
 	if b.Born < w.born {
 		// A later life of the worker was already bound to, so this run is gone.
 		return
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -17,8 +17,10 @@
 	terms   terms.Terms
 	jobs    map[model.JobID]*job
 	workers map[model.WorkerID]*worker
-	usage   map[model.TeamID]model.Resources
-	rates   map[model.TeamID]*bucket
+	// byID holds the same workers in the order of their identifiers, so that equal inputs give equal decisions.
+	byID  []*worker
+	usage map[model.TeamID]model.Resources
+	rates map[model.TeamID]*bucket
 	// active lists the stages with tasks that have not succeeded, of jobs that are not final.
 	active []*stage
 	// cancelled remembers cancellations that came before their job.
@@ -165,11 +167,7 @@
 	listed := make(map[model.WorkerID]bool, len(entries))
 	for _, entry := range entries {
 		listed[entry.ID] = true
-		w := s.workers[entry.ID]
-		if w == nil {
-			w = newWorker(entry.ID)
-			s.workers[entry.ID] = w
-		}
+		w := s.worker(entry.ID)
 		if w.entry.Draining != entry.Draining {
 			s.event("worker-draining", "", "", w, "", entry.Leaves.Milliseconds())
 		}
@@ -185,12 +183,25 @@
 		w.listed = false
 		if len(w.attempts) == 0 {
 			delete(s.workers, id)
+			s.byID = slices.DeleteFunc(s.byID, func(other *worker) bool { return other == w })
 			s.forgetWorker(id)
 		}
 	}
 	s.replan = true
 }
 
+// worker returns the worker of that identifier and adds it if it isn't known.
+func (s *Shard) worker(id model.WorkerID) *worker {
+	if w := s.workers[id]; w != nil {
+		return w
+	}
+	w := newWorker(id)
+	s.workers[id] = w
+	at, _ := slices.BinarySearchFunc(s.byID, id, func(w *worker, id model.WorkerID) int { return cmp.Compare(w.id, id) })
+	s.byID = slices.Insert(s.byID, at, w)
+	return w
+}
+
 func (s *Shard) forgetWorker(id model.WorkerID) {
 	for _, st := range s.active {
 		delete(st.verdicts, id)
@@ -200,7 +211,7 @@
 // Targets returns the workers that have to be held, with their addresses.
 func (s *Shard) Targets() []agent.Target {
 	targets := make([]agent.Target, 0, len(s.workers))
-	for _, w := range s.workers {
+	for _, w := range s.byID {
 		if w.entry.Address != "" {
 			targets = append(targets, agent.Target{ID: w.id, Address: w.entry.Address})
 		}
@@ -298,7 +309,7 @@
 			}
 		}
 	}
-	for _, w := range s.workers {
+	for _, w := range s.byID {
 		l.Runs += len(w.attempts)
 		if w.usable(now) && !s.terms.Out(w.entry.DataCentre) {
 			l.Usable++
@@ -324,7 +335,7 @@
 
 // lapse ends the runs on workers whose leases have lapsed for certain and that gave no report since.
 func (s *Shard) lapse(now time.Duration) {
-	for _, w := range s.workers {
+	for _, w := range s.byID {
 		if len(w.attempts) == 0 || now-w.answered < suspectAfter {
 			continue
 		}
@@ -345,11 +356,11 @@
 
 // findStalls stops runs that show no progress.
 func (s *Shard) findStalls(now time.Duration) {
-	for _, w := range s.workers {
+	for _, w := range s.byID {
 		if now-w.answered > suspectAfter {
 			continue
 		}
-		for _, a := range w.attempts {
+		for _, a := range sortedAttempts(w) {
 			if a.phase != phaseStarted || a.stage.spec.Service || now-a.changedAt < stallAfter || a.stage.spec.Gang {
 				continue
 			}
