perf(shard): gather ends that nobody waits for into fewer commits

Cause: half of the price of control was store calls and looks at workers. Ends that complete no job wait up to 60 ms for others, dropped submissions 1 s, and a worker is held again 80 ms after a report.

--- a/internal/owner/link.go
+++ b/internal/owner/link.go
@@ -16,7 +16,7 @@
 	// idleWait is the same for a worker without runs.
 	idleWait = 1800 * time.Millisecond
 	// holdPause gathers ends that follow each other, so that they cost one call.
-	holdPause = 40 * time.Millisecond
+	holdPause = 80 * time.Millisecond
 	// holdRetry is the pause after a hold without an answer.
 	holdRetry = 250 * time.Millisecond
 )
--- a/internal/owner/tenure.go
+++ b/internal/owner/tenure.go
@@ -457,7 +457,7 @@
 		t.shard.Tick(t.now(), time.Now())
 		orders := t.shard.TakeOrders(t.now())
 		t.followTargets(ctx)
-		decided := t.shard.Dirty()
+		decided := t.shard.Dirty(t.now())
 		t.mu.Unlock()
 		t.send(ctx, orders)
 		if decided {
--- a/internal/shard/config.go
+++ b/internal/shard/config.go
@@ -31,6 +31,10 @@
 	stallAfter = 2500 * time.Millisecond
 	// estimateTrust is the share of the estimated run time that work needs at least: estimates are often twice too high.
 	estimateTrust = 0.6
+	// commitDelay is how long ends that nobody waits for are gathered before they are recorded.
+	commitDelay = 60 * time.Millisecond
+	// dropDelay is how long submissions that need no longer be kept are gathered.
+	dropDelay = time.Second
 	// minSurplusBurst is the burst of a team's rate for owed jobs, in jobs.
 	minSurplusBurst = 2
 	// scanLimit bounds how many waiting stages are tried in one pass.
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -249,6 +249,7 @@
 		checkpoint: st.startCheckpoint(index), changedAt: now,
 	}
 	s.attach(a)
+	s.urgent = true
 	s.touch(st.job)
 	s.event("run-bound", string(st.job.spec.ID), a.ref().String(), w, "", int64(run))
 }
--- a/internal/shard/rig_test.go
+++ b/internal/shard/rig_test.go
@@ -101,8 +101,9 @@
 	r.s.Reported(id, report, r.now)
 }
 
-// commit records what was decided and returns the progress records.
+// commit records what was decided, also what may wait for more, and returns the progress records.
 func (r *rig) commit() []JobProgress {
+	r.pass(commitDelay)
 	c := r.s.TakeCommit(r.now)
 	if !c.Empty() {
 		r.s.Committed(c.Batch)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -30,13 +30,21 @@
 	// goodShares holds, for each queue, the share of workers that its tasks may run on.
 	goodShares map[string]float64
 
-	dirty     []*job
+	dirty []*job
+	// urgent tells that a start or a client waits for the next commit; dirtySince is when the first change was made that
+	// isn't part of one, and droppedAt when submissions were last dropped.
+	urgent     bool
+	dirtySince time.Duration
+	droppedAt  time.Duration
+
 	dropped   []model.JobID
 	finals    []*job
 	next      uint64
 	committed uint64
 	stopped   bool
-	replan    bool
+	// clock is the moment of the last tick.
+	clock  time.Duration
+	replan bool
 }
 
 // bucket counts a team's jobs against the rate up to which its work is owed.
@@ -136,6 +144,7 @@
 // finish makes a job final and stops what may still run of it.
 func (s *Shard) finish(j *job, state work.State, now time.Duration) {
 	j.final, j.finalBatch, j.finalAt = state, s.next, now
+	s.urgent = true
 	s.touch(j)
 	s.finals = append(s.finals, j)
 	s.dropped = append(s.dropped, j.spec.ID)
@@ -156,6 +165,9 @@
 }
 
 func (s *Shard) touch(j *job) {
+	if len(s.dirty) == 0 {
+		s.dirtySince = s.clock
+	}
 	if !j.dirty {
 		j.dirty = true
 		s.dirty = append(s.dirty, j)
@@ -253,23 +265,19 @@
 	s.committed = max(s.committed, batch)
 }
 
-// TakeCommit returns what has changed since the last call; only one commit may be under way at a time.
+// TakeCommit returns what has changed since the last call, or nothing while that may wait for more; only one commit may
+// be under way at a time.
 func (s *Shard) TakeCommit(now time.Duration) Commit {
 	c := Commit{Batch: s.next}
+	if !s.urgent && now-s.dirtySince < commitDelay {
+		return c
+	}
+	s.urgent = false
 	for _, j := range s.dirty {
 		j.dirty = false
 		c.Progress = append(c.Progress, JobProgress{ID: string(j.spec.ID), Progress: j.progress()})
 	}
-	kept := s.dropped[:0]
-	for _, id := range s.dropped {
-		// The submission tells a later owner the size of runs that may still be present.
-		if j := s.jobs[id]; j != nil && (j.finalBatch > s.committed || j.hasRuns()) {
-			kept = append(kept, id)
-			continue
-		}
-		c.Dropped = append(c.Dropped, string(id))
-	}
-	s.dropped = kept
+	s.takeDropped(&c, now)
 	for len(s.finals) > 0 && now-s.finals[0].finalAt > s.cfg.Retention {
 		id := s.finals[0].spec.ID
 		c.Expired = append(c.Expired, string(id))
@@ -284,6 +292,24 @@
 	return c
 }
 
+// takeDropped adds the submissions that need no longer be kept, gathered over a while.
+func (s *Shard) takeDropped(c *Commit, now time.Duration) {
+	if now-s.droppedAt < dropDelay {
+		return
+	}
+	s.droppedAt = now
+	kept := s.dropped[:0]
+	for _, id := range s.dropped {
+		// The submission tells a later owner the size of runs that may still be present.
+		if j := s.jobs[id]; j != nil && (j.finalBatch > s.committed || j.hasRuns()) {
+			kept = append(kept, id)
+			continue
+		}
+		c.Dropped = append(c.Dropped, string(id))
+	}
+	s.dropped = kept
+}
+
 // Load sums up what the shard has to do.
 type Load struct {
 	// Jobs are those that are not final; Waiting and Late count stages with tasks to start, late ones past their objective.
@@ -320,14 +346,18 @@
 	return l
 }
 
-// Dirty reports whether there is something to record.
-func (s *Shard) Dirty() bool { return len(s.dirty)+len(s.dropped) > 0 }
+// Dirty reports whether there is something to record now.
+func (s *Shard) Dirty(now time.Duration) bool {
+	return s.urgent || (len(s.dirty) > 0 && now-s.dirtySince >= commitDelay) ||
+		(len(s.dropped) > 0 && now-s.droppedAt >= dropDelay)
+}
 
 // Tick applies what the passing of time proves and plans new starts; wall is the time of day.
 func (s *Shard) Tick(now time.Duration, wall time.Time) {
 	if s.stopped {
 		return
 	}
+	s.clock = now
 	s.lapse(now)
 	s.findStalls(now)
 	s.plan(now, wall)
