perf(owner): tell the owner of stored jobs, drop submissions beside the commits

Cause: while a store call takes 200 ms, a job waited for the owner's next read and each commit for the drops of ended submissions. Ruled out: throughput of the store (one append at a time was under way).

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -28,6 +28,8 @@
 	comeBackMax = 2 * time.Second
 	// comeBackShare is the share of a job's time to its objective that one attempt may wait.
 	comeBackShare = 0.25
+	// tellLimit bounds the call that lets the owner know of a job; by then it has usually read of it.
+	tellLimit = 500 * time.Millisecond
 	// cancelPrefix sets the records of cancellations apart from those of jobs.
 	cancelPrefix = "cancel/"
 	jobPrefix    = "job/"
@@ -45,6 +47,8 @@
 	State(ctx context.Context, id model.JobID) (work.State, error)
 	// Pending returns ErrNoOwner if it can't.
 	Pending(ctx context.Context, queue string) (int, error)
+	// Tell lets the owner know of a stored job sooner than it reads of it.
+	Tell(ctx context.Context, job work.Job) error
 }
 
 // Config describes an intake.
@@ -129,12 +133,24 @@
 		refused.After = attemptPause(job, e.queue)
 		outcome = refused
 	}
+	if _, ok := outcome.(Accepted); ok {
+		go i.runTell(job)
+	}
 	i.cfg.Log.Info("job submitted", zap.String("job", e.id), zap.String("queue", e.queue.Name),
 		zap.String("team", string(e.team)), zap.Int64("config-version", e.terms.Version),
 		zap.Duration("took", time.Since(begun)), zap.String("outcome", name(outcome)))
 	return outcome
 }
 
+// runTell lets the owner know of a stored job; the owner reads of it anyway.
+func (i *Intake) runTell(job work.Job) {
+	ctx, cancel := context.WithTimeout(context.Background(), tellLimit)
+	defer cancel()
+	if err := i.cfg.Owner.Tell(ctx, job); err != nil {
+		i.cfg.Log.Debug("owner not told", zap.String("job", string(job.ID)), zap.Error(err))
+	}
+}
+
 // attemptPause is how long a client should wait before it hands the job in again.
 func attemptPause(job work.Job, queue terms.Queue) time.Duration {
 	objective := float64(job.ChainTime(0))*queue.Stretch + float64(queue.Latency)
--- a/internal/owner/directory.go
+++ b/internal/owner/directory.go
@@ -183,6 +183,15 @@
 	return n, err
 }
 
+// Tell lets the owner know of a stored job, so that it needn't wait until it reads of it; without an answer it will.
+func (d *Directory) Tell(ctx context.Context, job work.Job) error {
+	owner := d.current()
+	if owner.Address == "" {
+		return intake.ErrNoOwner
+	}
+	return d.client.Submit(ctx, owner.Address, job)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -95,6 +95,15 @@
 	return t.pending(queue)
 }
 
+// Submit takes in a job that another node has stored.
+func (o *Owner) Submit(job work.Job) error {
+	t := o.current()
+	if t == nil {
+		return peers.ErrNotOwner
+	}
+	return t.submit(job)
+}
+
 // TermsChanged puts a new configuration in force.
 func (o *Owner) TermsChanged(t terms.Terms) {
 	if current := o.current(); current != nil {
--- a/internal/owner/tenure.go
+++ b/internal/owner/tenure.go
@@ -33,6 +33,8 @@
 	freshFor = 2 * time.Second
 	// retryStore is the pause after a call of the store that failed.
 	retryStore = 80 * time.Millisecond
+	// dropsWaiting bounds the lists of submissions that wait to be dropped; one comes a second.
+	dropsWaiting = 64
 	// maxCommitBytes stays below what the store takes in one call.
 	maxCommitBytes = 1 << 20
 )
@@ -61,9 +63,12 @@
 	contact   time.Time
 	inboxRead time.Time
 
-	sequence map[ledger.Topic]int64
-	asks     *asks
-	group    sync.WaitGroup
+	// sequence counts the appends to each topic; only one append to a topic is under way.
+	sequenceMu sync.Mutex
+	sequence   map[ledger.Topic]int64
+	drops      chan []string
+	asks       *asks
+	group      sync.WaitGroup
 }
 
 func newTenure(cfg Config, epoch int64) *tenure {
@@ -71,6 +76,7 @@
 		cfg: cfg, epoch: epoch, start: time.Now(), wake: make(chan struct{}, 1), changed: make(chan struct{}, 1),
 		done:  make(chan struct{}),
 		links: make(map[model.WorkerID]*link), contact: time.Now(), sequence: make(map[ledger.Topic]int64),
+		drops: make(chan []string, dropsWaiting),
 	}
 	shardCfg := cfg.Shard
 	shardCfg.Token = epoch
@@ -167,6 +173,18 @@
 	return "", peers.ErrUnknownJob
 }
 
+// submit takes a stored job in before it has been read.
+func (t *tenure) submit(job work.Job) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.restored || t.fenced {
+		return peers.ErrNotOwner
+	}
+	t.shard.Submit(job, t.now())
+	t.kick()
+	return nil
+}
+
 func (t *tenure) pending(queue string) (int, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -190,7 +208,8 @@
 		t.cfg.Log.Info("takeover ended", zap.Int64("epoch", t.epoch), zap.Error(err))
 		return
 	}
-	t.group.Add(2)
+	t.group.Add(3)
+	go t.runDrops(ctx)
 	go t.runInbox(ctx, next)
 	go t.runCommits(ctx)
 	t.loop(ctx)
@@ -389,26 +408,53 @@
 			return err
 		}
 	}
-	var drops []ledger.Record
-	for _, id := range c.Dropped {
-		for _, key := range intake.Keys(id) {
-			drops = append(drops, ledger.Record{Key: key})
+	if len(c.Dropped) > 0 {
+		select {
+		case t.drops <- c.Dropped:
+		case <-ctx.Done():
+			return ctx.Err()
 		}
 	}
-	if len(drops) == 0 {
-		return nil
+	return nil
+}
+
+// runDrops drops submissions that need no longer be kept; no commit waits for that.
+func (t *tenure) runDrops(ctx context.Context) {
+	defer t.group.Done()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ids := <-t.drops:
+			var records []ledger.Record
+			for _, id := range ids {
+				for _, key := range intake.Keys(id) {
+					records = append(records, ledger.Record{Key: key})
+				}
+			}
+			if err := t.append(ctx, TopicInbox, records); err != nil {
+				t.cfg.Log.Info("submissions not dropped", zap.Int("jobs", len(ids)), zap.Error(err))
+				return
+			}
+		}
 	}
-	return t.append(ctx, TopicInbox, drops)
+}
+
+func (t *tenure) nextSequence(topic ledger.Topic, records bool) int64 {
+	t.sequenceMu.Lock()
+	defer t.sequenceMu.Unlock()
+	if records {
+		t.sequence[topic]++
+	}
+	return t.sequence[topic]
 }
 
 // append appends under the owner's epoch and repeats the append until its outcome is known. Without records it only
 // fences former owners.
 func (t *tenure) append(ctx context.Context, topic ledger.Topic, records []ledger.Record) error {
-	if len(records) > 0 {
-		t.sequence[topic]++
-	}
 	batch := ledger.Batch{
-		Topic: topic, Partition: Partition, Producer: producer, Epoch: t.epoch, Sequence: t.sequence[topic], Records: records,
+		Topic: topic, Partition: Partition, Producer: producer, Epoch: t.epoch, Sequence: t.nextSequence(topic, len(records) > 0),
+		Records: records,
 	}
 	logged := false
 	for {
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -30,6 +30,7 @@
 	pathState   = "/state"
 	pathPending = "/pending"
 	pathAdvise  = "/advise"
+	pathSubmit  = "/submit"
 	// nodeConnections bounds the connections to one node.
 	nodeConnections = 32
 	// lookTimeout bounds a question to the owner: a link between data centres takes a few milliseconds.
@@ -117,6 +118,11 @@
 	return body.Pending, err
 }
 
+// Submit tells a node of a stored job.
+func (c *Client) Submit(ctx context.Context, address string, job work.Job) error {
+	return c.do(ctx, address, pathSubmit, job, lookTimeout, &struct{}{})
+}
+
 // Advise lets a node make a call for advice.
 func (c *Client) Advise(ctx context.Context, address string, q agent.Question) (agent.Advice, error) {
 	var advice agent.Advice
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -20,6 +20,7 @@
 type Owner interface {
 	State(id model.JobID) (work.State, error)
 	Pending(queue string) (int, error)
+	Submit(job work.Job) error
 }
 
 // ServerConfig describes a server.
@@ -44,6 +45,7 @@
 	r.GET(pathState, s.state)
 	r.GET(pathPending, s.pending)
 	r.POST(pathAdvise, s.advise)
+	r.POST(pathSubmit, s.submit)
 	s.http = &fasthttp.Server{Handler: r.Handler, NoDefaultServerHeader: true, NoDefaultDate: true}
 	return s
 }
@@ -82,6 +84,15 @@
 	s.reply(ctx, advice, err)
 }
 
+func (s *Server) submit(ctx *fasthttp.RequestCtx) {
+	job, err := work.DecodeJob(ctx.PostBody())
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	s.reply(ctx, struct{}{}, s.cfg.Owner.Submit(job))
+}
+
 func (s *Server) reply(ctx *fasthttp.RequestCtx, body any, err error) {
 	switch {
 	case errors.Is(err, ErrNotOwner):
