--- a/ctl/internal/cmds/offline.go
+++ b/ctl/internal/cmds/offline.go
@@ -58,7 +58,8 @@
 	}
 	text := map[string]func() []byte{
 		"": decl.Schema, "declarations": decl.Schema, "change": decl.PatchSchema, "entry": config.Schema,
-		"ctl": config.CtlSchema,
+		"ctl":  config.CtlSchema,
+		"node": config.NodeSchema,
 	}[c.Args.Name]
 	if text == nil {
 		return fmt.Errorf("%w: no schema is named %q", exits.ErrUsage, c.Args.Name)
--- a/internal/config/load_test.go
+++ b/internal/config/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -72,3 +73,27 @@
 	_, err = config.Parse[config.Ctl]("ctl.json", []byte(`{"servers": []}`))
 	assert.Error(t, err, `ctl.json:1:2: unknown key "servers"`)
 }
+
+// Guards against node settings that start a program which then fails in operation.
+func TestNodeSettings(t *testing.T) {
+	const fine = `{"node": "n1", "data-centre": "dc1", "client-address": "10.0.0.1:80", "readiness-address": "10.0.0.1:81",
+		"peer-address": "10.0.0.1:82", "store-address": "10.0.0.9:80"`
+	tests := []struct{ name, text, fault string }{
+		{"sound", fine + `}`, ""},
+		{"with advice", fine + `, "advice-address": "10.0.0.9:81", "kill-grace": "400ms"}`, ""},
+		{"unknown key", fine + `, "colour": "red"}`, "colour"},
+		{"no store", strings.ReplaceAll(fine, "store-address", "advice-address") + `}`, "store-address"},
+		{"host name", fine + `, "advice-address": "advice:81"}`, "advice-address"},
+		{"no time", fine + `, "renew-limit": "0s"}`, "renew-limit"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := config.Parse[config.Node]("node.json", []byte(test.text))
+			if test.fault == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assert.ErrorContains(t, err, test.fault)
+		})
+	}
+}
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -11,6 +11,8 @@
 	entrySource string
 	//go:embed ctl.go
 	ctlSource string
+	//go:embed node.go
+	nodeSource string
 )
 
 const importPath = "arbutuswing.example/internal/config"
@@ -24,3 +26,8 @@
 func CtlSchema() []byte {
 	return schema.Build("Settings of aw-ctl", Ctl{}.WithDefaults(), schema.Source{Package: importPath, Text: ctlSource})
 }
+
+// NodeSchema returns the JSON schema of aw-node's settings.
+func NodeSchema() []byte {
+	return schema.Build("Settings of aw-node", Node{}.WithDefaults(), schema.Source{Package: importPath, Text: nodeSource})
+}
--- /dev/null
+++ b/internal/logs/buffer_test.go
@@ -0,0 +1,51 @@
+package logs
+
+import (
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// slowReader collects what it is given, and waits on a gate before each line.
+type slowReader struct {
+	gate chan struct{}
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (s *slowReader) Write(line []byte) (int, error) {
+	<-s.gate
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.Write(line)
+}
+
+// TestBufferNeverBlocks guards against a process that waits for whoever reads its log.
+func TestBufferNeverBlocks(t *testing.T) {
+	reader := &slowReader{gate: make(chan struct{})}
+	b := NewBuffer(reader)
+	const lines = bufferLines + 100
+	for range lines {
+		_, err := b.Write([]byte("line\n"))
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, b.Lost() >= 99 && b.Lost() <= 100)
+	// Once read again, the log tells how much is missing.
+	close(reader.gate)
+	b.Close(time.Minute)
+	assert.Equal(t, strings.Count(reader.text.String(), "line\n"), lines-int(b.Lost()))
+	assert.Assert(t, strings.Contains(reader.text.String(), "log lines left out"))
+}
+
+func BenchmarkBuffer(b *testing.B) {
+	log, err := New(NewBuffer(io.Discard), "info")
+	assert.NilError(b, err)
+	b.ReportAllocs()
+	for b.Loop() {
+		log.Info("event")
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -104,6 +104,17 @@
 	return t.submit(job)
 }
 
+// Dump returns the state of the shard, or false if this node isn't the owner.
+func (o *Owner) Dump() (shard.Dump, bool) {
+	t := o.current()
+	if t == nil {
+		return shard.Dump{}, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.shard.Dump(t.now(), time.Now()), true
+}
+
 // TermsChanged puts a new configuration in force.
 func (o *Owner) TermsChanged(t terms.Terms) {
 	if current := o.current(); current != nil {
--- /dev/null
+++ b/internal/shard/dump.go
@@ -0,0 +1,110 @@
+package shard
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"arbutuswing.example/internal/model"
+)
+
+// Load sums up what the shard has to do.
+type Load struct {
+	// Jobs are those that are not final; Waiting and Late count stages with tasks to start, late ones past their objective.
+	Jobs    int `json:"jobs"`
+	Waiting int `json:"waiting-stages"`
+	Late    int `json:"late-stages"`
+	// Runs are those that may be present on workers; Usable counts the workers that may get more.
+	Runs     int             `json:"runs"`
+	Usable   int             `json:"usable-workers"`
+	Workers  int             `json:"workers"`
+	Used     model.Resources `json:"used"`
+	Capacity model.Resources `json:"capacity"`
+}
+
+// Load returns the current load.
+func (s *Shard) Load(now time.Duration, wall time.Time) Load {
+	l := Load{Workers: len(s.workers)}
+	for _, j := range s.jobs {
+		if j.final == "" {
+			l.Jobs++
+		}
+	}
+	for _, st := range s.active {
+		if st.left > 0 && st.ready(wall) && len(st.waiting()) > 0 {
+			l.Waiting++
+			if now > st.job.objective {
+				l.Late++
+			}
+		}
+	}
+	for _, w := range s.byID {
+		l.Runs += len(w.attempts)
+		if w.usable(now) && !s.terms.Out(w.entry.DataCentre) {
+			l.Usable++
+			l.Capacity = l.Capacity.Plus(w.entry.Capacity)
+			l.Used = l.Used.Plus(w.used)
+		}
+	}
+	return l
+}
+
+// WorkerDump is a worker as the state dump shows it.
+type WorkerDump struct {
+	Worker  model.WorkerID  `json:"worker"`
+	Born    int64           `json:"born"`
+	Listed  bool            `json:"listed"`
+	Usable  bool            `json:"usable"`
+	Silent  model.Duration  `json:"silent"`
+	Runs    int             `json:"runs"`
+	Used    model.Resources `json:"used"`
+	Unknown int             `json:"unknown-runs"`
+}
+
+// JobDump is a job that is not final as the state dump shows it.
+type JobDump struct {
+	Job       model.JobID    `json:"job"`
+	Queue     string         `json:"queue"`
+	Team      model.TeamID   `json:"team"`
+	Age       model.Duration `json:"age"`
+	Objective model.Duration `json:"objective-in"`
+	TasksLeft int            `json:"tasks-left"`
+	Runs      int            `json:"runs"`
+	Asking    bool           `json:"asking"`
+}
+
+// Dump is the state of a shard at a moment.
+type Dump struct {
+	Committed uint64       `json:"committed"`
+	Load      Load         `json:"load"`
+	Workers   []WorkerDump `json:"workers"`
+	Jobs      []JobDump    `json:"jobs"`
+}
+
+// Dump returns the state for people to read.
+func (s *Shard) Dump(now time.Duration, wall time.Time) Dump {
+	d := Dump{Committed: s.committed, Load: s.Load(now, wall)}
+	for _, w := range s.byID {
+		d.Workers = append(d.Workers, WorkerDump{
+			Worker: w.id, Born: w.born, Listed: w.listed, Usable: w.usable(now), Silent: model.Duration(now - w.answered),
+			Runs: len(w.attempts), Used: w.used, Unknown: len(w.strangers),
+		})
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		j := s.jobs[id]
+		if j.final != "" {
+			continue
+		}
+		dump := JobDump{
+			Job: id, Queue: j.spec.Queue, Team: j.spec.Team, Age: model.Duration(now - j.received),
+			Objective: model.Duration(j.objective - now),
+		}
+		for _, st := range j.stages {
+			dump.TasksLeft += st.left
+			dump.Asking = dump.Asking || st.asking
+		}
+		j.live(func(*attempt) { dump.Runs++ })
+		d.Jobs = append(d.Jobs, dump)
+	}
+	return d
+}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -310,42 +310,6 @@
 	s.dropped = kept
 }
 
-// Load sums up what the shard has to do.
-type Load struct {
-	// Jobs are those that are not final; Waiting and Late count stages with tasks to start, late ones past their objective.
-	Jobs, Waiting, Late int
-	// Runs are those that may be present on workers; Usable counts the workers that may get more.
-	Runs, Usable, Workers int
-	Used, Capacity        model.Resources
-}
-
-// Load returns the current load.
-func (s *Shard) Load(now time.Duration, wall time.Time) Load {
-	l := Load{Workers: len(s.workers)}
-	for _, j := range s.jobs {
-		if j.final == "" {
-			l.Jobs++
-		}
-	}
-	for _, st := range s.active {
-		if st.left > 0 && st.ready(wall) && len(st.waiting()) > 0 {
-			l.Waiting++
-			if now > st.job.objective {
-				l.Late++
-			}
-		}
-	}
-	for _, w := range s.byID {
-		l.Runs += len(w.attempts)
-		if w.usable(now) && !s.terms.Out(w.entry.DataCentre) {
-			l.Usable++
-			l.Capacity = l.Capacity.Plus(w.entry.Capacity)
-			l.Used = l.Used.Plus(w.used)
-		}
-	}
-	return l
-}
-
 // Dirty reports whether there is something to record now.
 func (s *Shard) Dirty(now time.Duration) bool {
 	return s.urgent || (len(s.dirty) > 0 && now-s.dirtySince >= commitDelay) ||
--- a/node/internal/cmds/cmds.go
+++ b/node/internal/cmds/cmds.go
@@ -42,6 +42,14 @@
 	return err
 }
 
+type schemaCommand struct{ out io.Writer }
+
+// Execute prints the JSON schema of the settings.
+func (c *schemaCommand) Execute([]string) error {
+	_, err := fmt.Fprintf(c.out, "%s\n", config.NodeSchema())
+	return err
+}
+
 type versionCommand struct{ out io.Writer }
 
 // Execute prints the version.
@@ -54,13 +62,15 @@
 // settings, 2 for a faulty command line.
 func Run(out, errOut io.Writer, args []string) int {
 	parser := flags.NewNamedParser("aw-node", flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = "Node of arbutuswing on a platform. SIGTERM stops it gracefully, SIGHUP checks its settings again."
+	parser.LongDescription = "Node of arbutuswing on a platform. SIGTERM stops it gracefully, SIGHUP checks its settings " +
+		"again, SIGUSR1 logs its state."
 	commands := []struct {
 		name, short string
 		data        any
 	}{
 		{"run", "run the node", &runCommand{}},
 		{"check", "check the settings", &checkCommand{out: out}},
+		{"schema", "print the JSON schema of the settings", &schemaCommand{out}},
 		{"version", "print the version", &versionCommand{out}},
 	}
 	for _, command := range commands {
--- a/node/internal/daemon/daemon.go
+++ b/node/internal/daemon/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -51,7 +52,7 @@
 
 func (d *daemon) run() error {
 	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
 	defer signal.Stop(signals)
 	base, stopBase := context.WithCancel(context.Background())
 	defer stopBase()
@@ -92,10 +93,14 @@
 	for {
 		select {
 		case s := <-signals:
-			if s != syscall.SIGHUP {
+			switch s {
+			case syscall.SIGHUP:
+				d.reload()
+			case syscall.SIGUSR1:
+				d.dump()
+			default:
 				return nil
 			}
-			d.reload()
 		case <-ctx.Done():
 			return fmt.Errorf("a part of the node failed: %w", context.Cause(ctx))
 		}
@@ -112,6 +117,19 @@
 	d.Log.Info("settings reloaded", zap.Bool("changed", fresh != d.Settings))
 }
 
+// dump logs what the node believes.
+func (d *daemon) dump() {
+	t, _ := d.View.Terms()
+	dump, owns := d.Owner.Dump()
+	contents, err := json.Marshal(dump)
+	if err != nil {
+		d.Log.Warn("state dump can't be shown", zap.Error(err))
+		return
+	}
+	d.Log.Info("state dump", zap.Bool("ready", d.View.ready()), zap.Bool("owner", owns), zap.Int64("config-version", t.Version),
+		zap.Int64("log-lines-left-out", d.Buffer.Lost()), zap.ByteString("contents", contents))
+}
+
 // stop serves until no connection is left or the grace is nearly over.
 func (d *daemon) stop(cause error) error {
 	d.Ingress.Drain()
