fix(shard): plan again when a worker answers for the first time

Cause: after a takeover, tasks waited for the next reading of the registry, up to 250 ms, though their workers had answered. Found by writing TestNoStartBeforeTheWorkerIsVisited, which failed before.

--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -113,13 +113,18 @@
 			}
 		},
 		"commit": func(*rapid.T) { w.commit() },
-		"owner":  func(*rapid.T) { w.takeOver() },
-		"":       func(*rapid.T) { w.check() },
+		"store":  func(*rapid.T) { w.down = !w.down },
+		"owner": func(*rapid.T) {
+			w.down = false
+			w.takeOver()
+		},
+		"": func(*rapid.T) { w.check() },
 	}
 }
 
 // settle heals everything and requires that each job that was not cancelled ends.
 func (w *world) settle(t *rapid.T) {
+	w.down = false
 	for _, s := range w.sims {
 		s.cut = false
 		if !s.up {
--- /dev/null
+++ b/internal/shard/record_test.go
@@ -0,0 +1,73 @@
+package shard
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"arbutuswing.example/internal/agent"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/work"
+)
+
+// TestNothingIsToldBeforeItIsRecorded guards against a completed job that runs again under a new owner: an end is
+// acknowledged to its worker, and the final state told to clients, only once both are recorded.
+func TestNothingIsToldBeforeItIsRecorded(t *testing.T) {
+	r := newRig(t, "w1")
+	r.submit("j", testQueue, tasks(1))
+	first := r.startAll()
+	r.report("w1", agent.Report{Ended: []agent.Ended{end(1, first[0], agent.HowDone)}})
+	hold, _ := r.s.HoldFor("w1", r.now, true)
+	assert.Equal(t, hold.Acked, int64(0))
+	r.state("j", work.StateRunning)
+	r.commit()
+	hold, _ = r.s.HoldFor("w1", r.now, true)
+	assert.Equal(t, hold.Acked, int64(1))
+	r.state("j", work.StateCompleted)
+}
+
+// TestNoStartBeforeItIsRecorded guards against a run that a new owner can't know of.
+func TestNoStartBeforeItIsRecorded(t *testing.T) {
+	r := newRig(t, "w1")
+	r.submit("j", testQueue, tasks(1))
+	r.s.Tick(r.now, r.wall)
+	assert.Equal(t, len(r.s.TakeOrders(r.now).Starts), 0)
+	r.commit()
+	assert.Equal(t, len(r.s.TakeOrders(r.now).Starts), 1)
+}
+
+// TestNoStartBeforeTheWorkerIsVisited guards against starts on a worker that still accepts a former owner's orders.
+func TestNoStartBeforeTheWorkerIsVisited(t *testing.T) {
+	r := newRig(t, "w1")
+	r.takeOver(Restored{})
+	r.submit("j", testQueue, tasks(1))
+	assert.Equal(t, len(r.orders().Starts), 0)
+	r.report("w1", agent.Report{})
+	assert.Equal(t, len(r.orders().Starts), 1)
+}
+
+// TestEndInNewLifeCounts guards against a success that is acknowledged and ignored: the start reached the worker's next
+// life before the owner had seen it.
+func TestEndInNewLifeCounts(t *testing.T) {
+	r := newRig(t, "w1")
+	r.submit("j", testQueue, tasks(1))
+	first := r.startAll()
+	r.born["w1"] = 2
+	r.report("w1", agent.Report{Ended: []agent.Ended{end(1, first[0], agent.HowDone)}})
+	r.commit()
+	r.state("j", work.StateCompleted)
+}
+
+// TestStopWaitsForTheReport guards against room that is given away while a stopped run may still be there.
+func TestStopWaitsForTheReport(t *testing.T) {
+	r := newRig(t, "w1")
+	r.submit("j", testQueue, tasks(1))
+	first := r.startAll()
+	r.s.Cancel("j", r.now)
+	stops := r.orders().Stops
+	assert.Equal(t, len(stops), 1)
+	r.s.Stopped(stops[0], r.clock["w1"], nil, r.now)
+	assert.Equal(t, r.s.workers["w1"].used.Cores, first[0].attempt.size().Cores)
+	r.report("w1", agent.Report{Ended: []agent.Ended{end(1, first[0], agent.HowStopped)}})
+	assert.Equal(t, r.s.workers["w1"].used, model.Resources{})
+}
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -40,6 +40,8 @@
 	if now-w.answered > suspectAfter {
 		s.event("worker-answers", "", "", w, "", r.Clock.Milliseconds())
 	}
+	// A worker that answers for the first time, or again, gives room.
+	s.replan = s.replan || !w.visited || now-w.answered > suspectAfter
 	if !w.visited {
 		// From here on no other owner extends the lease, and none is longer than the maximum.
 		w.leaseEnd = now + time.Duration(float64(s.cfg.MaxLease)/(1-clockDrift)) + lapseMargin
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -71,7 +71,11 @@
 	done      map[work.TaskRef]bool
 	succeeded map[work.TaskRef]bool
 	failed    map[work.TaskRef]map[int]bool
-	next      int
+	// shown holds jobs that clients have seen as completed.
+	shown map[model.JobID]bool
+	// down tells that the store records nothing.
+	down bool
+	next int
 }
 
 func newWorld(t *rapid.T) *world {
@@ -79,6 +83,7 @@
 		t: t, now: time.Minute, wall: time.Unix(1_700_000_000, 0), jobs: make(map[model.JobID]work.Job),
 		progress: make(map[model.JobID]work.Progress), cancels: make(map[model.JobID]bool), done: make(map[work.TaskRef]bool),
 		succeeded: make(map[work.TaskRef]bool), failed: make(map[work.TaskRef]map[int]bool),
+		shown: make(map[model.JobID]bool),
 	}
 	for i := range 4 {
 		w.sims = append(w.sims, &sim{
@@ -258,6 +263,9 @@
 			}
 		}
 	}
+	if w.shown[key.task.Job] {
+		w.t.Fatalf("%v run %d started after its job was shown as completed", key.task, key.run)
+	}
 	if w.done[key.task] {
 		w.t.Fatalf("%v run %d started after an acknowledged success", key.task, key.run)
 	}
@@ -322,6 +330,9 @@
 }
 
 func (w *world) commit() {
+	if w.down {
+		return
+	}
 	c := w.shard.TakeCommit(w.now)
 	if c.Empty() {
 		return
@@ -405,6 +416,7 @@
 	}
 	for id, job := range w.jobs {
 		if state, _ := w.shard.State(id); state == work.StateCompleted {
+			w.shown[id] = true
 			w.checkCompleted(job)
 		}
 	}
