--- a/internal/owner/directory.go
+++ b/internal/owner/directory.go
@@ -19,6 +19,8 @@
 const (
 	// directoryEvery is the interval between readings of who owns what.
 	directoryEvery = 1500 * time.Millisecond
+	// nodesEvery is the same at the owner, which spreads calls for advice over nodes that come and go.
+	nodesEvery = 300 * time.Millisecond
 	// directoryRetry is the shortest interval between readings after a call that missed the owner.
 	directoryRetry = 150 * time.Millisecond
 	// lookLimit bounds how long a question waits for an owner.
@@ -70,7 +72,11 @@
 	for ctx.Err() == nil {
 		d.refresh(ctx)
 		sleep(ctx, directoryRetry)
-		timer := time.NewTimer(directoryEvery)
+		every := directoryEvery
+		if d.current() == d.self {
+			every = nodesEvery
+		}
+		timer := time.NewTimer(every)
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
