fix(shard): end a run once; wait long enough for members of a broken gang

Cause: the end of a gang's member also ends members that were never sent; a loop over a worker's runs then ended these again and gave their room back twice, so that a worker could be filled over its capacity. And a member that was started after the gang had broken was taken as gone before it had waited in vain for the others. Ruled out: reports that overtake each other (the owner's runs and the worker's were the same, only the sum differed).

--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -28,6 +28,8 @@
 	RenewLimit model.Duration `json:"renew-limit,omitempty"`
 	// KillGrace is how long a worker may take to stop a run.
 	KillGrace model.Duration `json:"kill-grace,omitempty"`
+	// GangTimeout is how long a member of a gang waits at its worker for the others before it ends.
+	GangTimeout model.Duration `json:"gang-timeout,omitempty"`
 	// Retention is how long the state of an ended job is told.
 	Retention model.Duration `json:"retention,omitempty"`
 	// StopGrace is the time between the request to stop and the kill.
@@ -42,6 +44,7 @@
 	// Together with the lease this is longer than outages of the store usually last.
 	n.RenewLimit = seconds(3)
 	n.KillGrace = ms(400)
+	n.GangTimeout = seconds(3)
 	n.Retention = seconds(120)
 	n.StopGrace = seconds(6)
 	return n
@@ -68,6 +71,7 @@
 		{"worker-lease-max", n.WorkerLeaseMax},
 		{"renew-limit", n.RenewLimit},
 		{"kill-grace", n.KillGrace},
+		{"gang-timeout", n.GangTimeout},
 		{"retention", n.Retention},
 		{"stop-grace", n.StopGrace},
 	} {
--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -51,18 +51,8 @@
 	if p.stopping {
 		return
 	}
-	if p.gang && how == agent.HowDone {
-		members := 0
-		for _, other := range w.sims {
-			for _, q := range other.runs {
-				if q.key.task.Job == p.key.task.Job && q.key.task.Stage == p.key.task.Stage && q.key.run == p.key.run {
-					members++
-				}
-			}
-		}
-		if members < w.stageOf(p.key.task).Count {
-			return
-		}
+	if p.gang && p.waits >= 0 {
+		return
 	}
 	w.end(s, p, how)
 }
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -91,7 +91,7 @@
 	checkpoint string
 	percent    int
 	changedAt  time.Duration
-	// goneAt is when the run has ended for certain because a member of its gang was reported broken; zero if unknown.
+	// goneAt is when the run has ended for certain because a member of its gang was reported to have; zero if unknown.
 	goneAt time.Duration
 }
 
--- a/internal/shard/record_test.go
+++ b/internal/shard/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -71,3 +72,52 @@
 	r.report("w1", agent.Report{Ended: []agent.Ended{end(1, first[0], agent.HowStopped)}})
 	assert.Equal(t, r.s.workers["w1"].used, model.Resources{})
 }
+
+// TestGangNeedNotWaitForACutWorker guards against a gang that waits for the lease of a worker that is cut off, though
+// another member's end proves that the run is over; and against a start that may still arrive there.
+func TestGangNeedNotWaitForACutWorker(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer error
+		again  bool
+	}{
+		{"both at work", nil, true},
+		{"start without an answer", agent.ErrNoAnswer, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t, "w1", "w2", "w3")
+			gang := tasks(2)
+			gang.Gang, gang.Size.Cores = true, 3000
+			r.submit("j", testQueue, gang)
+			starts := r.orders().Starts
+			assert.Equal(t, len(starts), 2)
+			r.s.Started(starts[0], r.clock[starts[0].Target.ID], nil, r.now)
+			r.s.Started(starts[1], r.clock[starts[1].Target.ID], test.answer, r.now)
+			r.report(starts[0].Target.ID, agent.Report{Ended: []agent.Ended{end(1, starts[0], agent.HowStopped)}})
+			for range 5 {
+				r.pass(time.Second)
+				for _, id := range r.names {
+					if id != starts[1].Target.ID {
+						r.report(id, agent.Report{})
+					}
+				}
+			}
+			assert.Equal(t, len(r.orders().Starts) == 2, test.again)
+		})
+	}
+}
+
+// TestGangEndsOnce guards against room that is given back twice: the end of one member ends the others that were never
+// sent, also those that the same report ends.
+func TestGangEndsOnce(t *testing.T) {
+	r := newRig(t, "w1")
+	gang := tasks(2)
+	gang.Gang = true
+	r.submit("j", testQueue, gang)
+	r.s.Tick(r.now, r.wall)
+	r.born["w1"] = 2
+	r.report("w1", agent.Report{})
+	r.s.Tick(r.now, r.wall)
+	assert.Equal(t, r.s.workers["w1"].used, gang.Size.Times(2))
+}
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -109,7 +109,7 @@
 	if end.Number > w.seen {
 		w.seen = end.Number
 		if a, ok := w.attempts[key]; ok {
-			if end.How == agent.HowBroken {
+			if end.How != agent.HowDone {
 				s.gangEnded(a, now)
 			}
 			s.ended(a, end.How, end.Checkpoint, now)
@@ -161,13 +161,18 @@
 	}
 }
 
-// gangEnded notes that all members of a run have ended, since one was reported broken; members on workers that don't
-// answer needn't be waited for until their leases lapse.
+// gangEnded notes when the other members of a run have ended for certain, since one was reported to have: those at work
+// end with it, and one that was started afterwards ends when it has waited for the others in vain. So members on workers
+// that don't answer needn't be waited for until their leases lapse; a start that may still arrive is no such member.
 func (s *Shard) gangEnded(a *attempt, now time.Duration) {
+	if !a.stage.spec.Gang {
+		return
+	}
+	limit := now + time.Duration(float64(s.cfg.GangTimeout+s.cfg.KillGrace)/(1-clockDrift)) + lapseMargin
 	for i := range a.stage.tasks {
 		for _, other := range a.stage.tasks[i].attempts {
-			if other != a && other.run == a.run {
-				other.goneAt = now + s.cfg.KillGrace + suspectAfter
+			if other != a && other.run == a.run && other.goneAt == 0 && other.worker.visited && !other.unsettled && other.settled >= 0 {
+				other.goneAt = limit
 			}
 		}
 	}
@@ -184,6 +189,10 @@
 // ended removes a run that is no longer on its worker and decides what follows for its task.
 func (s *Shard) ended(a *attempt, how agent.How, checkpoint string, now time.Duration) {
 	w, t, st, j := a.worker, a.task(), a.stage, a.stage.job
+	if w.attempts[a.key()] != a {
+		// The end of another member of the gang has ended this one already.
+		return
+	}
 	delete(w.attempts, a.key())
 	w.used = w.used.Minus(a.size())
 	s.usage[j.spec.Team] = s.usage[j.spec.Team].Minus(st.spec.Size)
--- a/internal/shard/rig_test.go
+++ b/internal/shard/rig_test.go
@@ -64,7 +64,7 @@
 func (r *rig) takeOver(restored Restored) {
 	r.s = New(Config{
 		Token: r.token, Lease: testLease, MaxLease: 10 * time.Second, RenewLimit: 3 * time.Second,
-		KillGrace: 400 * time.Millisecond, Retention: time.Minute,
+		KillGrace: worldGrace, GangTimeout: worldAlone, Retention: time.Minute,
 	})
 	r.token++
 	r.s.SetTerms(testTerms())
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -16,6 +16,7 @@
 const (
 	worldLeaseMax = 10 * time.Second
 	worldGrace    = 400 * time.Millisecond
+	worldAlone    = 3 * time.Second
 )
 
 // present is a run on a simulated worker; it counts towards the worker's room until it has ended.
@@ -25,6 +26,8 @@
 	gang     bool
 	stopping bool
 	stopAt   time.Duration
+	// waits is when a member of a gang began to wait for the others, by its worker's clock; negative once all were present.
+	waits time.Duration
 }
 
 // sim is a simulated worker, by what the platform promises of workers.
@@ -99,7 +102,7 @@
 func (w *world) takeOver() {
 	w.token++
 	w.shard = New(Config{
-		Token: w.token, Lease: testLease, MaxLease: worldLeaseMax, RenewLimit: 3 * time.Second, KillGrace: worldGrace,
+		Token: w.token, Lease: testLease, MaxLease: worldLeaseMax, RenewLimit: 3 * time.Second, KillGrace: worldGrace, GangTimeout: worldAlone,
 		Retention: time.Hour,
 	})
 	w.shard.SetTerms(testTerms())
@@ -150,6 +153,8 @@
 				w.end(s, p, agent.HowLapsed)
 			case p.stopping && w.now >= p.stopAt:
 				w.end(s, p, agent.HowStopped)
+			case p.gang && p.waits >= 0 && s.clock-p.waits > worldAlone:
+				w.end(s, p, agent.HowAlone)
 			}
 		}
 	}
@@ -219,6 +224,22 @@
 	}
 }
 
+func (s *sim) describe() string {
+	text := fmt.Sprintf("(life %d)", s.born)
+	for _, p := range s.sorted() {
+		text += fmt.Sprintf(" %v run %d stopping %v", p.key.task, p.key.run, p.stopping)
+	}
+	return text
+}
+
+func (w *worker) describe() string {
+	text := fmt.Sprintf("(life %d, used %+v)", w.born, w.used)
+	for _, a := range sortedAttempts(w) {
+		text += fmt.Sprintf(" %v run %d phase %d settled %v calling %v", a.ref(), a.run, a.phase, a.settled, a.calling)
+	}
+	return text
+}
+
 func (s *sim) seen(token int64) bool {
 	if token < s.token {
 		return false
@@ -249,11 +270,34 @@
 	}
 	s.extend(o.Start.LeaseEnd)
 	stage := w.stageOf(key.task)
-	s.runs[key] = &present{key: key, size: stage.Size, gang: stage.Gang}
+	s.runs[key] = &present{key: key, size: stage.Size, gang: stage.Gang, waits: s.clock}
+	w.gather(key, stage)
 	w.checkStart(key)
 	return s.clock, nil
 }
 
+// members returns the present members of a gang's run.
+func (w *world) members(key runKey) []*present {
+	var list []*present
+	for _, s := range w.sims {
+		for _, p := range s.sorted() {
+			if p.gang && p.key.task.Job == key.task.Job && p.key.task.Stage == key.task.Stage && p.key.run == key.run {
+				list = append(list, p)
+			}
+		}
+	}
+	return list
+}
+
+// gather lets a gang work once all its members are present.
+func (w *world) gather(key runKey, stage work.Stage) {
+	if members := w.members(key); len(members) == stage.Count {
+		for _, p := range members {
+			p.waits = -1
+		}
+	}
+}
+
 func (w *world) checkStart(key runKey) {
 	job := w.jobs[key.task.Job]
 	for _, earlier := range job.Stages[key.task.Stage].After {
@@ -408,7 +452,7 @@
 			usage[team] = usage[team].Plus(p.size)
 		}
 		if !used.Fits(model.Resources{Cores: 4000, Memory: 4000}) {
-			w.t.Fatalf("%s is over its capacity: %+v", s.id, used)
+			w.t.Fatalf("%s is over its capacity: %+v, runs %v, owner's view %+v", s.id, used, s.describe(), w.shard.workers[s.id].describe())
 		}
 	}
 	if usage["capped"].Cores > 2000 {
--- a/node/internal/daemon/parts.go
+++ b/node/internal/daemon/parts.go
@@ -123,7 +123,8 @@
 		Terms: v.Terms, Registry: newRegistry(l, log), Log: log,
 		Shard: shard.Config{
 			Lease: min(s.WorkerLease.Std(), s.WorkerLeaseMax.Std()), MaxLease: s.WorkerLeaseMax.Std(),
-			RenewLimit: s.RenewLimit.Std(), KillGrace: s.KillGrace.Std(), Retention: s.Retention.Std(),
+			RenewLimit: s.RenewLimit.Std(), KillGrace: s.KillGrace.Std(),
+			GangTimeout: s.GangTimeout.Std(), Retention: s.Retention.Std(),
 		},
 	})
 	v.follow(o)
