--- a/entry/internal/cmds/cmds.go
+++ b/entry/internal/cmds/cmds.go
@@ -1,22 +1,12 @@
 package cmds
 
 import (
-	"errors"
 	"fmt"
 	"io"
 
-	"github.com/jessevdk/go-flags"
-
 	"arbutuswing.example/entry/internal/daemon"
 	"arbutuswing.example/internal/config"
-	"arbutuswing.example/internal/strict"
-)
-
-// Exit codes.
-const (
-	exitOK      = 0
-	exitFailure = 1
-	exitUsage   = 2
+	"arbutuswing.example/internal/shell"
 )
 
 type settingsOption struct {
@@ -67,44 +57,14 @@
 // Run carries out the command line and returns the exit code: 0 after a graceful stop, 1 after a failure or for faulty
 // settings, 2 for a faulty command line.
 func Run(out, errOut io.Writer, args []string) int {
-	parser := flags.NewNamedParser("aw-entry", flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = "Entry instance of arbutuswing. SIGTERM stops it gracefully, SIGUSR1 logs its state."
-	commands := []struct {
-		name, short string
-		data        any
-	}{
-		{"run", "run the entry instance", &runCommand{}},
-		{"check", "check the settings", &checkCommand{out: out}},
-		{"schema", "print the JSON schema of the settings", &schemaCommand{out}},
-		{"version", "print the version", &versionCommand{out}},
-	}
-	for _, command := range commands {
-		if _, err := parser.AddCommand(command.name, command.short, command.short, command.data); err != nil {
-			_, _ = fmt.Fprintln(errOut, "aw-entry:", err)
-			return exitFailure
-		}
-	}
-	_, err := parser.ParseArgs(args)
-	return report(out, errOut, err)
-}
-
-func report(out, errOut io.Writer, err error) int {
-	var usage *flags.Error
-	var faults strict.Faults
-	switch {
-	case err == nil:
-		return exitOK
-	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
-		_, _ = fmt.Fprintln(out, usage.Message)
-		return exitOK
-	case errors.As(err, &usage):
-		_, _ = fmt.Fprintln(errOut, "aw-entry:", usage.Message)
-		return exitUsage
-	case errors.As(err, &faults):
-		_, _ = fmt.Fprintln(errOut, err)
-		return exitFailure
-	default:
-		_, _ = fmt.Fprintln(errOut, "aw-entry:", err)
-		return exitFailure
-	}
+	return shell.Run(shell.Config{
+		Name: "aw-entry", Description: "Entry instance of arbutuswing. SIGTERM stops it gracefully, SIGUSR1 logs its state.",
+		Out: out, ErrOut: errOut,
+		Commands: []shell.Command{
+			{Name: "run", Short: "run the entry instance", Data: &runCommand{}},
+			{Name: "check", Short: "check the settings", Data: &checkCommand{out: out}},
+			{Name: "schema", Short: "print the JSON schema of the settings", Data: &schemaCommand{out}},
+			{Name: "version", Short: "print the version", Data: &versionCommand{out}},
+		},
+	}, args)
 }
--- a/internal/inbox/inbox.go
+++ b/internal/inbox/inbox.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"arbutuswing.example/internal/ledger"
+	"arbutuswing.example/internal/pause"
 )
 
 var (
@@ -48,12 +49,11 @@
 	// stuckSince is when the append under way began to lack an answer, in nanoseconds since start; zero if it doesn't.
 	stuckSince atomic.Int64
 	start      time.Time
-	// healthy is the time of the last append that was stored, in nanoseconds since start.
+	// sequence numbers the next append.
 	sequence int64
 }
 
 type item struct {
-	ctx    context.Context
 	record ledger.Record
 	done   chan error
 }
@@ -68,7 +68,7 @@
 	if since := b.stuckSince.Load(); since != 0 && time.Since(b.start)-time.Duration(since) > stuckAfter {
 		return ErrRefused
 	}
-	it := &item{ctx: ctx, record: record, done: make(chan error, 1)}
+	it := &item{record: record, done: make(chan error, 1)}
 	select {
 	case b.queue <- it:
 	default:
@@ -94,7 +94,7 @@
 	}
 }
 
-// collect takes what waits, leaving out records whose callers have gone: they were told that the outcome is unknown.
+// collect takes what waits, up to the limits of one append.
 func (b *Inbox) collect(first *item) []*item {
 	batch, size := []*item{first}, len(first.record.Value)
 	for len(batch) < maxBatch && size < maxBatchBytes {
@@ -136,7 +136,7 @@
 				b.cfg.Log.Warn("append without answer", zap.Int64("sequence", b.sequence), zap.Error(err))
 			}
 			b.refuseWaiting()
-			sleep(ctx, retryPause)
+			pause.For(ctx, retryPause)
 		default:
 			b.cfg.Log.Error("append failed", zap.Int64("sequence", b.sequence), zap.Error(err))
 			b.finish(items, ErrUnknown)
@@ -167,12 +167,3 @@
 		it.done <- err
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"arbutuswing.example/internal/ledger"
+	"arbutuswing.example/internal/pause"
 )
 
 const (
@@ -47,11 +48,11 @@
 
 // Run reads until the context ends.
 func (m *Mirror) Run(ctx context.Context) error {
-	pause := retryFirst
+	delay := retryFirst
 	down := false
 	for ctx.Err() == nil {
 		err := m.follow(ctx, func() {
-			pause = retryFirst
+			delay = retryFirst
 			if down {
 				down = false
 				m.cfg.Log.Info("store reads regained", zap.String("topic", string(m.cfg.Topic)))
@@ -69,8 +70,8 @@
 			m.cfg.Log.Warn("store reads lost", zap.String("topic", string(m.cfg.Topic)), zap.Error(err))
 		}
 		if err != nil {
-			sleep(ctx, pause)
-			pause = min(2*pause, retryMax)
+			pause.For(ctx, delay)
+			delay = min(2*delay, retryMax)
 		}
 	}
 	return nil
@@ -92,7 +93,7 @@
 		}
 		next = page.Next
 		m.apply(page.Records)
-		sleep(ctx, m.cfg.Pause)
+		pause.For(ctx, m.cfg.Pause)
 	}
 	return nil
 }
@@ -128,15 +129,3 @@
 		m.cfg.Changed(m.records)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/owner/directory.go
+++ b/internal/owner/directory.go
@@ -12,6 +12,7 @@
 	"arbutuswing.example/internal/intake"
 	"arbutuswing.example/internal/ledger"
 	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/pause"
 	"arbutuswing.example/internal/peers"
 	"arbutuswing.example/internal/work"
 )
@@ -71,7 +72,7 @@
 func (d *Directory) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		d.refresh(ctx)
-		sleep(ctx, directoryRetry)
+		pause.For(ctx, directoryRetry)
 		every := directoryEvery
 		if d.current() == d.self {
 			every = nodesEvery
@@ -163,7 +164,7 @@
 			return intake.ErrNoOwner
 		}
 		d.again()
-		sleep(ctx, lookPause)
+		pause.For(ctx, lookPause)
 	}
 }
 
@@ -197,12 +198,3 @@
 	}
 	return d.client.Submit(ctx, owner.Address, job)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/owner/link.go
+++ b/internal/owner/link.go
@@ -7,6 +7,7 @@
 
 	"arbutuswing.example/internal/agent"
 	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/pause"
 	"arbutuswing.example/internal/shard"
 )
 
@@ -93,13 +94,13 @@
 			t.fence("worker " + string(l.target.ID))
 			return
 		case err != nil:
-			sleep(ctx, holdRetry)
+			pause.For(ctx, holdRetry)
 		default:
 			t.mu.Lock()
 			t.shard.Reported(l.target.ID, report, t.now())
 			t.mu.Unlock()
 			t.kick()
-			sleep(ctx, holdPause)
+			pause.For(ctx, holdPause)
 		}
 	}
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -11,6 +11,7 @@
 	"arbutuswing.example/internal/agent"
 	"arbutuswing.example/internal/ledger"
 	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/pause"
 	"arbutuswing.example/internal/peers"
 	"arbutuswing.example/internal/shard"
 	"arbutuswing.example/internal/terms"
@@ -131,14 +132,14 @@
 	checked := int64(0)
 	for ctx.Err() == nil {
 		share, err := o.cfg.Ledger.Join(ctx, m)
-		current, pause := o.current(), joinEvery
+		current, every := o.current(), joinEvery
 		switch {
 		case ctx.Err() != nil:
 		case err != nil:
 			o.cfg.Log.Info("membership not renewed", zap.Error(err))
 		default:
 			if share.Generation != m.Generation {
-				pause = joinAgain
+				every = joinAgain
 			}
 			m.Generation = share.Generation
 			switch {
@@ -155,7 +156,7 @@
 				}
 			}
 		}
-		sleep(ctx, pause)
+		pause.For(ctx, every)
 	}
 	if current := o.current(); current != nil {
 		o.end(current, "stopping")
@@ -195,7 +196,7 @@
 			}
 		}
 		o.cfg.Log.Info("owner not read", zap.Error(err))
-		sleep(ctx, joinEvery)
+		pause.For(ctx, joinEvery)
 	}
 	return false
 }
--- /dev/null
+++ b/internal/owner/takeover.go
@@ -0,0 +1,118 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"arbutuswing.example/internal/intake"
+	"arbutuswing.example/internal/ledger"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/pause"
+	"arbutuswing.example/internal/shard"
+	"arbutuswing.example/internal/terms"
+	"arbutuswing.example/internal/work"
+)
+
+// runRegistry follows the workers' entries.
+func (t *tenure) runRegistry(ctx context.Context) {
+	defer t.group.Done()
+	if err := t.cfg.Registry(t.setRegistry).Run(ctx); err != nil {
+		t.cfg.Log.Error("registry not followed", zap.Error(err))
+	}
+}
+
+// takeOver fences the former owner in the store and reads what it recorded; it returns where new jobs begin.
+func (t *tenure) takeOver(ctx context.Context) (int64, error) {
+	begun := time.Now()
+	for _, topic := range []ledger.Topic{TopicProgress, TopicInbox} {
+		if err := t.append(ctx, topic, nil); err != nil {
+			return 0, err
+		}
+	}
+	self := ledger.Record{Key: ownerKey, Value: []byte(t.cfg.Self.String())}
+	if err := t.append(ctx, TopicOwner, []ledger.Record{self}); err != nil {
+		return 0, err
+	}
+	progress, err := t.newest(ctx, TopicProgress)
+	if err != nil {
+		return 0, err
+	}
+	inbox, err := t.newest(ctx, TopicInbox)
+	if err != nil {
+		return 0, err
+	}
+	current, err := t.surroundings(ctx)
+	if err != nil {
+		return 0, err
+	}
+	restored := shard.Restored{Progress: make(map[model.JobID]work.Progress, len(progress.Records))}
+	for _, r := range progress.Records {
+		p, err := work.DecodeProgress(r.Value)
+		if err != nil {
+			t.cfg.Log.Error("progress not readable", zap.String("job", r.Key), zap.Error(err))
+			continue
+		}
+		restored.Progress[model.JobID(r.Key)] = p
+	}
+	for _, r := range inbox.Records {
+		t.sortRecord(r, func(j work.Job) { restored.Jobs = append(restored.Jobs, j) },
+			func(id model.JobID) { restored.Cancelled = append(restored.Cancelled, id) })
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.shard.SetTerms(current)
+	t.shard.Restore(restored, t.now(), time.Now())
+	t.shard.Registry(t.entries)
+	t.restored, t.inboxRead = true, time.Now()
+	t.cfg.Log.Info("takeover done", zap.Int64("epoch", t.epoch), zap.Int("jobs", len(restored.Jobs)),
+		zap.Int("progress", len(restored.Progress)), zap.Duration("took", time.Since(begun)))
+	return inbox.Next, nil
+}
+
+// surroundings waits until the configuration and the registry have been read.
+func (t *tenure) surroundings(ctx context.Context) (terms.Terms, error) {
+	for {
+		current, ok := t.cfg.Terms()
+		t.mu.Lock()
+		listed := t.listed
+		t.mu.Unlock()
+		if ok && listed {
+			return current, nil
+		}
+		pause.For(ctx, settle)
+		if ctx.Err() != nil {
+			return terms.Terms{}, ctx.Err()
+		}
+	}
+}
+
+func (t *tenure) newest(ctx context.Context, topic ledger.Topic) (ledger.Page, error) {
+	for {
+		page, err := t.cfg.Ledger.Newest(ctx, topic, Partition)
+		if err == nil || ctx.Err() != nil {
+			return page, err
+		}
+		t.cfg.Log.Info("newest records not read", zap.String("topic", string(topic)), zap.Error(err))
+		pause.For(ctx, retryStore)
+	}
+}
+
+func (t *tenure) sortRecord(r ledger.Record, submit func(work.Job), cancel func(model.JobID)) {
+	id, cancelled, ok := intake.ParseKey(r.Key)
+	switch {
+	case !ok:
+		t.cfg.Log.Warn("unknown record", zap.String("key", r.Key))
+	case len(r.Value) == 0:
+	case cancelled:
+		cancel(id)
+	default:
+		job, err := work.DecodeJob(r.Value)
+		if err != nil {
+			t.cfg.Log.Error("job not readable", zap.String("job", string(id)), zap.Error(err))
+			return
+		}
+		submit(job)
+	}
+}
--- a/internal/owner/tenure.go
+++ b/internal/owner/tenure.go
@@ -9,9 +9,9 @@
 	"go.uber.org/zap"
 
 	"arbutuswing.example/internal/agent"
-	"arbutuswing.example/internal/intake"
 	"arbutuswing.example/internal/ledger"
 	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/pause"
 	"arbutuswing.example/internal/peers"
 	"arbutuswing.example/internal/shard"
 	"arbutuswing.example/internal/terms"
@@ -226,108 +226,6 @@
 	cancel()
 }
 
-// runRegistry follows the workers' entries.
-func (t *tenure) runRegistry(ctx context.Context) {
-	defer t.group.Done()
-	if err := t.cfg.Registry(t.setRegistry).Run(ctx); err != nil {
-		t.cfg.Log.Error("registry not followed", zap.Error(err))
-	}
-}
-
-// takeOver fences the former owner in the store and reads what it recorded; it returns where new jobs begin.
-func (t *tenure) takeOver(ctx context.Context) (int64, error) {
-	begun := time.Now()
-	for _, topic := range []ledger.Topic{TopicProgress, TopicInbox} {
-		if err := t.append(ctx, topic, nil); err != nil {
-			return 0, err
-		}
-	}
-	self := ledger.Record{Key: ownerKey, Value: []byte(t.cfg.Self.String())}
-	if err := t.append(ctx, TopicOwner, []ledger.Record{self}); err != nil {
-		return 0, err
-	}
-	progress, err := t.newest(ctx, TopicProgress)
-	if err != nil {
-		return 0, err
-	}
-	inbox, err := t.newest(ctx, TopicInbox)
-	if err != nil {
-		return 0, err
-	}
-	current, err := t.surroundings(ctx)
-	if err != nil {
-		return 0, err
-	}
-	restored := shard.Restored{Progress: make(map[model.JobID]work.Progress, len(progress.Records))}
-	for _, r := range progress.Records {
-		p, err := work.DecodeProgress(r.Value)
-		if err != nil {
-			t.cfg.Log.Error("progress not readable", zap.String("job", r.Key), zap.Error(err))
-			continue
-		}
-		restored.Progress[model.JobID(r.Key)] = p
-	}
-	for _, r := range inbox.Records {
-		t.sortRecord(r, func(j work.Job) { restored.Jobs = append(restored.Jobs, j) },
-			func(id model.JobID) { restored.Cancelled = append(restored.Cancelled, id) })
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.shard.SetTerms(current)
-	t.shard.Restore(restored, t.now(), time.Now())
-	t.shard.Registry(t.entries)
-	t.restored, t.inboxRead = true, time.Now()
-	t.cfg.Log.Info("takeover done", zap.Int64("epoch", t.epoch), zap.Int("jobs", len(restored.Jobs)),
-		zap.Int("progress", len(restored.Progress)), zap.Duration("took", time.Since(begun)))
-	return inbox.Next, nil
-}
-
-// surroundings waits until the configuration and the registry have been read.
-func (t *tenure) surroundings(ctx context.Context) (terms.Terms, error) {
-	for {
-		current, ok := t.cfg.Terms()
-		t.mu.Lock()
-		listed := t.listed
-		t.mu.Unlock()
-		if ok && listed {
-			return current, nil
-		}
-		sleep(ctx, settle)
-		if ctx.Err() != nil {
-			return terms.Terms{}, ctx.Err()
-		}
-	}
-}
-
-func (t *tenure) newest(ctx context.Context, topic ledger.Topic) (ledger.Page, error) {
-	for {
-		page, err := t.cfg.Ledger.Newest(ctx, topic, Partition)
-		if err == nil || ctx.Err() != nil {
-			return page, err
-		}
-		t.cfg.Log.Info("newest records not read", zap.String("topic", string(topic)), zap.Error(err))
-		sleep(ctx, retryStore)
-	}
-}
-
-func (t *tenure) sortRecord(r ledger.Record, submit func(work.Job), cancel func(model.JobID)) {
-	id, cancelled, ok := intake.ParseKey(r.Key)
-	switch {
-	case !ok:
-		t.cfg.Log.Warn("unknown record", zap.String("key", r.Key))
-	case len(r.Value) == 0:
-	case cancelled:
-		cancel(id)
-	default:
-		job, err := work.DecodeJob(r.Value)
-		if err != nil {
-			t.cfg.Log.Error("job not readable", zap.String("job", string(id)), zap.Error(err))
-			return
-		}
-		submit(job)
-	}
-}
-
 // runInbox reads new jobs and cancellations.
 func (t *tenure) runInbox(ctx context.Context, next int64) {
 	defer t.group.Done()
@@ -339,7 +237,7 @@
 		}
 		if err != nil {
 			t.cfg.Log.Info("new jobs not read", zap.Error(err))
-			sleep(ctx, retryStore)
+			pause.For(ctx, retryStore)
 			continue
 		}
 		next = page.Next
@@ -356,131 +254,6 @@
 	}
 }
 
-// runCommits records what was decided, one append after the other.
-func (t *tenure) runCommits(ctx context.Context) {
-	defer t.group.Done()
-	for ctx.Err() == nil {
-		t.mu.Lock()
-		commit := t.shard.TakeCommit(t.now())
-		t.mu.Unlock()
-		if commit.Empty() {
-			select {
-			case <-ctx.Done():
-			case <-t.changed:
-				sleep(ctx, settle)
-			}
-			continue
-		}
-		if err := t.commit(ctx, commit); err != nil {
-			t.cfg.Log.Info("commit ended", zap.Int64("epoch", t.epoch), zap.Error(err))
-			return
-		}
-		t.mu.Lock()
-		t.shard.Committed(commit.Batch)
-		t.contact = time.Now()
-		t.mu.Unlock()
-		t.kick()
-	}
-}
-
-func (t *tenure) commit(ctx context.Context, c shard.Commit) error {
-	var records []ledger.Record
-	size := 0
-	for _, p := range c.Progress {
-		value, err := p.Progress.Encode()
-		if err != nil {
-			t.cfg.Log.Error("progress not encoded", zap.String("job", p.ID), zap.Error(err))
-			return err
-		}
-		if size += len(value); size > maxCommitBytes {
-			if err := t.append(ctx, TopicProgress, records); err != nil {
-				return err
-			}
-			records, size = nil, len(value)
-		}
-		records = append(records, ledger.Record{Key: p.ID, Value: value})
-	}
-	for _, id := range c.Expired {
-		records = append(records, ledger.Record{Key: id})
-	}
-	if len(records) > 0 {
-		if err := t.append(ctx, TopicProgress, records); err != nil {
-			return err
-		}
-	}
-	if len(c.Dropped) > 0 {
-		select {
-		case t.drops <- c.Dropped:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-	return nil
-}
-
-// runDrops drops submissions that need no longer be kept; no commit waits for that.
-func (t *tenure) runDrops(ctx context.Context) {
-	defer t.group.Done()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case ids := <-t.drops:
-			var records []ledger.Record
-			for _, id := range ids {
-				for _, key := range intake.Keys(id) {
-					records = append(records, ledger.Record{Key: key})
-				}
-			}
-			if err := t.append(ctx, TopicInbox, records); err != nil {
-				t.cfg.Log.Info("submissions not dropped", zap.Int("jobs", len(ids)), zap.Error(err))
-				return
-			}
-		}
-	}
-}
-
-func (t *tenure) nextSequence(topic ledger.Topic, records bool) int64 {
-	t.sequenceMu.Lock()
-	defer t.sequenceMu.Unlock()
-	if records {
-		t.sequence[topic]++
-	}
-	return t.sequence[topic]
-}
-
-// append appends under the owner's epoch and repeats the append until its outcome is known. Without records it only
-// fences former owners.
-func (t *tenure) append(ctx context.Context, topic ledger.Topic, records []ledger.Record) error {
-	batch := ledger.Batch{
-		Topic: topic, Partition: Partition, Producer: producer, Epoch: t.epoch, Sequence: t.nextSequence(topic, len(records) > 0),
-		Records: records,
-	}
-	logged := false
-	for {
-		err := t.cfg.Ledger.Append(ctx, batch)
-		switch {
-		case err == nil:
-			return nil
-		case ctx.Err() != nil:
-			return ctx.Err()
-		case errors.Is(err, ledger.ErrRefused), errors.Is(err, ledger.ErrNoAnswer):
-			if !logged {
-				logged = true
-				t.cfg.Log.Info("append repeated", zap.String("topic", string(topic)), zap.Error(err))
-			}
-			sleep(ctx, retryStore)
-		case errors.Is(err, ledger.ErrFenced):
-			t.fence("the store")
-			return err
-		default:
-			t.cfg.Log.Error("append failed", zap.String("topic", string(topic)), zap.Error(err))
-			t.fence("an unexpected answer of the store")
-			return err
-		}
-	}
-}
-
 // logLoad writes down what there is to do; the lock is held.
 func (t *tenure) logLoad() {
 	l := t.shard.Load(t.now(), time.Now())
@@ -514,7 +287,7 @@
 			return
 		case <-ticker.C:
 		case <-t.wake:
-			sleep(ctx, settle)
+			pause.For(ctx, settle)
 		}
 	}
 }
--- /dev/null
+++ b/internal/pause/doc.go
@@ -0,0 +1,2 @@
+// Package pause waits for a time or for the end of a context, whichever comes first.
+package pause
--- /dev/null
+++ b/internal/pause/pause.go
@@ -0,0 +1,19 @@
+package pause
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for d, but not beyond the context's end; it returns at once if d isn't positive.
+func For(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/shard/config.go
+++ b/internal/shard/config.go
@@ -1,15 +1,11 @@
 package shard
 
 import (
-	"errors"
 	"time"
 
 	"arbutuswing.example/internal/work"
 )
 
-// ErrStopped reports that the owner was fenced and decides no more.
-var ErrStopped = errors.New("shard has a newer owner")
-
 const (
 	// clockDrift is how much slower a worker's clock may run, as a fraction.
 	clockDrift = 0.02
--- a/internal/shard/failures_test.go
+++ b/internal/shard/failures_test.go
@@ -15,7 +15,7 @@
 // off, and the worker reports the failure afterwards.
 func TestFailureReportedAfterLapseCounts(t *testing.T) {
 	r := newRig(t, "w1", "w2")
-	r.submit("j", testQueue, tasks(1))
+	r.submit(tasks(1))
 	first := r.startAll()
 	assert.Equal(t, len(first), 1)
 	cut := first[0].Target.ID
@@ -31,22 +31,22 @@
 	second := r.startAll()
 	assert.Equal(t, len(second), 1)
 	assert.Equal(t, second[0].Target.ID, other)
-	r.report(other, agent.Report{Ended: []agent.Ended{end(1, second[0], agent.HowFailed)}})
+	r.report(other, agent.Report{Ended: []agent.Ended{end(second[0], agent.HowFailed)}})
 	r.commit()
-	r.state("j", work.StateRunning)
+	r.state(work.StateRunning)
 	// The queue allows two failures; the one behind the cut is the second.
-	r.report(cut, agent.Report{Ended: []agent.Ended{end(1, first[0], agent.HowFailed)}})
+	r.report(cut, agent.Report{Ended: []agent.Ended{end(first[0], agent.HowFailed)}})
 	assert.Equal(t, len(r.startAll()), 0)
-	r.state("j", work.StateFailed)
+	r.state(work.StateFailed)
 }
 
 // Guards against a failure that counts twice because a new owner sees an end that its predecessor recorded but had not
 // acknowledged.
 func TestFailureCountsOnceAcrossOwners(t *testing.T) {
 	r := newRig(t, "w1")
-	r.submit("j", testQueue, tasks(1))
+	r.submit(tasks(1))
 	first := r.startAll()
-	failed := end(1, first[0], agent.HowFailed)
+	failed := end(first[0], agent.HowFailed)
 	r.report("w1", agent.Report{Ended: []agent.Ended{failed}})
 	progress := r.commit()
 	assert.Equal(t, len(progress), 1)
@@ -54,5 +54,5 @@
 	r.takeOver(Restored{Jobs: []work.Job{job}, Progress: map[model.JobID]work.Progress{"j": progress[0].Progress}})
 	r.report("w1", agent.Report{Ended: []agent.Ended{failed}})
 	assert.Equal(t, len(r.startAll()), 1)
-	r.state("j", work.StateRunning)
+	r.state(work.StateRunning)
 }
--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -174,7 +174,7 @@
 // the new owner can't reach.
 func TestNewOwnerWaitsForSilentWorker(t *testing.T) {
 	r := newRig(t, "w1", "w2")
-	r.submit("j", testQueue, tasks(1))
+	r.submit(tasks(1))
 	first := r.startAll()
 	assert.Equal(t, len(first), 1)
 	silent := first[0].Target.ID
--- a/internal/shard/orders.go
+++ b/internal/shard/orders.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"arbutuswing.example/internal/agent"
-	"arbutuswing.example/internal/model"
 )
 
 // StartOrder is a start that may be sent now.
@@ -142,9 +141,3 @@
 	a.settled = max(a.settled, clock)
 	a.notBefore = now + s.cfg.KillGrace + retryOrder
 }
-
-// Forget drops the pending answers of an ownership that ended.
-func (s *Shard) Forget() {
-	s.jobs, s.workers, s.byID, s.active = nil, nil, nil, nil
-	s.usage = make(map[model.TeamID]model.Resources)
-}
--- a/internal/shard/record_test.go
+++ b/internal/shard/record_test.go
@@ -15,22 +15,22 @@
 // acknowledged to its worker, and the final state told to clients, only once both are recorded.
 func TestNothingIsToldBeforeItIsRecorded(t *testing.T) {
 	r := newRig(t, "w1")
-	r.submit("j", testQueue, tasks(1))
+	r.submit(tasks(1))
 	first := r.startAll()
-	r.report("w1", agent.Report{Ended: []agent.Ended{end(1, first[0], agent.HowDone)}})
+	r.report("w1", agent.Report{Ended: []agent.Ended{end(first[0], agent.HowDone)}})
 	hold, _ := r.s.HoldFor("w1", r.now, true)
 	assert.Equal(t, hold.Acked, int64(0))
-	r.state("j", work.StateRunning)
+	r.state(work.StateRunning)
 	r.commit()
 	hold, _ = r.s.HoldFor("w1", r.now, true)
 	assert.Equal(t, hold.Acked, int64(1))
-	r.state("j", work.StateCompleted)
+	r.state(work.StateCompleted)
 }
 
 // TestNoStartBeforeItIsRecorded guards against a run that a new owner can't know of.
 func TestNoStartBeforeItIsRecorded(t *testing.T) {
 	r := newRig(t, "w1")
-	r.submit("j", testQueue, tasks(1))
+	r.submit(tasks(1))
 	r.s.Tick(r.now, r.wall)
 	assert.Equal(t, len(r.s.TakeOrders(r.now).Starts), 0)
 	r.commit()
@@ -41,7 +41,7 @@
 func TestNoStartBeforeTheWorkerIsVisited(t *testing.T) {
 	r := newRig(t, "w1")
 	r.takeOver(Restored{})
-	r.submit("j", testQueue, tasks(1))
+	r.submit(tasks(1))
 	assert.Equal(t, len(r.orders().Starts), 0)
 	r.report("w1", agent.Report{})
 	assert.Equal(t, len(r.orders().Starts), 1)
@@ -51,25 +51,25 @@
 // life before the owner had seen it.
 func TestEndInNewLifeCounts(t *testing.T) {
 	r := newRig(t, "w1")
-	r.submit("j", testQueue, tasks(1))
+	r.submit(tasks(1))
 	first := r.startAll()
 	r.born["w1"] = 2
-	r.report("w1", agent.Report{Ended: []agent.Ended{end(1, first[0], agent.HowDone)}})
+	r.report("w1", agent.Report{Ended: []agent.Ended{end(first[0], agent.HowDone)}})
 	r.commit()
-	r.state("j", work.StateCompleted)
+	r.state(work.StateCompleted)
 }
 
 // TestStopWaitsForTheReport guards against room that is given away while a stopped run may still be there.
 func TestStopWaitsForTheReport(t *testing.T) {
 	r := newRig(t, "w1")
-	r.submit("j", testQueue, tasks(1))
+	r.submit(tasks(1))
 	first := r.startAll()
 	r.s.Cancel("j", r.now)
 	stops := r.orders().Stops
 	assert.Equal(t, len(stops), 1)
 	r.s.Stopped(stops[0], r.clock["w1"], nil, r.now)
 	assert.Equal(t, r.s.workers["w1"].used.Cores, first[0].attempt.size().Cores)
-	r.report("w1", agent.Report{Ended: []agent.Ended{end(1, first[0], agent.HowStopped)}})
+	r.report("w1", agent.Report{Ended: []agent.Ended{end(first[0], agent.HowStopped)}})
 	assert.Equal(t, r.s.workers["w1"].used, model.Resources{})
 }
 
@@ -89,12 +89,12 @@
 			r := newRig(t, "w1", "w2", "w3")
 			gang := tasks(2)
 			gang.Gang, gang.Size.Cores = true, 3000
-			r.submit("j", testQueue, gang)
+			r.submit(gang)
 			starts := r.orders().Starts
 			assert.Equal(t, len(starts), 2)
 			r.s.Started(starts[0], r.clock[starts[0].Target.ID], nil, r.now)
 			r.s.Started(starts[1], r.clock[starts[1].Target.ID], test.answer, r.now)
-			r.report(starts[0].Target.ID, agent.Report{Ended: []agent.Ended{end(1, starts[0], agent.HowStopped)}})
+			r.report(starts[0].Target.ID, agent.Report{Ended: []agent.Ended{end(starts[0], agent.HowStopped)}})
 			for range 5 {
 				r.pass(time.Second)
 				for _, id := range r.names {
@@ -114,7 +114,7 @@
 	r := newRig(t, "w1")
 	gang := tasks(2)
 	gang.Gang = true
-	r.submit("j", testQueue, gang)
+	r.submit(gang)
 	r.s.Tick(r.now, r.wall)
 	r.born["w1"] = 2
 	r.report("w1", agent.Report{})
--- a/internal/shard/rig_test.go
+++ b/internal/shard/rig_test.go
@@ -128,19 +128,22 @@
 	return o.Starts
 }
 
-func (r *rig) submit(id model.JobID, queue string, stages ...work.Stage) {
-	r.s.Submit(work.Job{ID: id, Queue: queue, Team: "north", Stages: stages, Accepted: r.wall}, r.now)
+// submit hands in the test's job.
+func (r *rig) submit(stages ...work.Stage) {
+	r.s.Submit(work.Job{ID: "j", Queue: testQueue, Team: "north", Stages: stages, Accepted: r.wall}, r.now)
 }
 
-func (r *rig) state(id model.JobID, want work.State) {
+// state requires that clients are told this state of the test's job.
+func (r *rig) state(want work.State) {
 	r.t.Helper()
-	got, ok := r.s.State(id)
+	got, ok := r.s.State("j")
 	assert.Assert(r.t, ok)
 	assert.Equal(r.t, got, want)
 }
 
-func end(number int64, o StartOrder, how agent.How) agent.Ended {
-	return agent.Ended{Number: number, Task: o.Start.Task, Run: o.Start.Run, How: how}
+// end is the first end that a worker lists.
+func end(o StartOrder, how agent.How) agent.Ended {
+	return agent.Ended{Number: 1, Task: o.Start.Task, Run: o.Start.Run, How: how}
 }
 
 func tasks(n int) work.Stage {
--- /dev/null
+++ b/internal/shell/shell.go
@@ -0,0 +1,68 @@
+package shell
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+
+	"arbutuswing.example/internal/strict"
+)
+
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// Command is one command of a program; Data is the struct that go-flags fills and executes.
+type Command struct {
+	Name, Short string
+	Data        any
+}
+
+// Config describes a program's command line.
+type Config struct {
+	Name        string
+	Description string
+	Commands    []Command
+	Out, ErrOut io.Writer
+}
+
+// Run carries out the command line and returns the exit code: 0 after success, 1 after a failure or for faulty settings,
+// 2 for a faulty command line.
+func Run(cfg Config, args []string) int {
+	parser := flags.NewNamedParser(cfg.Name, flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = cfg.Description
+	for _, command := range cfg.Commands {
+		if _, err := parser.AddCommand(command.Name, command.Short, command.Short, command.Data); err != nil {
+			_, _ = fmt.Fprintf(cfg.ErrOut, "%s: %v\n", cfg.Name, err)
+			return exitFailure
+		}
+	}
+	_, err := parser.ParseArgs(args)
+	return cfg.report(err)
+}
+
+func (c Config) report(err error) int {
+	var usage *flags.Error
+	var faults strict.Faults
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		_, _ = fmt.Fprintln(c.Out, usage.Message)
+		return exitOK
+	case errors.As(err, &usage):
+		_, _ = fmt.Fprintf(c.ErrOut, "%s: %s\n", c.Name, usage.Message)
+		return exitUsage
+	case errors.As(err, &faults):
+		_, _ = fmt.Fprintln(c.ErrOut, err)
+		return exitFailure
+	default:
+		_, _ = fmt.Fprintf(c.ErrOut, "%s: %v\n", c.Name, err)
+		return exitFailure
+	}
+}
