--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 build:
 	@mkdir -p $(BIN)
 	@for program in $(PROGRAMS); do go build -o $(BIN)/aw-$$program ./$$program || exit 1; done
+	@go build -o $(BIN)/aw-node ./node/aw-node
 
 # Tests listed in KNOWN-RED.txt are passed over and printed.
 KNOWN_RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\) |.*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -156,7 +156,7 @@
 }
 
 // takeAsks returns the calls for advice decided since the last call.
-func (s *Shard) takeAsks(time.Duration) []Ask {
+func (s *Shard) takeAsks() []Ask {
 	asks := s.asks
 	s.asks = nil
 	return asks
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -47,7 +47,6 @@
 	// reserved is room kept while a call for advice is under way, or until stopped runs have ended.
 	reserved      map[*worker]model.Resources
 	reservedUntil time.Duration
-	waitingSince  time.Duration
 }
 
 type verdict struct {
@@ -121,7 +120,7 @@
 		for i := range spec.Stages {
 			j.stages = append(j.stages, &stage{
 				job: j, spec: &j.spec.Stages[i], occurrence: k, index: i, tasks: make([]task, spec.Stages[i].Count),
-				left: spec.Stages[i].Count, verdicts: make(map[model.WorkerID]verdict), waitingSince: now,
+				left: spec.Stages[i].Count, verdicts: make(map[model.WorkerID]verdict),
 			})
 		}
 	}
--- a/internal/shard/orders.go
+++ b/internal/shard/orders.go
@@ -56,7 +56,7 @@
 			}
 		}
 	}
-	o.Asks = s.takeAsks(now)
+	o.Asks = s.takeAsks()
 	return o
 }
 
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -211,7 +211,6 @@
 	if how != agent.HowDone {
 		st.saveCheckpoint(a.index, checkpoint)
 	}
-	st.waitingSince = now
 	if j.final != "" {
 		return
 	}
