fix(member): a data centre whose members were recorded as gone must still answer to prove an outage

Cause: an instance that can't reach another data centre records the end of its members after ten seconds of silence. They live and join again, but an instance that loses the log before it folds that record has no member left there, so the data centre wasn't among those whose answers prove an outage: a partition passed as an outage, and tasks were started without a change that was in force elsewhere for 5.1 s (bound 5 s). Ruled out: old answers (their start counts), a higher offset that was heard of (it ends the proof), statuses of neighbours (they cover only their own data centre). Now the platform's list counts too: a data centre in which it shows an instance must answer, unless declared lost. TestOutageNeedsListedDataCentres fails without the change.

--- a/internal/member/state.go
+++ b/internal/member/state.go
@@ -108,10 +108,11 @@
 	return proof, true
 }
 
-// required returns the data centres whose answers prove an outage: all others that are in service or that the log
-// records members of, unless they are declared lost. One that is out of service counts while it has members, since
-// operators can make changes through them. Where there is no other data centre, the own one must answer if it has
-// other members.
+// required returns the data centres whose answers prove an outage: all others that are in service, that the log
+// records members of or in which the platform's list shows instances, unless they are declared lost. One that is out of
+// service counts while it has members, since operators can make changes through them. A listed instance counts without a
+// record, because a partition makes others record the end of one that lives and joins again. Where there is no other
+// data centre, the own one must answer if it has other members.
 func (t *Table) required() []model.DataCentreID {
 	own := t.cfg.Self.DataCentre
 	wanted := make(map[model.DataCentreID]bool)
@@ -123,6 +124,11 @@
 		wanted[found.DataCentre] = !t.services[found.DataCentre].lost
 		neighbours = neighbours || (found.DataCentre == own && id != t.cfg.Self.Instance)
 	}
+	for _, known := range t.peers {
+		if known.listed && known.dataCentre != "" {
+			wanted[known.dataCentre] = !t.services[known.dataCentre].lost
+		}
+	}
 	var out []model.DataCentreID
 	for dc, needed := range wanted {
 		if needed && dc != own {
--- a/internal/member/state_test.go
+++ b/internal/member/state_test.go
@@ -332,6 +332,24 @@
 	assert.Equal(t, r.Connectivity().State, Outage)
 }
 
+// Guards against a partition that passes as an outage because the instances behind it were recorded as gone: the list
+// still shows them, they live and join again, and changes can be made through them.
+func TestOutageNeedsListedDataCentres(t *testing.T) {
+	r := newRig(t)
+	r.members()
+	r.journal.status = stream.Status{Applied: 9, Ready: true, Restored: model.NoOffset}
+	assert.Equal(t, r.Connectivity().State, Outage)
+	r.setListed([]ports.Instance{
+		{ID: "s1", Role: ports.RoleEntry, DataCentre: "south", Address: "s1", Presence: ports.PresenceLive},
+	})
+	assert.Equal(t, r.Connectivity().State, CutOff)
+	r.setDataCentres([]decl.DataCentre{{Name: "south", Service: decl.Lost}})
+	assert.Equal(t, r.Connectivity().State, Outage)
+	r.setDataCentres(nil)
+	r.setListed(nil)
+	assert.Equal(t, r.Connectivity().State, Outage)
+}
+
 // Guards against an instance that never had the newest state and takes up duties on an old one.
 func TestInstanceThatWasNeverCurrentHasNoGrace(t *testing.T) {
 	r := newRig(t)
