feat(owner): choose owners by strength, and spare a new owner while it takes over

Cause: on unlike instances (0.19 and 0.8 cores, 10 and 200 Mbit/s) any member could win. A weak owner never finished its takeover: each node repeated each client's question every 50 ms, and answering 'not the owner' took its processor. With more members than partitions the store doesn't list some, so an owner without a partition would have looked gone. Now nodes report to the owner (0.4 s, more with many nodes); it chooses at most eight candidates among the strong ones, in turn from each data centre, and hands over to a much stronger one. The others renew a standby membership. Nodes learn of an owner once it serves, and one call of a node tries it at a time while it doesn't answer. Calls for advice go to nodes that report; the owner no longer reads the members from the store.

--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -18,6 +18,10 @@
 	StoreAddress string `json:"store-address" jsonschema:"required"`
 	// AdviceAddress is the IP:port of the placement advice service; empty where no queue requires advice.
 	AdviceAddress string `json:"advice-address,omitempty"`
+	// Cores is the node's share of the processor in cores; much weaker nodes don't own jobs while stronger ones can.
+	Cores float64 `json:"cores,omitempty"`
+	// LinkMbps is the bandwidth of the node's network link in Mbit/s.
+	LinkMbps float64 `json:"link-mbps,omitempty"`
 	// LogLevel is the lowest level of the events that are logged.
 	LogLevel string `json:"log-level,omitempty" jsonschema:"enum=debug,enum=info,enum=warn,enum=error"`
 	// WorkerLease is the lease that a worker gets with each report: longer than a cut between instances usually lasts.
@@ -38,6 +42,8 @@
 
 // WithDefaults returns the settings with the defaults of all times.
 func (n Node) WithDefaults() Node {
+	n.Cores = 1
+	n.LinkMbps = 1000
 	n.LogLevel = "info"
 	n.WorkerLease = seconds(7)
 	n.WorkerLeaseMax = seconds(10)
@@ -62,6 +68,8 @@
 	if n.AdviceAddress != "" {
 		c.Address("advice-address", n.AdviceAddress, false)
 	}
+	c.Require(n.Cores > 0, "cores", "must be greater than 0")
+	c.Require(n.LinkMbps > 0, "link-mbps", "must be greater than 0")
 	c.Level("log-level", n.LogLevel)
 	for _, d := range []struct {
 		path  string
--- a/internal/owner/asks.go
+++ b/internal/owner/asks.go
@@ -75,13 +75,8 @@
 
 // nodes returns the nodes that may be asked, in the same order each time.
 func (a *asks) nodes() []Member {
-	nodes := a.tenure.cfg.Nodes()
-	if !slices.Contains(nodes, a.tenure.cfg.Self) {
-		nodes = append(nodes, a.tenure.cfg.Self)
-	}
-	nodes = slices.DeleteFunc(nodes, func(m Member) bool { return time.Now().Before(a.blocked[m]) })
-	slices.SortFunc(nodes, func(x, y Member) int { return cmp.Compare(x.String(), y.String()) })
-	return nodes
+	now := time.Now()
+	return slices.DeleteFunc(a.tenure.roster.members(now), func(m Member) bool { return now.Before(a.blocked[m]) })
 }
 
 func (a *asks) pick(nodes []Member, cost time.Duration) (Member, bool) {
@@ -120,7 +115,7 @@
 }
 
 func (a *asks) call(ctx context.Context, node Member, q agent.Question) (agent.Advice, error) {
-	if node == a.tenure.cfg.Self {
+	if node == memberOf(a.tenure.cfg.Self) {
 		return a.tenure.cfg.Advisor.Advise(ctx, q)
 	}
 	return a.tenure.cfg.Peers.Advise(ctx, node.Address, q)
--- a/internal/owner/directory.go
+++ b/internal/owner/directory.go
@@ -12,21 +12,17 @@
 	"arbutuswing.example/internal/intake"
 	"arbutuswing.example/internal/ledger"
 	"arbutuswing.example/internal/model"
-	"arbutuswing.example/internal/pause"
 	"arbutuswing.example/internal/peers"
 	"arbutuswing.example/internal/work"
 )
 
 const (
-	// directoryEvery is the interval between readings of who owns what.
+	// directoryEvery is the interval between readings of who owns what while the owner answers.
 	directoryEvery = 1500 * time.Millisecond
-	// nodesEvery is the same at the owner, which spreads calls for advice over nodes that come and go.
-	nodesEvery = 300 * time.Millisecond
-	// directoryRetry is the shortest interval between readings after a call that missed the owner.
+	// directoryRetry is the shortest interval between readings, and between calls of an owner that doesn't answer.
 	directoryRetry = 150 * time.Millisecond
 	// lookLimit bounds how long a question waits for an owner.
 	lookLimit = 1200 * time.Millisecond
-	lookPause = 50 * time.Millisecond
 )
 
 // Member names a node of a group, so that others can call it.
@@ -47,89 +43,90 @@
 	return Member{parts[0], parts[1], parts[2]}, true
 }
 
-// Directory knows which node owns the jobs and which nodes there are; it asks the owner for clients.
+// DirectoryConfig describes a directory.
+type DirectoryConfig struct {
+	Ledger ledger.Ledger
+	// Self is what this node reports to the owner.
+	Self peers.Presence
+	// Group is the group whose members may own jobs.
+	Group  string
+	Client *peers.Client
+	Log    *zap.Logger
+}
+
+// Directory knows which node owns the jobs, asks it for clients and reports this node to it.
 type Directory struct {
-	ledger ledger.Ledger
-	self   Member
-	group  string
-	client *peers.Client
-	log    *zap.Logger
-	kick   chan struct{}
+	cfg  DirectoryConfig
+	kick chan struct{}
 
 	mu    sync.Mutex
 	owner Member
-	nodes []Member
+	// suspect tells that the owner's last answer was none; then one call tries it at a time, at probeAt or later, and the
+	// others wait until recovered is closed.
+	suspect   bool
+	probeAt   time.Time
+	recovered chan struct{}
+	standing  standing
+	// emptySince is when the group was first seen without members, or zero.
+	emptySince time.Time
 }
 
 var _ intake.Owner = (*Directory)(nil)
 
-// NewDirectory returns an empty directory of a group.
-func NewDirectory(l ledger.Ledger, self Member, group string, client *peers.Client, log *zap.Logger) *Directory {
-	return &Directory{ledger: l, self: self, group: group, client: client, log: log, kick: make(chan struct{}, 1)}
+// NewDirectory returns a directory that knows no owner.
+func NewDirectory(cfg DirectoryConfig) *Directory {
+	return &Directory{cfg: cfg, kick: make(chan struct{}, 1), recovered: make(chan struct{})}
 }
 
 // Run keeps the directory current until the context ends.
 func (d *Directory) Run(ctx context.Context) error {
+	read := time.Time{}
 	for ctx.Err() == nil {
-		d.refresh(ctx)
-		pause.For(ctx, directoryRetry)
-		every := directoryEvery
-		if d.current() == d.self {
-			every = nodesEvery
-		}
-		timer := time.NewTimer(every)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case <-d.kick:
+		every, err := d.report(ctx)
+		if err != nil || time.Since(read) >= directoryEvery {
+			read = time.Now()
+			d.refresh(ctx, err == nil)
 		}
-		timer.Stop()
+		wait(ctx, directoryRetry, nil)
+		wait(ctx, every-directoryRetry, d.kick)
 	}
 	return nil
 }
 
-func (d *Directory) refresh(ctx context.Context) {
-	owner, err := readOwner(ctx, d.ledger)
+// wait waits for d, for the end of the context or until woken.
+func wait(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+	timer := time.NewTimer(max(d, 0))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-wake:
+	}
+}
+
+// refresh reads who owns the jobs, and decides on this node's candidacy if the owner doesn't tell.
+func (d *Directory) refresh(ctx context.Context, told bool) {
+	records, err := readOwner(ctx, d.cfg.Ledger)
 	if err != nil {
-		d.log.Info("owner not read", zap.Error(err))
+		d.cfg.Log.Info("owner not read", zap.Error(err))
 		return
 	}
 	d.mu.Lock()
-	if owner != d.owner {
-		d.log.Info("owner changed", zap.String("from", d.owner.Node), zap.String("to", owner.Node))
+	if records.serving != d.owner {
+		d.cfg.Log.Info("owner changed", zap.String("from", d.owner.Node), zap.String("to", records.serving.Node))
+		d.owner = records.serving
+		d.wake()
 	}
-	d.owner = owner
 	d.mu.Unlock()
-	if owner == d.self {
-		d.refreshNodes(ctx)
+	if told || records.serving == memberOf(d.cfg.Self) {
+		return
 	}
-}
-
-// refreshNodes reads which nodes there are; only an owner needs to know.
-func (d *Directory) refreshNodes(ctx context.Context) {
-	holders, err := d.ledger.Holders(ctx, d.group)
+	holders, err := d.cfg.Ledger.Holders(ctx, d.cfg.Group)
 	if err != nil {
-		d.log.Info("members not read", zap.Error(err))
+		d.cfg.Log.Info("members not read", zap.Error(err))
 		return
 	}
-	seen := make(map[Member]bool)
-	var nodes []Member
-	for _, h := range holders {
-		if m, ok := parseMember(h.Member); ok && !seen[m] {
-			seen[m] = true
-			nodes = append(nodes, m)
-		}
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.nodes = nodes
-}
-
-// Nodes returns the nodes that take part.
-func (d *Directory) Nodes() []Member {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return append([]Member(nil), d.nodes...)
+	d.judge(records, holders, time.Now())
 }
 
 func (d *Directory) current() Member {
@@ -138,33 +135,81 @@
 	return d.owner
 }
 
-func (d *Directory) again() {
-	select {
-	case d.kick <- struct{}{}:
-	default:
+// wake lets all calls go that wait for the owner; the lock is held.
+func (d *Directory) wake() {
+	d.suspect = false
+	close(d.recovered)
+	d.recovered = make(chan struct{})
+}
+
+// turn waits until the owner may be called; it returns false at the limit.
+func (d *Directory) turn(ctx context.Context, limit time.Time) (Member, bool) {
+	for {
+		d.mu.Lock()
+		now := time.Now()
+		if !d.suspect || !now.Before(d.probeAt) {
+			d.probeAt = now.Add(directoryRetry)
+			owner := d.owner
+			d.mu.Unlock()
+			return owner, true
+		}
+		until, recovered := min(d.probeAt.Sub(now), limit.Sub(now)), d.recovered
+		d.mu.Unlock()
+		if until <= 0 {
+			return Member{}, false
+		}
+		wait(ctx, until, recovered)
+		if ctx.Err() != nil || !time.Now().Before(limit) {
+			return Member{}, false
+		}
 	}
 }
 
-// ask calls the owner, and again if the ownership moves meanwhile.
+// answered notes whether the owner that was called has answered.
+func (d *Directory) answered(owner Member, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case owner != d.owner:
+	case !ok:
+		d.suspect = true
+	case d.suspect:
+		d.wake()
+	}
+}
+
+// ask calls the owner, and again if the ownership moves meanwhile. While the owner doesn't answer, one call of this node
+// tries it at a time, because a new owner needs its processor for taking over.
 func (d *Directory) ask(ctx context.Context, call func(address string) error) error {
 	limit := time.Now().Add(lookLimit)
+	last := peers.ErrNotOwner
 	for {
-		owner := d.current()
+		owner, ok := d.turn(ctx, limit)
+		if !ok {
+			d.cfg.Log.Info("owner did not answer", zap.String("owner", d.current().Node), zap.Error(last))
+			return intake.ErrNoOwner
+		}
 		err := peers.ErrNotOwner
 		if owner.Address != "" {
 			err = call(owner.Address)
 		}
+		known := err == nil || errors.Is(err, peers.ErrUnknownJob)
+		d.answered(owner, known)
 		switch {
 		case err == nil:
 			return nil
-		case errors.Is(err, peers.ErrUnknownJob):
+		case known:
 			return intake.ErrUnknownJob
-		case time.Now().After(limit) || ctx.Err() != nil:
-			d.log.Info("owner did not answer", zap.String("owner", owner.Node), zap.Error(err))
-			return intake.ErrNoOwner
 		}
+		last = err
 		d.again()
-		pause.For(ctx, lookPause)
+	}
+}
+
+func (d *Directory) again() {
+	select {
+	case d.kick <- struct{}{}:
+	default:
 	}
 }
 
@@ -173,7 +218,7 @@
 	var state work.State
 	err := d.ask(ctx, func(address string) error {
 		var err error
-		state, err = d.client.State(ctx, address, id)
+		state, err = d.cfg.Client.State(ctx, address, id)
 		return err
 	})
 	return state, err
@@ -184,7 +229,7 @@
 	n := 0
 	err := d.ask(ctx, func(address string) error {
 		var err error
-		n, err = d.client.Pending(ctx, address, queue)
+		n, err = d.cfg.Client.Pending(ctx, address, queue)
 		return err
 	})
 	return n, err
@@ -192,9 +237,11 @@
 
 // Tell lets the owner know of a stored job, so that it needn't wait until it reads of it; without an answer it will.
 func (d *Directory) Tell(ctx context.Context, job work.Job) error {
-	owner := d.current()
-	if owner.Address == "" {
+	d.mu.Lock()
+	owner, suspect := d.owner, d.suspect
+	d.mu.Unlock()
+	if owner.Address == "" || suspect {
 		return intake.ErrNoOwner
 	}
-	return d.client.Submit(ctx, owner.Address, job)
+	return d.cfg.Client.Submit(ctx, owner.Address, job)
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -33,8 +35,14 @@
 	joinAgain = 80 * time.Millisecond
 	// memberTTL is how long a member that fell silent stays in the group: the least that the store takes.
 	memberTTL = time.Second
-	// ownerKey is the key of the record that names the owner.
-	ownerKey = "owner"
+	// ownerKey is the key of the record that names the member that has claimed the jobs last, servingKey that of the owner
+	// that answers for them, and strengthKey that of its strength.
+	ownerKey    = "owner"
+	servingKey  = "serving"
+	strengthKey = "strength"
+	// standbySuffix names the group of the nodes that may not own jobs; renewing that membership shows whether the store
+	// answers.
+	standbySuffix = "-standby"
 )
 
 // Runner runs until its context ends.
@@ -44,14 +52,15 @@
 
 // Config describes the part of a node that may own jobs.
 type Config struct {
-	Self    Member
+	Self    peers.Presence
 	Group   string
 	Ledger  ledger.Ledger
 	Workers agent.Workers
 	Advisor agent.Advisor
 	Peers   *peers.Client
-	Nodes   func() []Member
-	Terms   func() (terms.Terms, bool)
+	// Directory tells whether this node may own jobs.
+	Directory *Directory
+	Terms     func() (terms.Terms, bool)
 	// Registry returns a runner that calls changed with the workers' entries whenever they change.
 	Registry func(changed func([]agent.Entry)) Runner
 	// Shard holds the times of the shard; token and events are set for each ownership.
@@ -123,16 +132,39 @@
 	}
 }
 
-// Run takes part in the group until the context ends, and then hands over. An owner stays one as long as it is a member
-// of the group; when it isn't any more, the member that holds the shard's partition takes over, under the group's
-// generation as its epoch, which no other member has for that partition.
+// Report notes that a node is there.
+func (o *Owner) Report(p peers.Presence) (peers.Standing, error) {
+	t := o.current()
+	if t == nil || t.ended() {
+		return peers.Standing{}, peers.ErrNotOwner
+	}
+	return t.roster.report(p, time.Now()), nil
+}
+
+// Run takes part in the group while this node is a candidate, until the context ends, and then hands over. An owner stays
+// one as long as it is a member of the group; when it isn't any more, the member that holds the shard's partition takes
+// over, under the group's generation as its epoch, which no other member has for that partition.
 func (o *Owner) Run(ctx context.Context) error {
-	m := ledger.Membership{Group: o.cfg.Group, Member: o.cfg.Self.String(), Topic: TopicProgress, TTL: memberTTL}
 	o.leaveFormer(ctx)
+	owners := o.membership(o.cfg.Group)
+	standby := o.membership(o.cfg.Group + standbySuffix)
 	checked := int64(0)
+	wasCandidate := false
 	for ctx.Err() == nil {
-		share, err := o.cfg.Ledger.Join(ctx, m)
-		current, every := o.current(), joinEvery
+		candidate := o.cfg.Directory.Candidate()
+		m := &standby
+		if candidate {
+			m = &owners
+		}
+		if candidate != wasCandidate {
+			wasCandidate = candidate
+			o.leaveOther(m, &owners, &standby)
+		}
+		if current := o.current(); current != nil && !candidate {
+			o.end(current, "another owner chose stronger nodes")
+		}
+		share, err := o.cfg.Ledger.Join(ctx, *m)
+		every := joinEvery
 		switch {
 		case ctx.Err() != nil:
 		case err != nil:
@@ -142,18 +174,8 @@
 				every = joinAgain
 			}
 			m.Generation = share.Generation
-			switch {
-			case current != nil && current.ended():
-				checked = share.Generation
-				o.end(current, "a newer owner exists")
-			case current != nil:
-				current.touched()
-			case slices.Contains(share.Partitions, Partition) && share.Generation > checked:
-				if o.vacant(ctx) {
-					o.begin(ctx, share.Generation)
-				} else if ctx.Err() == nil {
-					checked = share.Generation
-				}
+			if candidate {
+				checked = o.renewed(ctx, share, checked)
 			}
 		}
 		pause.For(ctx, every)
@@ -161,10 +183,49 @@
 	if current := o.current(); current != nil {
 		o.end(current, "stopping")
 	}
-	o.leave(m)
+	o.leave(owners)
+	o.leave(standby)
 	return nil
 }
 
+func (o *Owner) membership(group string) ledger.Membership {
+	return ledger.Membership{Group: group, Member: memberOf(o.cfg.Self).String(), Topic: TopicProgress, TTL: memberTTL}
+}
+
+// leaveOther gives up the membership that is no longer the one to renew.
+func (o *Owner) leaveOther(kept *ledger.Membership, all ...*ledger.Membership) {
+	for _, m := range all {
+		if m != kept {
+			o.leave(*m)
+			m.Generation = 0
+		}
+	}
+}
+
+// renewed acts on a renewed membership: it begins or ends an ownership. It returns the generation up to which the
+// recorded owner is known to be a member.
+func (o *Owner) renewed(ctx context.Context, share ledger.Share, checked int64) int64 {
+	current := o.current()
+	switch {
+	case current != nil && current.ended():
+		o.end(current, "a newer owner exists")
+		return share.Generation
+	case current != nil && current.roster.outranked(time.Now()):
+		o.end(current, "handing over to a stronger node")
+		o.cfg.Directory.StandBy()
+	case current != nil:
+		current.touched()
+	case slices.Contains(share.Partitions, Partition) && share.Generation > checked:
+		members, vacant := o.vacant(ctx)
+		if vacant {
+			o.begin(ctx, share.Generation, members)
+		} else if ctx.Err() == nil {
+			return share.Generation
+		}
+	}
+	return checked
+}
+
 // leaveFormer gives up the memberships of this node's former boots, which have ended, so that their partitions needn't
 // wait for the time to live.
 func (o *Owner) leaveFormer(ctx context.Context) {
@@ -173,47 +234,75 @@
 		o.cfg.Log.Info("former memberships not read", zap.Error(err))
 		return
 	}
-	left := make(map[string]bool)
+	for _, m := range members(holders) {
+		if m.Node == o.cfg.Self.Node && m.Boot != o.cfg.Self.Boot {
+			o.leave(ledger.Membership{Group: o.cfg.Group, Member: m.String(), Topic: TopicProgress})
+		}
+	}
+}
+
+// members returns the members among the holders of partitions, each once.
+func members(holders []ledger.Holder) []Member {
+	seen := make(map[Member]bool)
+	var list []Member
 	for _, h := range holders {
-		m, ok := parseMember(h.Member)
-		if !ok || left[h.Member] || m.Node != o.cfg.Self.Node || m.Boot == o.cfg.Self.Boot {
-			continue
+		if m, ok := parseMember(h.Member); ok && !seen[m] {
+			seen[m] = true
+			list = append(list, m)
 		}
-		left[h.Member] = true
-		o.leave(ledger.Membership{Group: o.cfg.Group, Member: h.Member, Topic: TopicProgress})
 	}
+	return list
 }
 
-// vacant reports whether the recorded owner is no longer a member of the group.
-func (o *Owner) vacant(ctx context.Context) bool {
+// vacant reports whether the recorded owner is no longer a member of the group, and returns the members.
+func (o *Owner) vacant(ctx context.Context) ([]Member, bool) {
 	for ctx.Err() == nil {
-		owner, err := readOwner(ctx, o.cfg.Ledger)
+		records, err := readOwner(ctx, o.cfg.Ledger)
 		if err == nil {
 			var holders []ledger.Holder
 			holders, err = o.cfg.Ledger.Holders(ctx, o.cfg.Group)
 			if err == nil {
-				return !slices.ContainsFunc(holders, func(h ledger.Holder) bool { return h.Member == owner.String() })
+				return members(holders), !records.held(holders)
 			}
 		}
 		o.cfg.Log.Info("owner not read", zap.Error(err))
 		pause.For(ctx, joinEvery)
 	}
-	return false
+	return nil, false
+}
+
+// ownerRecords is what the store holds about the ownership; members are zero before the first.
+type ownerRecords struct {
+	claimed Member
+	serving Member
+	// strength is that of the member that serves.
+	strength float64
 }
 
-// readOwner returns the member that last took over; the zero member if none has.
-func readOwner(ctx context.Context, l ledger.Ledger) (Member, error) {
+// held reports whether the member that has claimed the jobs still takes part.
+func (r ownerRecords) held(holders []ledger.Holder) bool {
+	return slices.Contains(members(holders), r.claimed)
+}
+
+func readOwner(ctx context.Context, l ledger.Ledger) (ownerRecords, error) {
 	page, err := l.Newest(ctx, TopicOwner, Partition)
 	if err != nil {
-		return Member{}, err
+		return ownerRecords{}, err
 	}
+	var out ownerRecords
 	for _, r := range page.Records {
-		if r.Key == ownerKey {
-			m, _ := parseMember(string(r.Value))
-			return m, nil
+		switch r.Key {
+		case ownerKey:
+			out.claimed, _ = parseMember(string(r.Value))
+		case servingKey:
+			out.serving, _ = parseMember(string(r.Value))
+		case strengthKey:
+			if out.strength, err = strconv.ParseFloat(string(r.Value), 64); err != nil {
+				return ownerRecords{}, fmt.Errorf("strength of the owner: %w", err)
+			}
 		}
 	}
-	return Member{}, nil
+	return out, nil
 }
 
 func (o *Owner) leave(m ledger.Membership) {
@@ -224,8 +313,8 @@
 	}
 }
 
-func (o *Owner) begin(ctx context.Context, generation int64) {
-	t := newTenure(o.cfg, generation)
+func (o *Owner) begin(ctx context.Context, generation int64, members []Member) {
+	t := newTenure(o.cfg, generation, members)
 	o.cfg.Log.Info("ownership won", zap.Int64("epoch", generation))
 	o.mu.Lock()
 	o.tenure = t
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,8 +32,8 @@
 			return 0, err
 		}
 	}
-	self := ledger.Record{Key: ownerKey, Value: []byte(t.cfg.Self.String())}
-	if err := t.append(ctx, TopicOwner, []ledger.Record{self}); err != nil {
+	self := []byte(memberOf(t.cfg.Self).String())
+	if err := t.append(ctx, TopicOwner, []ledger.Record{{Key: ownerKey, Value: self}}); err != nil {
 		return 0, err
 	}
 	progress, err := t.newest(ctx, TopicProgress)
@@ -61,14 +62,18 @@
 			func(id model.JobID) { restored.Cancelled = append(restored.Cancelled, id) })
 	}
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.shard.SetTerms(current)
 	t.shard.Restore(restored, t.now(), time.Now())
 	t.shard.Registry(t.entries)
 	t.restored, t.inboxRead = true, time.Now()
+	t.mu.Unlock()
 	t.cfg.Log.Info("takeover done", zap.Int64("epoch", t.epoch), zap.Int("jobs", len(restored.Jobs)),
 		zap.Int("progress", len(restored.Progress)), zap.Duration("took", time.Since(begun)))
-	return inbox.Next, nil
+	// Only now do other nodes learn whom to ask.
+	strength := strconv.FormatFloat(t.cfg.Self.Strength, 'g', -1, 64)
+	return inbox.Next, t.append(ctx, TopicOwner, []ledger.Record{
+		{Key: servingKey, Value: self}, {Key: strengthKey, Value: []byte(strength)},
+	})
 }
 
 // surroundings waits until the configuration and the registry have been read.
--- a/internal/owner/tenure.go
+++ b/internal/owner/tenure.go
@@ -68,15 +68,16 @@
 	sequence   map[ledger.Topic]int64
 	drops      chan []string
 	asks       *asks
+	roster     *roster
 	group      sync.WaitGroup
 }
 
-func newTenure(cfg Config, epoch int64) *tenure {
+func newTenure(cfg Config, epoch int64, members []Member) *tenure {
 	t := &tenure{
 		cfg: cfg, epoch: epoch, start: time.Now(), wake: make(chan struct{}, 1), changed: make(chan struct{}, 1),
 		done:  make(chan struct{}),
 		links: make(map[model.WorkerID]*link), contact: time.Now(), sequence: make(map[ledger.Topic]int64),
-		drops: make(chan []string, dropsWaiting),
+		drops: make(chan []string, dropsWaiting), roster: newRoster(cfg.Self, members, time.Now()),
 	}
 	shardCfg := cfg.Shard
 	shardCfg.Token = epoch
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -21,6 +21,7 @@
 	State(id model.JobID) (work.State, error)
 	Pending(queue string) (int, error)
 	Submit(job work.Job) error
+	Report(p Presence) (Standing, error)
 }
 
 // ServerConfig describes a server.
@@ -46,6 +47,7 @@
 	r.GET(pathPending, s.pending)
 	r.POST(pathAdvise, s.advise)
 	r.POST(pathSubmit, s.submit)
+	r.POST(pathReport, s.report)
 	s.http = &fasthttp.Server{Handler: r.Handler, NoDefaultServerHeader: true, NoDefaultDate: true}
 	return s
 }
@@ -93,6 +95,16 @@
 	s.reply(ctx, struct{}{}, s.cfg.Owner.Submit(job))
 }
 
+func (s *Server) report(ctx *fasthttp.RequestCtx) {
+	var p Presence
+	if err := json.Unmarshal(ctx.PostBody(), &p); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	standing, err := s.cfg.Owner.Report(p)
+	s.reply(ctx, standing, err)
+}
+
 func (s *Server) reply(ctx *fasthttp.RequestCtx, body any, err error) {
 	switch {
 	case errors.Is(err, ErrNotOwner):
--- a/node/internal/daemon/parts.go
+++ b/node/internal/daemon/parts.go
@@ -26,6 +26,8 @@
 	ownerGroup = "owners"
 	// termsWait is how long a read of the configuration waits for a change.
 	termsWait = 2 * time.Second
+	// ownerLinkMbps is the bandwidth in Mbit/s from which on a node's link doesn't slow an owner down.
+	ownerLinkMbps = 50
 	// registryPause is kept between readings of the workers' entries, which change all the time.
 	registryPause = 250 * time.Millisecond
 )
@@ -87,10 +89,13 @@
 	return ledger.NewMonitor(store), nil
 }
 
-// self names this boot of the node.
-func self(s config.Node) owner.Member {
-	boot := strconv.FormatInt(time.Now().UnixNano(), 36) + strconv.Itoa(os.Getpid())
-	return owner.Member{Node: s.Node, Address: s.PeerAddress, Boot: boot}
+// self names this boot of the node and its strength.
+func self(s config.Node) peers.Presence {
+	return peers.Presence{
+		Node: s.Node, Address: s.PeerAddress, DataCentre: s.DataCentre,
+		Boot:     strconv.FormatInt(time.Now().UnixNano(), 36) + strconv.Itoa(os.Getpid()),
+		Strength: s.Cores * min(1, s.LinkMbps/ownerLinkMbps),
+	}
 }
 
 func newAdvisor(s config.Node) (agent.Advisor, error) {
@@ -104,22 +109,22 @@
 	return agent.NewQueue(service), nil
 }
 
-func newInbox(l ledger.Ledger, m owner.Member, log *zap.Logger) *inbox.Inbox {
+func newInbox(l ledger.Ledger, m peers.Presence, log *zap.Logger) *inbox.Inbox {
 	return inbox.New(inbox.Config{
 		Ledger: l, Topic: owner.TopicInbox, Partition: owner.Partition, Producer: m.Node + "-" + m.Boot, Log: log,
 	})
 }
 
-func newDirectory(l ledger.Ledger, m owner.Member, client *peers.Client, log *zap.Logger) *owner.Directory {
-	return owner.NewDirectory(l, m, ownerGroup, client, log)
+func newDirectory(l ledger.Ledger, self peers.Presence, client *peers.Client, log *zap.Logger) *owner.Directory {
+	return owner.NewDirectory(owner.DirectoryConfig{Ledger: l, Self: self, Group: ownerGroup, Client: client, Log: log})
 }
 
 func newOwner(
-	s config.Node, m owner.Member, l ledger.Ledger, workers agent.Workers, advisor agent.Advisor, client *peers.Client,
+	s config.Node, self peers.Presence, l ledger.Ledger, workers agent.Workers, advisor agent.Advisor, client *peers.Client,
 	directory *owner.Directory, v *view, log *zap.Logger,
 ) *owner.Owner {
 	o := owner.New(owner.Config{
-		Self: m, Group: ownerGroup, Ledger: l, Workers: workers, Advisor: advisor, Peers: client, Nodes: directory.Nodes,
+		Self: self, Group: ownerGroup, Ledger: l, Workers: workers, Advisor: advisor, Peers: client, Directory: directory,
 		Terms: v.Terms, Registry: newRegistry(l, log), Log: log,
 		Shard: shard.Config{
 			Lease: min(s.WorkerLease.Std(), s.WorkerLeaseMax.Std()), MaxLease: s.WorkerLeaseMax.Std(),
