feat(node): serve metrics; tell what each waiting stage lacks

On-call engineers had no figures of aw-node: it served none. A waiting stage remembers whether it lacks room, advice or its team's limit; the load line, the gauges and the state dump show it.

--- /dev/null
+++ b/internal/agent/monitor.go
@@ -0,0 +1,75 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Monitor passes commands on to workers and measures them.
+type Monitor struct{ workers Workers }
+
+var _ Workers = Monitor{}
+
+// NewMonitor returns a monitor of commands to workers.
+func NewMonitor(workers Workers) Monitor { return Monitor{workers} }
+
+// outcomes names the answers of workers in metrics.
+var outcomes = []struct {
+	err  error
+	name string
+}{
+	{ErrNoAnswer, "no-answer"},
+	{ErrNotSent, "not-sent"},
+	{ErrFenced, "fenced"},
+	{ErrOldRun, "old-run"},
+	{ErrLate, "late"},
+	{ErrNoRoom, "no-room"},
+	{ErrTicket, "ticket"},
+	{ErrOtherLife, "other-life"},
+	{ErrUnhealthy, "unhealthy"},
+	{ErrBusy, "busy"},
+}
+
+// observe counts a call that began at the given time.
+func observe(call string, begun time.Time, err error) {
+	outcome := "done"
+	if err != nil {
+		outcome = "error"
+	}
+	for _, o := range outcomes {
+		if errors.Is(err, o.err) {
+			outcome = o.name
+			break
+		}
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`aw_worker_calls_total{call=%q,outcome=%q}`, call, outcome)).Inc()
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`aw_worker_call_seconds{call=%q}`, call)).UpdateDuration(begun)
+}
+
+// Start starts a run.
+func (m Monitor) Start(ctx context.Context, to Target, order Start) (time.Duration, error) {
+	begun := time.Now()
+	clock, err := m.workers.Start(ctx, to, order)
+	observe("start", begun, err)
+	return clock, err
+}
+
+// Stop stops a run.
+func (m Monitor) Stop(ctx context.Context, to Target, order Stop) (time.Duration, error) {
+	begun := time.Now()
+	clock, err := m.workers.Stop(ctx, to, order)
+	observe("stop", begun, err)
+	return clock, err
+}
+
+// Hold renews a worker's lease and returns its report.
+func (m Monitor) Hold(ctx context.Context, to Target, order Hold) (Report, error) {
+	begun := time.Now()
+	report, err := m.workers.Hold(ctx, to, order)
+	observe("hold", begun, err)
+	return report, err
+}
--- a/internal/agent/queue.go
+++ b/internal/agent/queue.go
@@ -29,5 +29,8 @@
 		return Advice{}, ErrBusy
 	}
 	defer func() { <-q.turn }()
-	return q.advisor.Advise(ctx, question)
+	begun := time.Now()
+	advice, err := q.advisor.Advise(ctx, question)
+	observe("advise", begun, err)
+	return advice, err
 }
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -14,6 +14,8 @@
 	ReadinessAddress string `json:"readiness-address" jsonschema:"required"`
 	// PeerAddress is the IP:port on which other nodes reach this one.
 	PeerAddress string `json:"peer-address" jsonschema:"required"`
+	// MetricsAddress is the IP:port on which metrics are served; empty to serve none.
+	MetricsAddress string `json:"metrics-address,omitempty"`
 	// StoreAddress is the IP:port of the platform's store.
 	StoreAddress string `json:"store-address" jsonschema:"required"`
 	// AdviceAddress is the IP:port of the placement advice service; empty where no queue requires advice.
@@ -65,6 +67,9 @@
 	c.Address("readiness-address", n.ReadinessAddress, true)
 	c.Address("peer-address", n.PeerAddress, false)
 	c.Address("store-address", n.StoreAddress, false)
+	if n.MetricsAddress != "" {
+		c.Address("metrics-address", n.MetricsAddress, true)
+	}
 	if n.AdviceAddress != "" {
 		c.Address("advice-address", n.AdviceAddress, false)
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"arbutuswing.example/internal/inbox"
@@ -101,16 +103,29 @@
 func (i *Intake) Enter(call Call, bodyBytes int) Outcome {
 	e, refused := i.enter(call)
 	if refused != nil {
-		return refused
+		return count("enter", refused)
 	}
 	if limit := e.terms.Limits.BodyBytes; limit > 0 && bodyBytes > limit {
-		return TooLarge{}
+		return count("enter", TooLarge{})
 	}
 	return nil
 }
 
+// submitSeconds is the time that storing a submitted job takes.
+var submitSeconds = metrics.NewHistogram(`aw_job_submit_seconds`)
+
+// count counts the outcome of a call.
+func count(call string, o Outcome) Outcome {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`aw_client_calls_total{call=%q,outcome=%q}`, call, label(o))).Inc()
+	return o
+}
+
 // Submit stores a job under the identifier that the call names; a repeated identifier stays one job.
 func (i *Intake) Submit(ctx context.Context, call Call, job work.Job) Outcome {
+	return count("submit", i.submit(ctx, call, job))
+}
+
+func (i *Intake) submit(ctx context.Context, call Call, job work.Job) Outcome {
 	e, refused := i.enter(call)
 	if refused != nil {
 		return refused
@@ -136,6 +151,7 @@
 	if _, ok := outcome.(Accepted); ok {
 		go i.runTell(job)
 	}
+	submitSeconds.UpdateDuration(begun)
 	i.cfg.Log.Info("job submitted", zap.String("job", e.id), zap.String("queue", e.queue.Name),
 		zap.String("team", string(e.team)), zap.Int64("config-version", e.terms.Version),
 		zap.Duration("took", time.Since(begun)), zap.String("outcome", name(outcome)))
@@ -159,6 +175,10 @@
 
 // Cancel stores the cancellation of a job.
 func (i *Intake) Cancel(ctx context.Context, call Call) Outcome {
+	return count("cancel", i.cancel(ctx, call))
+}
+
+func (i *Intake) cancel(ctx context.Context, call Call) Outcome {
 	e, refused := i.enter(call)
 	if refused != nil {
 		return refused
@@ -185,6 +205,10 @@
 
 // Look returns the state of a job, or the length of the queue if the call names no job.
 func (i *Intake) Look(ctx context.Context, call Call) Outcome {
+	return count("look", i.look(ctx, call))
+}
+
+func (i *Intake) look(ctx context.Context, call Call) Outcome {
 	e, refused := i.enter(call)
 	if refused != nil {
 		return refused
--- a/internal/intake/outcome.go
+++ b/internal/intake/outcome.go
@@ -45,3 +45,29 @@
 func (TooLarge) outcome() {}
 func (NotNow) outcome()   {}
 func (InDoubt) outcome()  {}
+
+// label names the kind of an outcome in metrics.
+func label(o Outcome) string {
+	switch o.(type) {
+	case Accepted:
+		return "accepted"
+	case Known, Length:
+		return "answered"
+	case Unknown:
+		return "unknown"
+	case NoQueue:
+		return "no-queue"
+	case NoKey:
+		return "no-key"
+	case Invalid:
+		return "invalid"
+	case TooLarge:
+		return "too-large"
+	case NotNow:
+		return "not-now"
+	case InDoubt:
+		return "in-doubt"
+	default:
+		return "other"
+	}
+}
--- a/internal/ledger/monitor.go
+++ b/internal/ledger/monitor.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
-// Monitor passes calls on to a store and remembers when it last answered.
+// Monitor passes calls on to a store, measures them and remembers when it last answered.
 type Monitor struct {
 	store Ledger
 	start time.Time
@@ -29,7 +32,19 @@
 	return time.Since(m.start) - time.Duration(m.answered.Load())
 }
 
-func (m *Monitor) note(err error) {
+// note counts a call that began at the given time.
+func (m *Monitor) note(call string, begun time.Time, err error) {
+	outcome := "answered"
+	switch {
+	case errors.Is(err, ErrRefused):
+		outcome = "refused"
+	case errors.Is(err, ErrNoAnswer):
+		outcome = "no-answer"
+	case err != nil:
+		outcome = "error"
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`aw_store_calls_total{call=%q,outcome=%q}`, call, outcome)).Inc()
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`aw_store_call_seconds{call=%q}`, call)).UpdateDuration(begun)
 	if !errors.Is(err, ErrRefused) && !errors.Is(err, ErrNoAnswer) {
 		m.answered.Store(int64(time.Since(m.start)))
 	}
@@ -37,42 +52,48 @@
 
 // Append appends a batch.
 func (m *Monitor) Append(ctx context.Context, batch Batch) error {
+	begun := time.Now()
 	err := m.store.Append(ctx, batch)
-	m.note(err)
+	m.note("append", begun, err)
 	return err
 }
 
 // Newest returns the newest record of each key.
 func (m *Monitor) Newest(ctx context.Context, topic Topic, partition int) (Page, error) {
+	begun := time.Now()
 	page, err := m.store.Newest(ctx, topic, partition)
-	m.note(err)
+	m.note("newest", begun, err)
 	return page, err
 }
 
 // Read returns records from an offset.
 func (m *Monitor) Read(ctx context.Context, topic Topic, partition int, from int64, wait time.Duration) (Page, error) {
+	begun := time.Now()
 	page, err := m.store.Read(ctx, topic, partition, from, wait)
-	m.note(err)
+	m.note("read", begun, err)
 	return page, err
 }
 
 // Join joins a group or keeps the member in it.
 func (m *Monitor) Join(ctx context.Context, member Membership) (Share, error) {
+	begun := time.Now()
 	share, err := m.store.Join(ctx, member)
-	m.note(err)
+	m.note("join", begun, err)
 	return share, err
 }
 
 // Leave gives up a membership.
 func (m *Monitor) Leave(ctx context.Context, member Membership) error {
+	begun := time.Now()
 	err := m.store.Leave(ctx, member)
-	m.note(err)
+	m.note("leave", begun, err)
 	return err
 }
 
 // Holders returns who holds which partition.
 func (m *Monitor) Holders(ctx context.Context, group string) ([]Holder, error) {
+	begun := time.Now()
 	holders, err := m.store.Holders(ctx, group)
-	m.note(err)
+	m.note("holders", begun, err)
 	return holders, err
 }
--- /dev/null
+++ b/internal/owner/metrics.go
@@ -0,0 +1,69 @@
+package owner
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"arbutuswing.example/internal/shard"
+)
+
+var (
+	tenures      = metrics.NewCounter(`aw_owner_tenures_total`)
+	takeoverTime = metrics.NewHistogram(`aw_owner_takeover_seconds`)
+	load         = newLoadGauges()
+)
+
+// loadGauges show the load of a node that owns jobs, as of the last second in which it did.
+type loadGauges struct {
+	owned, jobs, waiting, late, teamLimit, advice, room, runs, workers, usable, used, capacity *metrics.Gauge
+}
+
+func newLoadGauges() loadGauges {
+	gauge := func(name string) *metrics.Gauge { return metrics.NewGauge(name, nil) }
+	return loadGauges{
+		owned:     gauge(`aw_owner_owning`),
+		jobs:      gauge(`aw_owner_jobs`),
+		waiting:   gauge(`aw_owner_waiting_stages`),
+		late:      gauge(`aw_owner_late_stages`),
+		teamLimit: gauge(`aw_owner_blocked_stages{by="team-limit"}`),
+		advice:    gauge(`aw_owner_blocked_stages{by="advice"}`),
+		room:      gauge(`aw_owner_blocked_stages{by="room"}`),
+		runs:      gauge(`aw_owner_runs`),
+		workers:   gauge(`aw_owner_workers`),
+		usable:    gauge(`aw_owner_usable_workers`),
+		used:      gauge(`aw_owner_used_cores`),
+		capacity:  gauge(`aw_owner_usable_cores`),
+	}
+}
+
+func (g loadGauges) set(l shard.Load) {
+	g.jobs.Set(float64(l.Jobs))
+	g.waiting.Set(float64(l.Waiting))
+	g.late.Set(float64(l.Late))
+	g.teamLimit.Set(float64(l.AtTeamLimit))
+	g.advice.Set(float64(l.ForAdvice))
+	g.room.Set(float64(l.ForRoom))
+	g.runs.Set(float64(l.Runs))
+	g.workers.Set(float64(l.Workers))
+	g.usable.Set(float64(l.Usable))
+	g.used.Set(float64(l.Used.Cores) / 1000)
+	g.capacity.Set(float64(l.Capacity.Cores) / 1000)
+}
+
+// countEvent counts a decision by its name, and the times that decisions tell.
+func countEvent(e shard.Event) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`aw_owner_events_total{event=%q}`, e.Name)).Inc()
+	var histogram string
+	switch e.Name {
+	case shard.EventJobBegun:
+		histogram = fmt.Sprintf(`aw_job_wait_seconds{queue=%q}`, e.Detail)
+	case shard.EventJobCompleted:
+		histogram = fmt.Sprintf(`aw_job_total_seconds{queue=%q}`, e.Detail)
+	default:
+		return
+	}
+	took := time.Duration(e.Value) * time.Millisecond
+	metrics.GetOrCreateHistogram(histogram).Update(took.Seconds())
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -315,6 +315,8 @@
 
 func (o *Owner) begin(ctx context.Context, generation int64, members []Member) {
 	t := newTenure(o.cfg, generation, members)
+	tenures.Inc()
+	load.owned.Set(1)
 	o.cfg.Log.Info("ownership won", zap.Int64("epoch", generation))
 	o.mu.Lock()
 	o.tenure = t
@@ -327,5 +329,6 @@
 	o.tenure = nil
 	o.mu.Unlock()
 	t.stop()
+	load.owned.Set(0)
 	o.cfg.Log.Info("ownership ended", zap.Int64("epoch", t.epoch), zap.String("reason", why))
 }
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -67,6 +67,7 @@
 	t.shard.Registry(t.entries)
 	t.restored, t.inboxRead = true, time.Now()
 	t.mu.Unlock()
+	takeoverTime.UpdateDuration(begun)
 	t.cfg.Log.Info("takeover done", zap.Int64("epoch", t.epoch), zap.Int("jobs", len(restored.Jobs)),
 		zap.Int("progress", len(restored.Progress)), zap.Duration("took", time.Since(begun)))
 	// Only now do other nodes learn whom to ask.
--- a/internal/owner/tenure.go
+++ b/internal/owner/tenure.go
@@ -87,7 +87,9 @@
 	return t
 }
 
+// event writes a decision down and counts it.
 func (t *tenure) event(e shard.Event) {
+	countEvent(e)
 	fields := []zap.Field{zap.Int64("epoch", t.epoch)}
 	for _, f := range []struct{ key, value string }{{"job", e.Job}, {"task", e.Task}, {"worker", e.Worker}, {"detail", e.Detail}} {
 		if f.value != "" {
@@ -258,8 +260,10 @@
 // logLoad writes down what there is to do; the lock is held.
 func (t *tenure) logLoad() {
 	l := t.shard.Load(t.now(), time.Now())
+	load.set(l)
 	t.cfg.Log.Info("load", zap.Int64("epoch", t.epoch), zap.Int("jobs", l.Jobs), zap.Int("waiting-stages", l.Waiting),
-		zap.Int("late-stages", l.Late), zap.Int("runs", l.Runs), zap.Int("workers", l.Workers), zap.Int("usable-workers", l.Usable),
+		zap.Int("late-stages", l.Late), zap.Int("at-team-limit", l.AtTeamLimit), zap.Int("for-advice", l.ForAdvice),
+		zap.Int("for-room", l.ForRoom), zap.Int("runs", l.Runs), zap.Int("workers", l.Workers), zap.Int("usable-workers", l.Usable),
 		zap.Int64("used-milli-cores", int64(l.Used.Cores)), zap.Int64("usable-milli-cores", int64(l.Capacity.Cores)))
 }
 
--- a/internal/shard/config.go
+++ b/internal/shard/config.go
@@ -59,6 +59,12 @@
 	Events func(Event)
 }
 
+// Names of events that carry a time in milliseconds: from taking a job in to its first start, and to its completion.
+const (
+	EventJobBegun     = "job-begun"
+	EventJobCompleted = "job-completed"
+)
+
 // Event is a decision or a changed belief, for the log.
 type Event struct {
 	Name   string
--- a/internal/shard/dump.go
+++ b/internal/shard/dump.go
@@ -14,6 +14,10 @@
 	Jobs    int `json:"jobs"`
 	Waiting int `json:"waiting-stages"`
 	Late    int `json:"late-stages"`
+	// AtTeamLimit, ForAdvice and ForRoom count the waiting stages by what they lacked when they were last tried.
+	AtTeamLimit int `json:"at-team-limit"`
+	ForAdvice   int `json:"for-advice"`
+	ForRoom     int `json:"for-room"`
 	// Runs are those that may be present on workers; Usable counts the workers that may get more.
 	Runs     int             `json:"runs"`
 	Usable   int             `json:"usable-workers"`
@@ -36,6 +40,14 @@
 			if now > st.job.objective {
 				l.Late++
 			}
+			switch st.waitsFor {
+			case waitTeamLimit:
+				l.AtTeamLimit++
+			case waitAdvice:
+				l.ForAdvice++
+			case waitRoom:
+				l.ForRoom++
+			}
 		}
 	}
 	for _, w := range s.byID {
@@ -71,6 +83,8 @@
 	TasksLeft int            `json:"tasks-left"`
 	Runs      int            `json:"runs"`
 	Asking    bool           `json:"asking"`
+	// WaitsFor is what the job's first waiting stage lacks: team-limit, advice or room.
+	WaitsFor string `json:"waits-for,omitempty"`
 }
 
 // Dump is the state of a shard at a moment.
@@ -102,6 +116,9 @@
 		for _, st := range j.stages {
 			dump.TasksLeft += st.left
 			dump.Asking = dump.Asking || st.asking
+			if dump.WaitsFor == "" && st.left > 0 && st.ready(wall) && len(st.waiting()) > 0 {
+				dump.WaitsFor = string(st.waitsFor)
+			}
 		}
 		j.live(func(*attempt) { dump.Runs++ })
 		d.Jobs = append(d.Jobs, dump)
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -47,8 +47,19 @@
 	// reserved is room kept while a call for advice is under way, or until stopped runs have ended.
 	reserved      map[*worker]model.Resources
 	reservedUntil time.Duration
+	// waitsFor is what the stage lacked when it was last tried.
+	waitsFor waitReason
 }
 
+// waitReason tells what a stage with tasks to start lacks.
+type waitReason string
+
+const (
+	waitTeamLimit waitReason = "team-limit"
+	waitAdvice    waitReason = "advice"
+	waitRoom      waitReason = "room"
+)
+
 type verdict struct {
 	good    bool
 	ticket  string
--- a/internal/shard/orders.go
+++ b/internal/shard/orders.go
@@ -80,7 +80,7 @@
 		a.settled = max(a.settled, clock)
 		if a.phase == phaseBound {
 			a.phase, a.changedAt = phaseStarted, now
-			s.begin(a)
+			s.begin(a, now)
 		}
 	case errors.Is(err, agent.ErrNoAnswer):
 		a.unsettled = true
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -73,6 +73,7 @@
 	waiting := st.waiting()
 	room := s.teamRoom(st, len(waiting))
 	if room == 0 || (st.spec.Gang && room < len(waiting)) {
+		st.waitsFor = waitTeamLimit
 		return
 	}
 	waiting = waiting[:room]
@@ -92,8 +93,10 @@
 		return
 	}
 	if s.ask(st, len(waiting), now) {
+		st.waitsFor = waitAdvice
 		return
 	}
+	st.waitsFor = waitRoom
 	s.preempt(st, len(waiting), now)
 }
 
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -131,7 +131,7 @@
 	}
 	if a.phase == phaseBound {
 		a.phase, a.changedAt = phaseStarted, now
-		s.begin(a)
+		s.begin(a, now)
 	}
 	a.unsettled = false
 	a.settled = max(a.settled, 0)
@@ -179,11 +179,14 @@
 }
 
 // begin notes that a task of the job has started.
-func (s *Shard) begin(a *attempt) {
-	if !a.stage.job.begun {
-		a.stage.job.begun = true
-		s.touch(a.stage.job)
+func (s *Shard) begin(a *attempt, now time.Duration) {
+	j := a.stage.job
+	if j.begun {
+		return
 	}
+	j.begun = true
+	s.touch(j)
+	s.event(EventJobBegun, string(j.spec.ID), a.ref().String(), a.worker, j.spec.Queue, (now - j.received).Milliseconds())
 }
 
 // ended removes a run that is no longer on its worker and decides what follows for its task.
--- a/node/internal/daemon/daemon.go
+++ b/node/internal/daemon/daemon.go
@@ -72,6 +72,7 @@
 	group.Go(func() error { return d.Inbox.Run(ctx) })
 	group.Go(func() error { return d.Directory.Run(ctx) })
 	group.Go(func() error { return d.Peers.Run(ctx) })
+	group.Go(func() error { return d.Metrics.Run(ctx) })
 	group.Go(func() error { return d.Ingress.Run(d.Settings.ClientAddress) })
 	servers, serversCtx := errgroup.WithContext(ctx)
 	servers.Go(func() error { return readiness.Run(d.Settings.ReadinessAddress) })
--- /dev/null
+++ b/node/internal/daemon/metrics.go
@@ -0,0 +1,66 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"arbutuswing.example/internal/config"
+	"arbutuswing.example/internal/ledger"
+	"arbutuswing.example/internal/logs"
+)
+
+// metricsPath is where metrics are served as text.
+const metricsPath = "/metrics"
+
+// metricsServer serves the process's metrics.
+type metricsServer struct {
+	address string
+	http    *fasthttp.Server
+}
+
+func newMetricsServer(s config.Node, v *view, store *ledger.Monitor, buffer *logs.Buffer) *metricsServer {
+	metrics.NewGauge(`aw_store_silence_seconds`, func() float64 { return store.Silence().Seconds() })
+	metrics.NewGauge(`aw_config_version`, func() float64 {
+		t, _ := v.Terms()
+		return float64(t.Version)
+	})
+	metrics.NewGauge(`aw_node_ready`, func() float64 {
+		if v.ready() {
+			return 1
+		}
+		return 0
+	})
+	metrics.NewGauge(`aw_log_lines_left_out`, func() float64 { return float64(buffer.Lost()) })
+	r := router.New()
+	r.GET(metricsPath, func(ctx *fasthttp.RequestCtx) {
+		ctx.SetContentType("text/plain; charset=utf-8")
+		metrics.WritePrometheus(ctx, true)
+	})
+	return &metricsServer{
+		address: s.MetricsAddress,
+		http:    &fasthttp.Server{Handler: r.Handler, NoDefaultServerHeader: true, NoDefaultDate: true},
+	}
+}
+
+// Run serves until the context ends; without an address it only waits.
+func (m *metricsServer) Run(ctx context.Context) error {
+	if m.address == "" {
+		<-ctx.Done()
+		return nil
+	}
+	listener, err := net.Listen("tcp4", m.address)
+	if err != nil {
+		return fmt.Errorf("listening for metrics: %w", err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	if err := m.http.Serve(listener); err != nil && ctx.Err() == nil {
+		return fmt.Errorf("serving metrics: %w", err)
+	}
+	return nil
+}
--- a/node/internal/daemon/parts.go
+++ b/node/internal/daemon/parts.go
@@ -45,6 +45,7 @@
 	Owner     *owner.Owner
 	Peers     *peers.Server
 	Ingress   *adapt.Ingress
+	Metrics   *metricsServer
 }
 
 func build(settings config.Node) (*dig.Container, error) {
@@ -61,7 +62,7 @@
 		},
 		newStore,
 		func(m *ledger.Monitor) ledger.Ledger { return m },
-		func() agent.Workers { return adapt.NewWorkers() },
+		func() agent.Workers { return agent.NewMonitor(adapt.NewWorkers()) },
 		newAdvisor,
 		self,
 		peers.NewClient,
@@ -71,6 +72,7 @@
 		newOwner,
 		newPeerServer,
 		newIntake,
+		newMetricsServer,
 		func(in *intake.Intake, v *view) *adapt.Ingress { return adapt.NewIngress(in, v.ready) },
 	}
 	for _, provider := range providers {
