feat(shard): gangs collect room; small work is named the fullest workers

A gang of 20 tasks finds no 20 holes of 18 cores among the workers that may run it, asked again and again, and others took each hole. Calls for small work named the emptiest workers, which broke the large holes up. Other work names the fullest workers that have room. Ruled out: the number of calls for advice (22 nodes, under a third busy).

--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -18,8 +18,11 @@
 	minNamed = 8
 	// perWorkerShare bounds the time that naming workers adds to a call, as a share of the call's fixed time.
 	perWorkerShare = 0.6
-	// freeShare is the share of a worker's capacity that is expected to be free when a call is sized.
-	freeShare = 0.35
+	// nameMargin is how many times the slots needed the workers named should probably have: other stages take room while
+	// the call is under way.
+	nameMargin = 2
+	// fullSlots is the share of a slot that a worker without room counts for.
+	fullSlots = 0.5
 	// firstGoodShare is the assumed share of workers that may run a stage, until answers tell.
 	firstGoodShare = 0.4
 	// retryAsk is the pause after a call for advice that failed.
@@ -50,7 +53,6 @@
 		return false
 	}
 	if named := s.renewals(st, n, now); len(named) > 0 {
-		s.reserve(st, named, n, now)
 		s.sendAsk(st, named)
 		return true
 	}
@@ -61,57 +63,99 @@
 	return false
 }
 
-// renewals returns workers that may run the stage and have room now, but whose tickets have lapsed.
+// renewals returns workers that may run the stage and have room now, but whose tickets have lapsed, and keeps the room.
 func (s *Shard) renewals(st *stage, n int, now time.Duration) []candidate {
 	list := s.candidates(st, now, false)
 	if st.spec.Gang && len(s.choose(st, list, n)) < n {
 		return nil
 	}
-	var lapsed []candidate
+	var used, lapsed []candidate
 	total := 0
 	for _, c := range list {
 		if total >= n+n/2+1 {
 			break
 		}
 		total += c.slots
+		used = append(used, c)
 		if now+ticketMargin >= st.verdicts[c.worker.id].expires {
 			lapsed = append(lapsed, c)
 		}
 	}
+	lapsed = lapsed[:min(len(lapsed), maxNamed)]
+	if len(lapsed) > 0 {
+		s.reserve(st, used, len(lapsed), n, now)
+	}
 	return lapsed
 }
 
-// unknown returns workers that nothing is known about, those with the most room first; those without room only while
-// too few workers are known that may run the stage.
+// unknown returns workers that nothing is known about, as many as probably suffice for n tasks: for a gang those with
+// the most room, for others the fullest that have room, so that large holes stay. Workers without room are named only
+// while too few are known that may run the stage.
 func (s *Shard) unknown(st *stage, n int, now time.Duration) []candidate {
-	var list []candidate
-	room := false
+	var roomy, full []candidate
 	for _, w := range s.byID {
 		if _, known := st.verdicts[w.id]; known || !s.allowed(st, w, now) {
 			continue
 		}
 		free := w.free(st)
-		c := candidate{w, slots(free, st.spec.Size, n), free, ""}
-		room = room || c.slots > 0
-		list = append(list, c)
+		c := candidate{worker: w, slots: st.atMost(w, slots(free, st.spec.Size, n)), free: free}
+		if c.slots > 0 {
+			roomy = append(roomy, c)
+		} else {
+			full = append(full, c)
+		}
 	}
-	perWorker := slots(model.Resources{Cores: 64_000, Memory: 1 << 30, Accelerators: 1 << 30}, st.spec.Size, n)
-	if len(list) > 0 {
-		perWorker = slots(list[0].worker.entry.Capacity, st.spec.Size, n)
+	byRoom := func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.slots, a.slots), cmp.Compare(b.free.Cores, a.free.Cores), cmp.Compare(a.worker.id, b.worker.id))
 	}
-	workers := max(1, int(float64(n)/max(1, float64(perWorker)*freeShare)+0.999))
-	if !room && len(s.goodWorkers(st, now)) >= workers+2 {
-		return nil
+	limit := s.nameLimit(st)
+	needed := nameMargin * float64(n) / s.goodShare(st.job.queue.Name)
+	switch {
+	case len(roomy) == 0 || st.spec.Gang:
+		if len(roomy) == 0 && s.goodSlots(st, n, now) >= 2*n {
+			return nil
+		}
+		slices.SortFunc(roomy, byRoom)
+		slices.SortFunc(full, byRoom)
+		return enough(append(roomy, full...), needed, limit)
+	default:
+		slices.SortFunc(roomy, func(a, b candidate) int {
+			return cmp.Or(compareBool(a.worker.claimed(st), b.worker.claimed(st)), cmp.Compare(a.free.Cores, b.free.Cores), cmp.Compare(a.worker.id, b.worker.id))
+		})
+		for len(roomy) > limit && slotsOf(roomy[:limit]) < needed {
+			roomy = roomy[1:]
+		}
+		return enough(roomy, needed, limit)
 	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.slots, a.slots), cmp.Compare(b.free.Cores, a.free.Cores), cmp.Compare(a.worker.id, b.worker.id))
-	})
+}
+
+// nameLimit bounds the workers that one call names.
+func (s *Shard) nameLimit(st *stage) int {
 	advice := st.job.queue.Advice
-	named := max(minNamed, int(float64(workers+1)/s.goodShare(st.job.queue.Name)))
-	if advice.PerWorker > 0 {
-		named = min(named, max(minNamed, int(perWorkerShare*float64(advice.Decide)/float64(advice.PerWorker))))
+	if advice.PerWorker <= 0 || st.spec.Gang {
+		return maxNamed
 	}
-	return list[:min(named, maxNamed, len(list))]
+	return min(maxNamed, max(minNamed, int(perWorkerShare*float64(advice.Decide)/float64(advice.PerWorker))))
+}
+
+func slotsOf(list []candidate) float64 {
+	total := 0
+	for _, c := range list {
+		total += c.slots
+	}
+	return float64(total)
+}
+
+// enough returns the first of the list that together have the slots needed, at least minNamed and at most limit.
+func enough(list []candidate, needed float64, limit int) []candidate {
+	total := 0.0
+	for i, c := range list {
+		if i == limit || (i >= minNamed && total >= needed) {
+			return list[:i]
+		}
+		total += max(float64(c.slots), fullSlots)
+	}
+	return list
 }
 
 func (s *Shard) goodShare(queue string) float64 {
@@ -121,13 +165,13 @@
 	return firstGoodShare
 }
 
-// reserve keeps room on the named workers until the tickets have come.
-func (s *Shard) reserve(st *stage, named []candidate, n int, now time.Duration) {
+// reserve keeps room for n tasks on the workers until the tickets for some of them have come.
+func (s *Shard) reserve(st *stage, list []candidate, named, n int, now time.Duration) {
 	advice := st.job.queue.Advice
 	s.release(st)
 	st.reserved = make(map[*worker]model.Resources)
-	st.reservedUntil = now + advice.Decide + time.Duration(len(named))*advice.PerWorker + reserveSlack
-	for _, c := range named {
+	st.reservedUntil = now + advice.Decide + time.Duration(named)*advice.PerWorker + reserveSlack
+	for _, c := range list {
 		if n <= 0 {
 			return
 		}
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -92,6 +92,10 @@
 		s.release(st)
 		return
 	}
+	if st.spec.Gang {
+		s.gather(st, len(waiting), now)
+		return
+	}
 	if s.ask(st, len(waiting), now) {
 		st.waitsFor = waitAdvice
 		return
@@ -183,7 +187,7 @@
 }
 
 // prefer puts first the rack that holds the data, then for gangs the emptiest workers, so that few are involved, and
-// for others the fullest, so that large holes stay for gangs.
+// for others the fullest, so that large holes stay for gangs, and those last that are kept for other stages.
 func (s *Shard) prefer(st *stage, a, b candidate) int {
 	near := 0
 	if st.spec.NearRack != "" {
@@ -193,7 +197,7 @@
 	if st.spec.Gang {
 		byFree = -byFree
 	}
-	return cmp.Or(near, byFree, cmp.Compare(a.worker.id, b.worker.id))
+	return cmp.Or(near, compareBool(a.worker.claimed(st), b.worker.claimed(st)), byFree, cmp.Compare(a.worker.id, b.worker.id))
 }
 
 // choose assigns n tasks to the candidates in their order; a gang that wants one rack gets the first rack that holds
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -70,6 +70,23 @@
 	return free
 }
 
+// claimed reports whether room on the worker is kept for another stage.
+func (w *worker) claimed(st *stage) bool {
+	_, own := w.reservations[st]
+	return len(w.reservations) > 1 || (len(w.reservations) == 1 && !own)
+}
+
+// claimable returns the capacity that the stage may keep for itself: all that isn't kept for others already.
+func (w *worker) claimable(st *stage) model.Resources {
+	room := w.entry.Capacity
+	for other, kept := range w.reservations {
+		if other != st {
+			room = room.Minus(kept)
+		}
+	}
+	return room
+}
+
 // lease returns the end of a new lease on the worker's clock and notes when it has lapsed for certain. It returns zero
 // while the worker's clock is unknown.
 func (w *worker) lease(now, length time.Duration) time.Duration {
