--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -34,6 +34,8 @@
 	RenewLimit model.Duration `json:"renew-limit,omitempty"`
 	// KillGrace is how long a worker may take to stop a run.
 	KillGrace model.Duration `json:"kill-grace,omitempty"`
+	// RestoreTime is how long a run takes to resume from its checkpoint.
+	RestoreTime model.Duration `json:"restore-time,omitempty"`
 	// GangTimeout is how long a member of a gang waits at its worker for the others before it ends.
 	GangTimeout model.Duration `json:"gang-timeout,omitempty"`
 	// Retention is how long the state of an ended job is told.
@@ -52,6 +54,7 @@
 	// Together with the lease this is longer than outages of the store usually last.
 	n.RenewLimit = seconds(3)
 	n.KillGrace = ms(400)
+	n.RestoreTime = ms(250)
 	n.GangTimeout = seconds(3)
 	n.Retention = seconds(120)
 	n.StopGrace = seconds(6)
@@ -84,6 +87,7 @@
 		{"worker-lease-max", n.WorkerLeaseMax},
 		{"renew-limit", n.RenewLimit},
 		{"kill-grace", n.KillGrace},
+		{"restore-time", n.RestoreTime},
 		{"gang-timeout", n.GangTimeout},
 		{"retention", n.Retention},
 		{"stop-grace", n.StopGrace},
--- a/internal/owner/asks.go
+++ b/internal/owner/asks.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -16,8 +15,10 @@
 	// longAsk is the service's time from which on a call may only take some of the nodes, so that short calls find a
 	// node without one.
 	longAsk = 150 * time.Millisecond
-	// shortOnlyShare is the share of the nodes that are kept for short calls.
-	shortOnlyShare = 0.3
+	// shortOnlyNodes and shortOnlyPart are how many nodes at least, and which part of them, are kept for short calls: these
+	// come often but take little of the service's time.
+	shortOnlyNodes = 2
+	shortOnlyPart  = 8
 	// askSlack is added to the time that a call should take: a node that doesn't answer by then is cut off or down.
 	askSlack = 250 * time.Millisecond
 	// nodePenalty is how long a node that failed a call gets no other.
@@ -45,14 +46,24 @@
 	return &asks{tenure: t, load: make(map[Member]time.Duration), calls: make(map[Member]int), blocked: make(map[Member]time.Time)}
 }
 
-// add takes calls in and sends what a node can take now, the most urgent and shortest first.
+// waitingCalls returns how many calls wait for a node and how many are under way.
+func (a *asks) waitingCalls() (waiting, underWay int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, n := range a.calls {
+		underWay += n
+	}
+	return len(a.waiting), underWay
+}
+
+// add takes calls in and sends what a node can take now, the most urgent first.
 func (a *asks) add(ctx context.Context, more []shard.Ask) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if len(more) > 0 {
 		a.waiting = append(a.waiting, more...)
 		slices.SortStableFunc(a.waiting, func(x, y shard.Ask) int {
-			return cmp.Or(cmp.Compare(x.Urgency, y.Urgency), cmp.Compare(x.Cost, y.Cost))
+			return x.Urgency.Compare(y.Urgency)
 		})
 	}
 	if len(a.waiting) == 0 {
@@ -80,8 +91,8 @@
 }
 
 func (a *asks) pick(nodes []Member, cost time.Duration) (Member, bool) {
-	if cost >= longAsk && len(nodes) > 2 {
-		nodes = nodes[int(float64(len(nodes))*shortOnlyShare):]
+	if kept := max(shortOnlyNodes, len(nodes)/shortOnlyPart); cost >= longAsk && len(nodes) > kept {
+		nodes = nodes[kept:]
 	}
 	var best Member
 	found := false
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"arbutuswing.example/internal/agent"
 	"arbutuswing.example/internal/ledger"
@@ -35,6 +36,8 @@
 	joinAgain = 80 * time.Millisecond
 	// memberTTL is how long a member that fell silent stays in the group: the least that the store takes.
 	memberTTL = time.Second
+	// restTime is how long a node stands by after its ownership has ended by itself: others take over meanwhile.
+	restTime = 2 * memberTTL
 	// ownerKey is the key of the record that names the member that has claimed the jobs last, servingKey that of the owner
 	// that answers for them, and strengthKey that of its strength.
 	ownerKey    = "owner"
@@ -150,8 +153,9 @@
 	standby := o.membership(o.cfg.Group + standbySuffix)
 	checked := int64(0)
 	wasCandidate := false
+	restUntil := time.Time{}
 	for ctx.Err() == nil {
-		candidate := o.cfg.Directory.Candidate()
+		candidate := o.cfg.Directory.Candidate() && !time.Now().Before(restUntil)
 		m := &standby
 		if candidate {
 			m = &owners
@@ -175,7 +179,10 @@
 			}
 			m.Generation = share.Generation
 			if candidate {
-				checked = o.renewed(ctx, share, checked)
+				var failed bool
+				if checked, failed = o.renewed(ctx, share, checked); failed {
+					restUntil = time.Now().Add(restTime)
+				}
 			}
 		}
 		pause.For(ctx, every)
@@ -203,13 +210,14 @@
 }
 
 // renewed acts on a renewed membership: it begins or ends an ownership. It returns the generation up to which the
-// recorded owner is known to be a member.
-func (o *Owner) renewed(ctx context.Context, share ledger.Share, checked int64) int64 {
+// recorded owner is known to be a member, and whether an ownership has ended by itself: the node must then leave the group
+// for a while, because the others don't take over from a member.
+func (o *Owner) renewed(ctx context.Context, share ledger.Share, checked int64) (int64, bool) {
 	current := o.current()
 	switch {
 	case current != nil && current.ended():
-		o.end(current, "a newer owner exists")
-		return share.Generation
+		o.end(current, "a newer owner exists, or it failed")
+		return share.Generation, true
 	case current != nil && current.roster.outranked(time.Now()):
 		o.end(current, "handing over to a stronger node")
 		o.cfg.Directory.StandBy()
@@ -220,10 +228,10 @@
 		if vacant {
 			o.begin(ctx, share.Generation, members)
 		} else if ctx.Err() == nil {
-			return share.Generation
+			return share.Generation, false
 		}
 	}
-	return checked
+	return checked, false
 }
 
 // leaveFormer gives up the memberships of this node's former boots, which have ended, so that their partitions needn't
@@ -257,13 +265,20 @@
 // vacant reports whether the recorded owner is no longer a member of the group, and returns the members.
 func (o *Owner) vacant(ctx context.Context) ([]Member, bool) {
 	for ctx.Err() == nil {
-		records, err := readOwner(ctx, o.cfg.Ledger)
+		var records ownerRecords
+		var holders []ledger.Holder
+		group, groupCtx := errgroup.WithContext(ctx)
+		group.Go(func() (err error) {
+			records, err = readOwner(groupCtx, o.cfg.Ledger)
+			return err
+		})
+		group.Go(func() (err error) {
+			holders, err = o.cfg.Ledger.Holders(groupCtx, o.cfg.Group)
+			return err
+		})
+		err := group.Wait()
 		if err == nil {
-			var holders []ledger.Holder
-			holders, err = o.cfg.Ledger.Holders(ctx, o.cfg.Group)
-			if err == nil {
-				return members(holders), !records.held(holders)
-			}
+			return members(holders), !records.held(holders) || records.claimed == memberOf(o.cfg.Self)
 		}
 		o.cfg.Log.Info("owner not read", zap.Error(err))
 		pause.For(ctx, joinEvery)
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"arbutuswing.example/internal/intake"
 	"arbutuswing.example/internal/ledger"
@@ -27,25 +28,28 @@
 // takeOver fences the former owner in the store and reads what it recorded; it returns where new jobs begin.
 func (t *tenure) takeOver(ctx context.Context) (int64, error) {
 	begun := time.Now()
-	for _, topic := range []ledger.Topic{TopicProgress, TopicInbox} {
-		if err := t.append(ctx, topic, nil); err != nil {
-			return 0, err
-		}
-	}
 	self := []byte(memberOf(t.cfg.Self).String())
-	if err := t.append(ctx, TopicOwner, []ledger.Record{{Key: ownerKey, Value: self}}); err != nil {
-		return 0, err
-	}
-	progress, err := t.newest(ctx, TopicProgress)
-	if err != nil {
-		return 0, err
-	}
-	inbox, err := t.newest(ctx, TopicInbox)
-	if err != nil {
-		return 0, err
-	}
-	current, err := t.surroundings(ctx)
-	if err != nil {
+	// Nothing is read before the former owner is fenced on the topic; the topics don't depend on each other, and each call
+	// takes long while the store is slow.
+	var progress, inbox ledger.Page
+	var current terms.Terms
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		return t.append(groupCtx, TopicOwner, []ledger.Record{{Key: ownerKey, Value: self}})
+	})
+	group.Go(func() (err error) {
+		progress, err = t.fenceAndRead(groupCtx, TopicProgress)
+		return err
+	})
+	group.Go(func() (err error) {
+		inbox, err = t.fenceAndRead(groupCtx, TopicInbox)
+		return err
+	})
+	group.Go(func() (err error) {
+		current, err = t.surroundings(groupCtx)
+		return err
+	})
+	if err := group.Wait(); err != nil {
 		return 0, err
 	}
 	restored := shard.Restored{Progress: make(map[model.JobID]work.Progress, len(progress.Records))}
@@ -94,6 +98,14 @@
 	}
 }
 
+// fenceAndRead fences the former owner on a topic and reads the newest records.
+func (t *tenure) fenceAndRead(ctx context.Context, topic ledger.Topic) (ledger.Page, error) {
+	if err := t.append(ctx, topic, nil); err != nil {
+		return ledger.Page{}, err
+	}
+	return t.newest(ctx, topic)
+}
+
 func (t *tenure) newest(ctx context.Context, topic ledger.Topic) (ledger.Page, error) {
 	for {
 		page, err := t.cfg.Ledger.Newest(ctx, topic, Partition)
--- a/internal/owner/tenure.go
+++ b/internal/owner/tenure.go
@@ -260,10 +260,12 @@
 // logLoad writes down what there is to do; the lock is held.
 func (t *tenure) logLoad() {
 	l := t.shard.Load(t.now(), time.Now())
+	waiting, underWay := t.asks.waitingCalls()
 	load.set(l)
 	t.cfg.Log.Info("load", zap.Int64("epoch", t.epoch), zap.Int("jobs", l.Jobs), zap.Int("waiting-stages", l.Waiting),
 		zap.Int("late-stages", l.Late), zap.Int("at-team-limit", l.AtTeamLimit), zap.Int("for-advice", l.ForAdvice),
-		zap.Int("for-room", l.ForRoom), zap.Int("runs", l.Runs), zap.Int("workers", l.Workers), zap.Int("usable-workers", l.Usable),
+		zap.Int("for-room", l.ForRoom), zap.Int("advice-waiting", waiting), zap.Int("advice-under-way", underWay),
+		zap.Int("runs", l.Runs), zap.Int("workers", l.Workers), zap.Int("usable-workers", l.Usable),
 		zap.Int64("used-milli-cores", int64(l.Used.Cores)), zap.Int64("usable-milli-cores", int64(l.Capacity.Cores)))
 }
 
--- a/internal/shard/config.go
+++ b/internal/shard/config.go
@@ -51,6 +51,8 @@
 	RenewLimit time.Duration
 	// KillGrace is how long a stopped run may take to end.
 	KillGrace time.Duration
+	// Restore is how long a run takes to resume from its checkpoint.
+	Restore time.Duration
 	// GangTimeout is how long a member of a gang waits at its worker for the others.
 	GangTimeout time.Duration
 	// Retention is how long a final job is still known.
--- a/internal/shard/gang.go
+++ b/internal/shard/gang.go
@@ -16,9 +16,9 @@
 	claimTime = 200 * time.Millisecond
 	// claimReady is the share of a gang's room that has to be free before its tickets are renewed: the rest becomes free
 	// while the call for advice is under way.
-	claimReady = 0.7
+	claimReady = 0.85
 	// claimShare bounds the share of a pool's capacity that is kept for gangs that collect room.
-	claimShare = 0.25
+	claimShare = 0.12
 )
 
 // gather sees to what a gang of n tasks lacks that can't be started now: advice, or room that is kept for it until it
@@ -29,14 +29,15 @@
 	if st.asking || now < st.askAfter {
 		return
 	}
+	st.askAfter = 0
 	if advised {
 		if named := s.renewals(st, n, now); len(named) > 0 {
-			s.sendAsk(st, named)
+			s.sendAsk(st, named, now)
 			return
 		}
 		if s.goodSlots(st, n, now) < gangSpread*n {
 			if named := s.unknown(st, n, now); len(named) > 0 {
-				s.sendAsk(st, named)
+				s.sendAsk(st, named, now)
 				return
 			}
 		}
@@ -46,7 +47,7 @@
 	s.claim(st, n, now)
 	if advised {
 		if named := s.almostFree(st, n, now); len(named) > 0 {
-			s.sendAsk(st, named)
+			s.sendAsk(st, named, now)
 		}
 	}
 }
@@ -141,7 +142,7 @@
 	for w, room := range st.reserved {
 		kept := slots(room, st.spec.Size, n)
 		free += min(kept, slots(w.free(st), st.spec.Size, n))
-		if now+ticketMargin >= st.verdicts[w.id].expires {
+		if st.lapses(w, now+renewAhead) {
 			lapsed = append(lapsed, candidate{worker: w, slots: kept})
 		}
 	}
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -101,6 +101,8 @@
 	checkpoint string
 	percent    int
 	changedAt  time.Duration
+	// savedAt is when the run was last seen to have saved its progress, or when it was decided.
+	savedAt time.Duration
 	// goneAt is when the run has ended for certain because a member of its gang was reported to have; zero if unknown.
 	goneAt time.Duration
 }
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -49,10 +49,8 @@
 		}
 	}
 	slices.SortStableFunc(waiting, func(a, b *stage) int {
-		return cmp.Or(
-			compareBool(a.hopeless(now), b.hopeless(now)), compareBool(a.job.surplus, b.job.surplus),
-			cmp.Compare(a.job.queue.Priority, b.job.queue.Priority), cmp.Compare(a.job.objective, b.job.objective),
-			cmp.Compare(a.job.spec.ID, b.job.spec.ID), cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.index, b.index))
+		return cmp.Or(a.urgency(now).Compare(b.urgency(now)), cmp.Compare(a.job.spec.ID, b.job.spec.ID),
+			cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.index, b.index))
 	})
 	return waiting
 }
@@ -253,7 +251,7 @@
 	t.lastRun = run
 	a := &attempt{
 		stage: st, index: index, run: run, worker: w, batch: s.next, ticket: c.ticket, settled: -1,
-		checkpoint: st.startCheckpoint(index), changedAt: now,
+		checkpoint: st.startCheckpoint(index), changedAt: now, savedAt: now,
 	}
 	s.attach(a)
 	s.urgent = true
--- a/internal/shard/preempt.go
+++ b/internal/shard/preempt.go
@@ -8,6 +8,9 @@
 	"arbutuswing.example/internal/model"
 )
 
+// maxLoss bounds the work that is thrown away for a stage as a share of the stage's own work.
+const maxLoss = 0.25
+
 // preempt stops runs of less urgent work that saves its progress, so that n tasks of the stage fit.
 func (s *Shard) preempt(st *stage, n int, now time.Duration) {
 	if st.hopeless(now) || st.job.surplus || st.spec.Scavenger || len(st.reserved) > 0 {
@@ -17,19 +20,19 @@
 		worker  *worker
 		victims []*attempt
 		slots   int
+		loss    float64
 	}
 	var plans []plan
 	total := 0
 	for _, w := range s.goodWorkers(st, now) {
 		p, free := plan{worker: w}, w.free(st)
-		for _, a := range sortedAttempts(w) {
+		for _, a := range s.victims(st, w, now) {
 			if slots(free, st.spec.Size, n) >= n {
 				break
 			}
-			if victim(st, a) {
-				p.victims = append(p.victims, a)
-				free = free.Plus(a.size())
-			}
+			p.victims = append(p.victims, a)
+			p.loss += s.loss(a, now)
+			free = free.Plus(a.size())
 		}
 		p.slots = slots(free, st.spec.Size, n)
 		if st.spec.MaxPerWorker > 0 {
@@ -44,8 +47,18 @@
 		return
 	}
 	slices.SortStableFunc(plans, func(a, b plan) int {
-		return cmp.Compare(len(a.victims)*b.slots, len(b.victims)*a.slots)
+		return cmp.Compare(a.loss*float64(b.slots), b.loss*float64(a.slots))
 	})
+	loss, found, limit := 0.0, 0, maxLoss*float64(st.spec.Size.Cores)*st.spec.RunTime.Std().Seconds()
+	for _, p := range plans {
+		if found < n {
+			found += p.slots
+			loss += p.loss
+		}
+	}
+	if loss > limit*float64(min(n, found)) {
+		return
+	}
 	st.reserved = make(map[*worker]model.Resources)
 	st.reservedUntil = now + s.cfg.KillGrace + 2*ticketMargin
 	for _, p := range plans {
@@ -63,6 +76,20 @@
 	}
 }
 
+// loss returns the core-seconds that stopping a run throws away: what it has not saved, and the times of stopping and of
+// starting again.
+func (s *Shard) loss(a *attempt, now time.Duration) float64 {
+	lost := now - a.savedAt + s.cfg.KillGrace + s.cfg.Restore
+	return lost.Seconds() * float64(a.stage.spec.Size.Cores)
+}
+
+// victims returns the runs on a worker that may be stopped for the stage, those that lose least first.
+func (s *Shard) victims(st *stage, w *worker, now time.Duration) []*attempt {
+	list := slices.DeleteFunc(sortedAttempts(w), func(a *attempt) bool { return !victim(st, a) })
+	slices.SortStableFunc(list, func(a, b *attempt) int { return cmp.Compare(s.loss(a, now), s.loss(b, now)) })
+	return list
+}
+
 // victim reports whether a run may be stopped for the stage: it is less urgent and loses little.
 func victim(st *stage, a *attempt) bool {
 	return a.phase == phaseStarted && a.stage.spec.Checkpoints && !a.stage.spec.Gang && !a.stage.spec.Service &&
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -138,8 +138,8 @@
 	if row.Percent != a.percent {
 		a.percent, a.changedAt = row.Percent, now
 	}
-	if row.Checkpoint != "" {
-		a.checkpoint = row.Checkpoint
+	if row.Checkpoint != "" && row.Checkpoint != a.checkpoint {
+		a.checkpoint, a.savedAt = row.Checkpoint, now
 	}
 }
 
--- a/internal/shard/restore.go
+++ b/internal/shard/restore.go
@@ -115,5 +115,5 @@
 		}
 		w.born = b.Born
 	}
-	s.attach(&attempt{stage: st, index: index, run: b.Run, worker: w, settled: 0, changedAt: now})
+	s.attach(&attempt{stage: st, index: index, run: b.Run, worker: w, settled: 0, changedAt: now, savedAt: now})
 }
