--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 export CGO_ENABLED := 1
 export GOFLAGS := -mod=readonly
 
-MODULES := internal platform entry node ctl standin endpt caller bench faults
+MODULES := internal platform entry node ctl standin endpt caller bench faults soak
 PROGRAMS := entry ctl standin endpt caller bench
 PACKAGES := $(MODULES:%=./%/...)
 BIN := $(CURDIR)/.bin
@@ -11,7 +11,7 @@
 GOFUMPT_VERSION := v0.12.0
 MEASURE_SEEDS := 1 2
 
-.PHONY: build test vet lint format format-check house tools demo soak slopes measure clean
+.PHONY: build test vet lint format format-check house tools demo soak faultsoak slopes measure clean
 
 build:
 	@mkdir -p $(BIN)
@@ -56,6 +56,12 @@
 soak:
 	go test -count=1 -timeout 60m -v -run TestSoak ./standin/internal/soak -soak.seed=$(SEED) -soak.length=$(LENGTH)
 
+# Processes of aw-node under faults, in real time, for example: make faultsoak SEED=7 LENGTH=1m NODES=5
+faultsoak: LENGTH = 30s
+faultsoak: NODES = 5
+faultsoak:
+	go test -count=1 -timeout 60m -v -run TestSoak ./soak -soak.seed=$(SEED) -soak.length=$(LENGTH) -soak.nodes=$(NODES)
+
 demo: build
 	scripts/demo
 
--- /dev/null
+++ b/soak/node_test.go
@@ -0,0 +1,125 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"arbutuswing.example/platform/fakes"
+)
+
+// restartAfter is the pause before a process that ended is started again.
+const restartAfter = 150 * time.Millisecond
+
+// node is one process of the program, started again whenever it ends.
+type node struct {
+	name     string
+	address  string
+	settings string
+	logPath  string
+	store    *proxy
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	held    bool
+	closing bool
+	done    chan struct{}
+}
+
+// newNode writes a node's settings; its way to the store goes through a proxy of its own.
+func newNode(t *testing.T, dir string, index int, dataCentre string, store *fakes.Store, fleet *fakes.Fleet) *node {
+	t.Helper()
+	link, err := newProxy(store.Address())
+	assert.NilError(t, err)
+	ports := freePorts(t, 3)
+	n := &node{
+		name: fmt.Sprintf("node-%d", index), address: ports[0], store: link, done: make(chan struct{}),
+		settings: filepath.Join(dir, fmt.Sprintf("node-%d.json", index)), logPath: filepath.Join(dir, fmt.Sprintf("node-%d.log", index)),
+	}
+	text := fmt.Sprintf(`{"node":%q,"data-centre":%q,"client-address":%q,"readiness-address":%q,"peer-address":%q,
+		"store-address":%q,"advice-address":%q,"worker-lease-max":"6s","kill-grace":"300ms","gang-timeout":"3s","stop-grace":"4s"}`,
+		n.name, dataCentre, ports[0], ports[1], ports[2], link.address(), fleet.AdviceAddress())
+	assert.NilError(t, os.WriteFile(n.settings, []byte(text), 0o600))
+	go n.run()
+	t.Cleanup(n.close)
+	return n
+}
+
+// freePorts returns addresses on 127.0.0.1 that nothing listened on a moment ago.
+func freePorts(t *testing.T, count int) []string {
+	t.Helper()
+	addresses := make([]string, 0, count)
+	for range count {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
+}
+
+// run starts the process and starts it again when it ends, unless it is held down.
+func (n *node) run() {
+	defer close(n.done)
+	out, err := os.OpenFile(n.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		panic(err)
+	}
+	defer out.Close()
+	for {
+		n.mu.Lock()
+		if n.closing {
+			n.mu.Unlock()
+			return
+		}
+		held := n.held
+		if !held {
+			n.cmd = exec.Command(program, "run", "--settings", n.settings)
+			n.cmd.Stdout, n.cmd.Stderr = out, out
+			// A test binary that is killed at its time limit runs no cleanup.
+			n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+			if err := n.cmd.Start(); err != nil {
+				panic(err)
+			}
+		}
+		cmd := n.cmd
+		n.mu.Unlock()
+		if !held {
+			_ = cmd.Wait()
+		}
+		time.Sleep(restartAfter)
+	}
+}
+
+func (n *node) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cmd != nil {
+		// The process may have ended by itself meanwhile.
+		_ = n.cmd.Process.Signal(s)
+	}
+}
+
+// hold keeps the process from being started again.
+func (n *node) hold(held bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.held = held
+}
+
+func (n *node) close() {
+	n.mu.Lock()
+	n.closing = true
+	n.mu.Unlock()
+	n.signal(syscall.SIGKILL)
+	<-n.done
+	n.store.close()
+}
