perf(shard): try only stages for which something has changed; decide no starts that can't be recorded

Cause: with 500 to 800 waiting stages each plan tried all of them, built and sorted lists of 200 workers for each and searched for work to stop, at every event. During outages of the store starts were decided whose tickets lapsed before they could be recorded. Now a stage is tried when it is new, has its answer, or a worker that may run it has room again; gangs and late work rest between tries; work to stop is sought four times a second, and only if any is less urgent; stalled runs likewise. Deciding takes half of the owner's time at most. A ticket has to outlast the time that commits take, and nothing is bound while a commit is under way for over 0.8 s.

--- /dev/null
+++ b/internal/owner/owner_test.go
@@ -0,0 +1,215 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"arbutuswing.example/internal/agent"
+	"arbutuswing.example/internal/ledger"
+	"arbutuswing.example/internal/peers"
+	"arbutuswing.example/internal/shard"
+	"arbutuswing.example/internal/terms"
+)
+
+// memory is a store in memory whose appends fail on request.
+type memory struct {
+	mu      sync.Mutex
+	newest  map[ledger.Topic]map[string][]byte
+	epochs  map[ledger.Topic]int64
+	groups  map[string]map[string]time.Time
+	changes int64
+	// fail is the error of the appends to a topic that it names.
+	fail      error
+	failTopic ledger.Topic
+}
+
+func newMemory() *memory {
+	return &memory{
+		newest: make(map[ledger.Topic]map[string][]byte), epochs: make(map[ledger.Topic]int64),
+		groups: make(map[string]map[string]time.Time),
+	}
+}
+
+func (m *memory) Append(_ context.Context, b ledger.Batch) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.fail != nil && b.Topic == m.failTopic {
+		return m.fail
+	}
+	if b.Epoch < m.epochs[b.Topic] {
+		return ledger.ErrFenced
+	}
+	m.epochs[b.Topic] = b.Epoch
+	if m.newest[b.Topic] == nil {
+		m.newest[b.Topic] = make(map[string][]byte)
+	}
+	for _, r := range b.Records {
+		m.newest[b.Topic][r.Key] = r.Value
+	}
+	return nil
+}
+
+func (m *memory) Newest(_ context.Context, topic ledger.Topic, _ int) (ledger.Page, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var page ledger.Page
+	for key, value := range m.newest[topic] {
+		page.Records = append(page.Records, ledger.Record{Key: key, Value: value})
+	}
+	return page, nil
+}
+
+func (m *memory) Read(ctx context.Context, _ ledger.Topic, _ int, from int64, wait time.Duration) (ledger.Page, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return ledger.Page{Next: from}, nil
+}
+
+func (m *memory) members(group string) []string {
+	var list []string
+	for member, last := range m.groups[group] {
+		if time.Since(last) > memberTTL {
+			delete(m.groups[group], member)
+			m.changes++
+			continue
+		}
+		list = append(list, member)
+	}
+	slices.Sort(list)
+	return list
+}
+
+func (m *memory) Join(_ context.Context, s ledger.Membership) (ledger.Share, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.members(s.Group)
+	if m.groups[s.Group] == nil {
+		m.groups[s.Group] = make(map[string]time.Time)
+	}
+	if _, known := m.groups[s.Group][s.Member]; !known {
+		m.changes++
+	}
+	m.groups[s.Group][s.Member] = time.Now()
+	share := ledger.Share{Generation: m.changes}
+	if m.members(s.Group)[0] == s.Member {
+		share.Partitions = []int{Partition}
+	}
+	return share, nil
+}
+
+func (m *memory) Leave(_ context.Context, s ledger.Membership) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.groups[s.Group], s.Member)
+	m.changes++
+	return nil
+}
+
+func (m *memory) Holders(_ context.Context, group string) ([]ledger.Holder, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	members := m.members(group)
+	holders := make([]ledger.Holder, 0, len(members))
+	for _, member := range members {
+		holders = append(holders, ledger.Holder{Member: member})
+	}
+	return holders, nil
+}
+
+// noWorkers is a registry without entries.
+type noWorkers struct{ changed func([]agent.Entry) }
+
+func (n noWorkers) Run(ctx context.Context) error {
+	n.changed(nil)
+	<-ctx.Done()
+	return nil
+}
+
+// testNode is a node without an address, so that the others can't call it.
+type testNode struct {
+	owner *Owner
+	stop  func()
+}
+
+func startNode(store *memory, name string, strength float64) testNode {
+	self := peers.Presence{Node: name, Boot: "1", Strength: strength}
+	log := zap.NewNop()
+	directory := NewDirectory(DirectoryConfig{Ledger: store, Self: self, Group: "owners", Client: peers.NewClient(), Log: log})
+	o := New(Config{
+		Self: self, Group: "owners", Ledger: store, Directory: directory, Log: log,
+		Terms:    func() (terms.Terms, bool) { return terms.New(terms.Config{Version: 1}), true },
+		Registry: func(changed func([]agent.Entry)) Runner { return noWorkers{changed} },
+		Shard:    shard.Config{Lease: time.Second, MaxLease: time.Second, RenewLimit: time.Second, Retention: time.Minute},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { _ = directory.Run(ctx) })
+	done.Go(func() { _ = o.Run(ctx) })
+	return testNode{o, func() {
+		cancel()
+		done.Wait()
+	}}
+}
+
+// serves reports whether the node answers for jobs.
+func (n testNode) serves() bool {
+	_, err := n.owner.Pending("queue")
+	return err == nil
+}
+
+// TestFailedOwnershipIsTakenOver guards against an ownership that ends by itself while its node stays a member: the others
+// would wait for it for good.
+func TestFailedOwnershipIsTakenOver(t *testing.T) {
+	for _, count := range []int{1, 3} {
+		t.Run(fmt.Sprintf("%d nodes", count), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newMemory()
+				store.fail, store.failTopic = ledger.ErrProtocol, TopicInbox
+				nodes := make([]testNode, 0, count)
+				for i := range count {
+					nodes = append(nodes, startNode(store, fmt.Sprintf("n%d", i), 1))
+				}
+				time.Sleep(2 * time.Second)
+				store.mu.Lock()
+				store.fail = nil
+				store.mu.Unlock()
+				time.Sleep(5 * time.Second)
+				serving := 0
+				for _, n := range nodes {
+					if n.serves() {
+						serving++
+					}
+				}
+				assert.Equal(t, serving, 1)
+				for _, n := range nodes {
+					n.stop()
+				}
+			})
+		})
+	}
+}
+
+// TestOwnerThatEndsIsReplaced guards against jobs without an owner after one has stopped.
+func TestOwnerThatEndsIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemory()
+		nodes := []testNode{startNode(store, "n0", 1), startNode(store, "n1", 1)}
+		time.Sleep(3 * time.Second)
+		first := slices.IndexFunc(nodes, testNode.serves)
+		assert.Assert(t, first >= 0)
+		nodes[first].stop()
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, nodes[1-first].serves())
+		nodes[1-first].stop()
+	})
+}
--- a/internal/owner/tenure.go
+++ b/internal/owner/tenure.go
@@ -280,7 +280,9 @@
 			told = time.Now()
 			t.logLoad()
 		}
+		begun := time.Now()
 		t.shard.Tick(t.now(), time.Now())
+		took := time.Since(begun)
 		orders := t.shard.TakeOrders(t.now())
 		t.followTargets(ctx)
 		decided := t.shard.Dirty(t.now())
@@ -294,7 +296,8 @@
 			return
 		case <-ticker.C:
 		case <-t.wake:
-			pause.For(ctx, settle)
+			// Deciding takes half of the time at most: reports and clients need the processor too.
+			pause.For(ctx, max(settle, took))
 		}
 	}
 }
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -104,7 +104,7 @@
 		}
 		used++
 		total += c.slots
-		lapsed = lapsed || st.lapses(c.worker, now+ticketMargin)
+		lapsed = lapsed || st.lapses(c.worker, now+s.ticketNeeds())
 	}
 	if !lapsed {
 		return nil
@@ -116,7 +116,7 @@
 	} else {
 		others = append(slices.Clone(others), s.goodWithoutRoom(st, list, now)...)
 	}
-	soon := now + s.cost(st, used) + renewAhead
+	soon := now + s.cost(st, used) + s.ticketNeeds() + renewAhead
 	var named []candidate
 	for _, c := range append(slices.Clone(list[:used]), others...) {
 		if len(named) < limit && st.lapses(c.worker, soon) {
@@ -290,7 +290,7 @@
 	if !st.spec.Gang {
 		st.askAfter = now + askRest*ask.Cost
 	}
-	s.replan = true
+	st.retry, s.replan = true, true
 	if err != nil {
 		s.release(st)
 		st.askAfter = now + retryAsk
--- a/internal/shard/gang.go
+++ b/internal/shard/gang.go
@@ -87,7 +87,11 @@
 			places = append(places, place{w, lack(free, st.spec.Size.Times(k), w.entry.Capacity)})
 		}
 	}
-	if len(places) < n || s.claimedShare(st, n) > claimShare {
+	if len(places) < n {
+		return
+	}
+	// One gang may always collect room, however wide it is.
+	if others, all := s.claimedShare(st, n); others > 0 && all > claimShare {
 		return
 	}
 	slices.SortStableFunc(places, func(a, b place) int {
@@ -118,9 +122,10 @@
 	return missing
 }
 
-// claimedShare returns the share of the cores of the stage's pool that would be kept for gangs with n more tasks.
-func (s *Shard) claimedShare(st *stage, n int) float64 {
-	kept, all := st.spec.Size.Times(n).Cores, model.MilliCores(0)
+// claimedShare returns the share of the cores of the stage's pool that is kept for other gangs, and the share that would be
+// with n tasks of the stage.
+func (s *Shard) claimedShare(st *stage, n int) (others, with float64) {
+	kept, all := model.MilliCores(0), model.MilliCores(0)
 	for _, w := range s.byID {
 		if w.entry.Pool != st.job.queue.Pool {
 			continue
@@ -132,7 +137,8 @@
 			}
 		}
 	}
-	return float64(kept) / float64(max(all, 1))
+	all = max(all, 1)
+	return float64(kept) / float64(all), float64(kept+st.spec.Size.Times(n).Cores) / float64(all)
 }
 
 // almostFree returns the workers with lapsed tickets among those whose room is kept, once most of it is free.
@@ -142,7 +148,7 @@
 	for w, room := range st.reserved {
 		kept := slots(room, st.spec.Size, n)
 		free += min(kept, slots(w.free(st), st.spec.Size, n))
-		if st.lapses(w, now+renewAhead) {
+		if st.lapses(w, now+s.ticketNeeds()+renewAhead) {
 			lapsed = append(lapsed, candidate{worker: w, slots: kept})
 		}
 	}
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -47,6 +47,11 @@
 	// reserved is room kept while a call for advice is under way, or until stopped runs have ended.
 	reserved      map[*worker]model.Resources
 	reservedUntil time.Duration
+	// retry makes the next plan try the stage; otherwise it does if a worker that may run it has room again. The last try
+	// was at triedAt, the last search for work to stop at preemptedAt.
+	retry       bool
+	triedAt     time.Duration
+	preemptedAt time.Duration
 	// waitsFor is what the stage lacked when it was last tried.
 	waitsFor waitReason
 }
@@ -133,7 +138,7 @@
 		for i := range spec.Stages {
 			j.stages = append(j.stages, &stage{
 				job: j, spec: &j.spec.Stages[i], occurrence: k, index: i, tasks: make([]task, spec.Stages[i].Count),
-				left: spec.Stages[i].Count, verdicts: make(map[model.WorkerID]verdict),
+				left: spec.Stages[i].Count, verdicts: make(map[model.WorkerID]verdict), retry: true,
 			})
 		}
 	}
@@ -213,6 +218,25 @@
 	return tasks
 }
 
+// isWaiting reports whether there are tasks to start.
+func (st *stage) isWaiting() bool {
+	found := false
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		switch {
+		case t.done:
+		case len(t.attempts) == 0:
+			found = true
+			if !st.spec.Gang {
+				return true
+			}
+		case st.spec.Gang:
+			return false
+		}
+	}
+	return found
+}
+
 func (st *stage) nextRun(index int) int {
 	if !st.spec.Gang {
 		return st.tasks[index].lastRun + 1
--- a/internal/shard/orders.go
+++ b/internal/shard/orders.go
@@ -34,7 +34,7 @@
 			continue
 		}
 		target := agent.Target{ID: w.id, Address: w.entry.Address}
-		for _, a := range sortedAttempts(w) {
+		for _, a := range w.unsettledAttempts() {
 			if a.calling || now < a.notBefore || now-w.answered > suspectAfter {
 				continue
 			}
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -23,12 +23,43 @@
 		return
 	}
 	s.replan = false
+	freed := make([]*worker, 0, len(s.freed))
+	for w := range s.freed {
+		freed = append(freed, w)
+	}
+	clear(s.freed)
 	for i, st := range waiting {
 		if i == scanLimit {
 			break
 		}
-		s.place(st, now)
+		if st.retry || s.worthTrying(st, freed, now) {
+			st.retry, st.triedAt = false, now
+			s.place(st, now)
+		}
+	}
+}
+
+// worthTrying reports whether a worker that may run the stage has room again; a plan would otherwise try hundreds of
+// stages in vain.
+func (s *Shard) worthTrying(st *stage, freed []*worker, now time.Duration) bool {
+	switch rest := now - st.triedAt; {
+	case st.spec.Gang && rest < gangRetry, st.hopeless(now) && rest < lateRetry:
+		// Tried later, also if nothing else becomes free until then.
+		for _, w := range freed {
+			s.freed[w] = true
+		}
+		return false
+	}
+	for _, w := range freed {
+		if (st.job.queue.Advice == nil || st.verdicts[w.id].good) && s.hasRoom(st, w) {
+			return true
+		}
 	}
+	return !st.asking && st.waitsFor == waitRoom && now-st.triedAt >= lateRetry
+}
+
+func (s *Shard) hasRoom(st *stage, w *worker) bool {
+	return st.spec.Scavenger || slots(w.free(st), st.spec.Size, 1) > 0
 }
 
 // waitingStages returns the stages that have tasks to start, in the order in which they are served: work that can
@@ -38,14 +69,17 @@
 	for _, st := range s.active {
 		if len(st.reserved) > 0 && now > st.reservedUntil && !st.asking {
 			s.release(st)
-			s.replan = true
+			st.retry, s.replan = true, true
 		}
 		if st.left == 0 || !st.job.open() || !st.ready(wall) {
 			continue
 		}
-		if len(st.waiting()) > 0 {
+		if st.isWaiting() {
 			waiting = append(waiting, st)
-			s.replan = s.replan || (!st.asking && st.askAfter > 0 && now >= st.askAfter)
+			if !st.asking && st.askAfter > 0 && now >= st.askAfter {
+				st.retry = true
+			}
+			s.replan = s.replan || st.retry || now-st.triedAt >= lateRetry
 		}
 	}
 	slices.SortStableFunc(waiting, func(a, b *stage) int {
@@ -68,12 +102,22 @@
 
 // place binds as many waiting tasks of the stage as fit, or all of a gang or none, and sees to what the rest needs.
 func (s *Shard) place(st *stage, now time.Duration) {
+	if s.stalled() {
+		// What is learned about workers now is of use later; tickets would lapse.
+		if st.job.queue.Advice != nil && len(st.verdicts) == 0 {
+			s.ask(st, len(st.waiting()), now)
+		}
+		st.retry = true
+		return
+	}
 	waiting := st.waiting()
 	room := s.teamRoom(st, len(waiting))
 	if room == 0 || (st.spec.Gang && room < len(waiting)) {
 		st.waitsFor = waitTeamLimit
+		s.release(st)
 		return
 	}
+	limited := room < len(waiting)
 	waiting = waiting[:room]
 	chosen := s.choose(st, s.candidates(st, now, true), len(waiting))
 	if len(chosen) == len(waiting) || !st.spec.Gang {
@@ -88,6 +132,9 @@
 	}
 	if len(waiting) == 0 {
 		s.release(st)
+		if limited {
+			st.waitsFor = waitTeamLimit
+		}
 		return
 	}
 	if st.spec.Gang {
@@ -175,7 +222,7 @@
 		}
 	} else {
 		for id, v := range st.verdicts {
-			if v.good && (!tickets || now+ticketMargin < v.expires) {
+			if v.good && (!tickets || now+s.ticketNeeds() < v.expires) {
 				consider(s.workers[id], v.ticket)
 			}
 		}
--- a/internal/shard/preempt.go
+++ b/internal/shard/preempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/terms"
 )
 
 // maxLoss bounds the work that is thrown away for a stage as a share of the stage's own work.
@@ -16,6 +17,10 @@
 	if st.hopeless(now) || st.job.surplus || st.spec.Scavenger || len(st.reserved) > 0 {
 		return
 	}
+	if now-st.preemptedAt < preemptRetry || !s.lessUrgent(st) {
+		return
+	}
+	st.preemptedAt = now
 	type plan struct {
 		worker  *worker
 		victims []*attempt
@@ -76,6 +81,11 @@
 	}
 }
 
+// lessUrgent reports whether any queue's work is less urgent than the stage.
+func (s *Shard) lessUrgent(st *stage) bool {
+	return slices.ContainsFunc(s.terms.Queues, func(q terms.Queue) bool { return q.Priority > st.job.queue.Priority })
+}
+
 // loss returns the core-seconds that stopping a run throws away: what it has not saved, and the times of stopping and of
 // starting again.
 func (s *Shard) loss(a *attempt, now time.Duration) float64 {
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -41,7 +41,10 @@
 		s.event("worker-answers", "", "", w, "", r.Clock.Milliseconds())
 	}
 	// A worker that answers for the first time, or again, gives room.
-	s.replan = s.replan || !w.visited || now-w.answered > suspectAfter
+	if !w.visited || now-w.answered > suspectAfter {
+		s.freed[w] = true
+		s.replan = true
+	}
 	if !w.visited {
 		// From here on no other owner extends the lease, and none is longer than the maximum.
 		w.leaseEnd = now + time.Duration(float64(s.cfg.MaxLease)/(1-clockDrift)) + lapseMargin
@@ -60,6 +63,7 @@
 	for key := range w.strangers {
 		if !listed[key] {
 			delete(w.strangers, key)
+			s.freed[w] = true
 		}
 	}
 	if r.Truncated {
@@ -198,6 +202,8 @@
 	}
 	delete(w.attempts, a.key())
 	w.used = w.used.Minus(a.size())
+	s.freed[w], st.retry = true, true
+	s.freeTeam(j.spec.Team)
 	s.usage[j.spec.Team] = s.usage[j.spec.Team].Minus(st.spec.Size)
 	for i, other := range t.attempts {
 		if other == a {
@@ -228,6 +234,15 @@
 	}
 }
 
+// freeTeam lets the stages be tried again that wait for their team's limit.
+func (s *Shard) freeTeam(team model.TeamID) {
+	for _, st := range s.active {
+		if st.waitsFor == waitTeamLimit && st.job.spec.Team == team {
+			st.retry = true
+		}
+	}
+}
+
 // succeeded marks the task, or all tasks of a gang, as done.
 func (s *Shard) succeeded(a *attempt, now time.Duration) {
 	st, j := a.stage, a.stage.job
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -45,6 +45,12 @@
 	// clock is the moment of the last tick.
 	clock  time.Duration
 	replan bool
+	// commitAt is when the commit under way was taken, or zero; commitLag is how long the last one took.
+	commitAt  time.Duration
+	commitLag time.Duration
+	// freed holds the workers whose room has grown since the last plan, and stallsAt is when stalled runs were last sought.
+	freed    map[*worker]bool
+	stallsAt time.Duration
 }
 
 // bucket counts a team's jobs against the rate up to which its work is owed.
@@ -59,6 +65,7 @@
 		cfg: cfg, jobs: make(map[model.JobID]*job), workers: make(map[model.WorkerID]*worker),
 		usage: make(map[model.TeamID]model.Resources), rates: make(map[model.TeamID]*bucket),
 		cancelled: make(map[model.JobID]bool), goodShares: make(map[string]float64), next: 1,
+		freed: make(map[*worker]bool),
 	}
 }
 
@@ -81,6 +88,14 @@
 			j.queue = queue
 		}
 	}
+	s.retryAll()
+}
+
+// retryAll makes the next plan try all waiting stages.
+func (s *Shard) retryAll() {
+	for _, st := range s.active {
+		st.retry = true
+	}
 	s.replan = true
 }
 
@@ -160,6 +175,7 @@
 func (s *Shard) release(st *stage) {
 	for w := range st.reserved {
 		w.unreserve(st)
+		s.freed[w] = true
 	}
 	st.reserved = nil
 }
@@ -183,6 +199,9 @@
 		if w.entry.Draining != entry.Draining {
 			s.event("worker-draining", "", "", w, "", entry.Leaves.Milliseconds())
 		}
+		if !w.listed || w.entry.Draining != entry.Draining {
+			s.freed[w] = true
+		}
 		w.entry, w.listed = entry, true
 	}
 	for id, w := range s.workers {
@@ -263,8 +282,24 @@
 // Committed notes that a commit and all before it are recorded.
 func (s *Shard) Committed(batch uint64) {
 	s.committed = max(s.committed, batch)
+	s.commitLag, s.commitAt = s.clock-s.commitAt, 0
+	s.replan = true
 }
 
+// lag is how long a decision made now probably takes to be recorded.
+func (s *Shard) lag() time.Duration {
+	if s.commitAt == 0 {
+		return s.commitLag
+	}
+	return max(s.commitLag, s.clock-s.commitAt)
+}
+
+// stalled reports whether nothing can be recorded at the moment.
+func (s *Shard) stalled() bool { return s.commitAt > 0 && s.clock-s.commitAt > stalledAfter }
+
+// ticketNeeds is the least validity of a ticket with which a start is decided.
+func (s *Shard) ticketNeeds() time.Duration { return ticketMargin + s.lag()*3/2 }
+
 // TakeCommit returns what has changed since the last call, or nothing while that may wait for more; only one commit may
 // be under way at a time.
 func (s *Shard) TakeCommit(now time.Duration) Commit {
@@ -288,6 +323,7 @@
 	s.dirty = nil
 	if !c.Empty() {
 		s.next++
+		s.commitAt = s.clock
 	}
 	return c
 }
@@ -350,6 +386,10 @@
 
 // findStalls stops runs that show no progress.
 func (s *Shard) findStalls(now time.Duration) {
+	if now-s.stallsAt < stallEvery {
+		return
+	}
+	s.stallsAt = now
 	for _, w := range s.byID {
 		if now-w.answered > suspectAfter {
 			continue
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -70,6 +70,16 @@
 	return free
 }
 
+// unsettledAttempts returns the runs that are to be started or stopped; most runs are simply at work.
+func (w *worker) unsettledAttempts() []*attempt {
+	for _, a := range w.attempts {
+		if a.phase != phaseStarted {
+			return sortedAttempts(w)
+		}
+	}
+	return nil
+}
+
 // claimed reports whether room on the worker is kept for another stage.
 func (w *worker) claimed(st *stage) bool {
 	_, own := w.reservations[st]
--- /dev/null
+++ b/node/internal/daemon/metrics_test.go
@@ -0,0 +1,45 @@
+package daemon
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+var metricName = regexp.MustCompile(`\baw_[a-z_]+`)
+
+// namesIn returns the names of metrics in a text, each once.
+func namesIn(text string) []string {
+	names := metricName.FindAllString(text, -1)
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// TestMetricsPage guards against metrics that the operators' page doesn't explain, and against explained ones that the
+// program doesn't serve.
+func TestMetricsPage(t *testing.T) {
+	const root = "../../.."
+	var sources strings.Builder
+	for _, folder := range []string{"internal/owner", "internal/agent", "internal/ledger", "internal/intake", "node"} {
+		assert.NilError(t, filepath.WalkDir(filepath.Join(root, folder), func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			data, err := os.ReadFile(path)
+			sources.Write(data)
+			return err
+		}))
+	}
+	page, err := os.ReadFile(filepath.Join(root, "docs/OPERATIONS.md"))
+	assert.NilError(t, err)
+	_, section, found := strings.Cut(string(page), "### Metrics of a node")
+	assert.Assert(t, found)
+	section, _, _ = strings.Cut(section, "\n### ")
+	assert.DeepEqual(t, namesIn(section), namesIn(sources.String()))
+}
