--- a/internal/owner/directory.go
+++ b/internal/owner/directory.go
@@ -21,6 +21,8 @@
 	directoryEvery = 1500 * time.Millisecond
 	// directoryRetry is the shortest interval between readings, and between calls of an owner that doesn't answer.
 	directoryRetry = 150 * time.Millisecond
+	// reportsAfter is how many readings there are for one report while the owner doesn't answer.
+	reportsAfter = 4
 	// lookLimit bounds how long a question waits for an owner.
 	lookLimit = 1200 * time.Millisecond
 )
@@ -80,12 +82,26 @@
 
 // Run keeps the directory current until the context ends.
 func (d *Directory) Run(ctx context.Context) error {
-	read := time.Time{}
+	read, failures := time.Time{}, 0
 	for ctx.Err() == nil {
-		every, err := d.report(ctx)
-		if err != nil || time.Since(read) >= directoryEvery {
+		every, failed := directoryRetry, true
+		// A report to an owner that is gone takes its whole time limit; the store tells of a new one sooner.
+		if failures%reportsAfter == 0 {
+			var err error
+			every, err = d.report(ctx)
+			failed = err != nil
+		}
+		if failed || time.Since(read) >= directoryEvery {
 			read = time.Now()
-			d.refresh(ctx, err == nil)
+			before := d.current()
+			d.refresh(ctx, !failed)
+			if failures++; d.current() != before {
+				failures = 0
+				continue
+			}
+		}
+		if !failed {
+			failures = 0
 		}
 		wait(ctx, directoryRetry, nil)
 		wait(ctx, every-directoryRetry, d.kick)
--- a/internal/owner/standing.go
+++ b/internal/owner/standing.go
@@ -56,7 +56,7 @@
 	told, err := d.cfg.Client.Report(ctx, owner.Address, d.cfg.Self)
 	d.answered(owner, err == nil)
 	if err != nil {
-		return 2 * directoryRetry, err
+		return directoryRetry, err
 	}
 	if told.Candidate {
 		d.setStanding(standingCandidate, "chosen by "+owner.Node)
