fix(shard): no start while an unreported failure may be the last; late gangs collect room as well

BUDGET: a gang's run failed on a worker behind a cut. Its other members reported that they were broken, so the run was taken as gone after 5 s; run 2 failed, run 3 was started, and then the cut worker reported the failure of run 1: the third start of a queue that allows two failures. Now a run that only time has proved gone counts as a possible failure until its worker reports, begins a new life, or 15 s have passed. TestNoStartWhileAFailureMayBeTheLast fails without that. LOST: a gang that could no longer meet its objective kept no room, and nothing made it ask about further workers once those that it knew could hold it three times over; it waited for 20 s while half of the cores were free. Now one such gang at a time collects room, and a gang that waits 1.5 s asks about more workers. Ruled out: a lost answer, a run that is still present. Not covered: what is assumed isn't recorded, so a new owner doesn't know of it.

--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -181,6 +181,7 @@
 		st.askAfter = now + askRest*ask.Cost
 	}
 	st.retry, s.replan = true, true
+	st.advisedAt = now
 	if err != nil {
 		s.release(st)
 		st.askAfter = now + retryAsk
--- a/internal/shard/failures_test.go
+++ b/internal/shard/failures_test.go
@@ -56,3 +56,35 @@
 	assert.Equal(t, len(r.startAll()), 1)
 	r.state(work.StateRunning)
 }
+
+// Guards against a start after the last failure that the queue allows, which a worker behind a cut has yet to report.
+func TestNoStartWhileAFailureMayBeTheLast(t *testing.T) {
+	names := []model.WorkerID{"w1", "w2", "w3"}
+	r := newRig(t, names...)
+	r.submit(tasks(1))
+	first := r.startAll()
+	assert.Equal(t, len(first), 1)
+	cut := first[0].Target.ID
+	reportOthers := func() {
+		for _, id := range names {
+			if id != cut {
+				r.report(id, agent.Report{})
+			}
+		}
+	}
+	var second []StartOrder
+	for len(second) == 0 {
+		r.pass(time.Second)
+		reportOthers()
+		second = r.startAll()
+	}
+	r.report(second[0].Target.ID, agent.Report{Ended: []agent.Ended{end(second[0], agent.HowFailed)}})
+	for range 4 {
+		r.pass(time.Second)
+		reportOthers()
+		assert.Equal(t, len(r.startAll()), 0, "the run on %s may have failed as well", cut)
+	}
+	// It had not: the worker lists no end of that run.
+	r.report(cut, agent.Report{})
+	assert.Equal(t, len(r.startAll()), 1)
+}
--- a/internal/shard/gang.go
+++ b/internal/shard/gang.go
@@ -12,6 +12,8 @@
 	// gangSpread is how many times the room of a gang the workers should hold, empty, that are known to be allowed to run it,
 	// so that enough of them become free at about the same time.
 	gangSpread = 3
+	// askMore is how long a gang waits for room on the workers that it knows before it asks about further ones.
+	askMore = 1500 * time.Millisecond
 	// claimTime is how long room is kept for a gang before the choice of workers is made again.
 	claimTime = 200 * time.Millisecond
 	// claimReady is the share of a gang's room that has to be free before its tickets are renewed: the rest becomes free
@@ -35,7 +37,7 @@
 			s.sendAsk(st, named, now)
 			return
 		}
-		if s.goodSlots(st, n, now) < gangSpread*n {
+		if s.goodSlots(st, n, now) < gangSpread*n || now-st.advisedAt > askMore {
 			if named := s.unknown(st, n, now); len(named) > 0 {
 				s.sendAsk(st, named, now)
 				return
@@ -72,7 +74,7 @@
 // claim keeps room for a gang of n tasks on the workers where the least has to end for it. Work that isn't more urgent
 // no longer starts there, so the room grows until the gang fits.
 func (s *Shard) claim(st *stage, n int, now time.Duration) {
-	if len(st.reserved) > 0 || st.hopeless(now) || st.job.surplus || st.spec.Scavenger {
+	if len(st.reserved) > 0 || st.spec.Scavenger {
 		return
 	}
 	type place struct {
@@ -90,8 +92,8 @@
 	if len(places) < n {
 		return
 	}
-	// One gang may always collect room, however wide it is.
-	if others, all := s.claimedShare(st, n); others > 0 && all > claimShare {
+	// One gang may always collect room, however wide or late it is.
+	if others, all := s.claimedShare(st, n); others > 0 && (all > claimShare || st.hopeless(now) || st.job.surplus) {
 		return
 	}
 	slices.SortStableFunc(places, func(a, b place) int {
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -42,6 +42,8 @@
 	// verdicts holds what the advice service said about workers.
 	verdicts map[model.WorkerID]verdict
 	asking   bool
+	// advisedAt is when the last answer came.
+	advisedAt time.Duration
 	// askAfter is the earliest moment for another call after one that failed.
 	askAfter time.Duration
 	// reserved is room kept while a call for advice is under way, or until stopped runs have ended.
@@ -52,6 +54,8 @@
 	retry       bool
 	triedAt     time.Duration
 	preemptedAt time.Duration
+	// assumed holds runs whose outcome isn't known.
+	assumed []assumedRun
 	// waitsFor is what the stage lacked when it was last tried.
 	waitsFor waitReason
 }
@@ -63,6 +67,8 @@
 	waitTeamLimit waitReason = "team-limit"
 	waitAdvice    waitReason = "advice"
 	waitRoom      waitReason = "room"
+	// waitOutcome: a failure that isn't reported yet might be the last that the queue allows.
+	waitOutcome waitReason = "outcome"
 )
 
 type verdict struct {
--- a/internal/shard/naming.go
+++ b/internal/shard/naming.go
@@ -47,13 +47,13 @@
 	switch {
 	case st.spec.Gang:
 		// What counts is the room of empty workers, since a gang collects room.
-		good := s.goodSlots(st, n, now)
+		missing := max(gangSpread*n-s.goodSlots(st, n, now), n)
 		for i := range roomy {
 			roomy[i].slots = st.atMost(roomy[i].worker, slots(roomy[i].worker.entry.Capacity, st.spec.Size, n))
 		}
 		slices.SortFunc(roomy, byFree)
 		slices.SortFunc(full, byFree)
-		return enough(append(roomy, full...), float64(gangSpread*n-good)/s.goodShare(st.job.queue.Name), limit)
+		return enough(append(roomy, full...), float64(missing)/s.goodShare(st.job.queue.Name), limit)
 	case len(roomy) == 0:
 		if s.goodSlots(st, n, now) >= fullSpread*n {
 			return nil
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -110,7 +110,11 @@
 		st.retry = true
 		return
 	}
-	waiting := st.waiting()
+	waiting := slices.DeleteFunc(st.waiting(), func(index int) bool { return !st.mayStart(index, now) })
+	if len(waiting) == 0 || (st.spec.Gang && len(waiting) < st.spec.Count) {
+		st.waitsFor, st.retry = waitOutcome, true
+		return
+	}
 	room := s.teamRoom(st, len(waiting))
 	if room == 0 || (st.spec.Gang && room < len(waiting)) {
 		st.waitsFor = waitTeamLimit
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -69,6 +69,7 @@
 	if r.Truncated {
 		return
 	}
+	s.settleAssumed(w)
 	for _, a := range sortedAttempts(w) {
 		if !listed[a.key()] && a.settled >= 0 && r.Clock > a.settled && !a.calling {
 			s.ended(a, agent.HowLapsed, "", now)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -298,7 +298,7 @@
 		}
 		for _, a := range sortedAttempts(w) {
 			if a.goneAt > 0 && now > a.goneAt {
-				s.ended(a, agent.HowBroken, "", now)
+				s.assumeGone(a, agent.HowBroken, now)
 			}
 		}
 		if now <= w.leaseEnd {
@@ -306,7 +306,7 @@
 		}
 		s.event("worker-lapsed", "", "", w, "", (now - w.answered).Milliseconds())
 		for _, a := range sortedAttempts(w) {
-			s.ended(a, agent.HowLapsed, "", now)
+			s.assumeGone(a, agent.HowLapsed, now)
 		}
 	}
 }
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -30,6 +30,9 @@
 	acked int64
 	acks  []pendingAck
 
+	// assumed tells that runs were taken as gone whose outcome the worker has not reported.
+	assumed bool
+
 	failures         int
 	lastFailure      model.JobID
 	quarantinedUntil time.Duration
