--- a/ctl/internal/cmds/list.go
+++ b/ctl/internal/cmds/list.go
@@ -48,6 +48,13 @@
 			name: "veto", short: "veto a proposal for an organisation", data: &verdictCommand{env: e},
 			long: "Closes a proposal without effect. --key-file names the file with the organisation's approval key.",
 		},
+		{
+			name: "explain", short: "tell from logs what happened to a job", data: &explainCommand{env: e},
+			long: "Reads the logs of several aw-node processes and prints all lines about one job in the order of time. An " +
+				"owner's clock that is behind those of the nodes that stored jobs is set right. --around also shows what the " +
+				"processes believed at that time. Lines that are no events are counted and passed over. Exit code 1 means " +
+				"that no line is about the job.",
+		},
 		{name: "version", short: "print the version", data: &versionCommand{env: e}},
 	}
 }
--- /dev/null
+++ b/ctl/internal/story/parse.go
@@ -0,0 +1,128 @@
+package story
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+)
+
+// maxLine is the longest line that is read, in bytes: a state dump of a large deployment is one line.
+const maxLine = 16 << 20
+
+// Line is one event of a process's log.
+type Line struct {
+	Time time.Time
+	Node string
+	Name string
+	// Fields holds the other fields in their order.
+	Fields []Field
+	// order is the position in the input; it decides within one process, whose clock may jump.
+	order int
+}
+
+// Field is one key with its value.
+type Field struct {
+	Key   string
+	Value string
+}
+
+// Get returns the value of a field, or an empty text.
+func (l Line) Get(key string) string {
+	for _, f := range l.Fields {
+		if f.Key == key {
+			return f.Value
+		}
+	}
+	return ""
+}
+
+// Job returns the identifier of the job that the line is about, or an empty text.
+func (l Line) Job() string { return l.Get("job") }
+
+// Log is what was read of several logs.
+type Log struct {
+	Lines []Line
+	// Passed counts lines that are no events, such as cut ones or those of other programs.
+	Passed int
+}
+
+// Read adds the lines of one log.
+func (l *Log) Read(r io.Reader) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		line, ok := parse(scanner.Text())
+		if !ok {
+			if strings.TrimSpace(scanner.Text()) != "" {
+				l.Passed++
+			}
+			continue
+		}
+		line.order = len(l.Lines)
+		l.Lines = append(l.Lines, line)
+	}
+	if err := scanner.Err(); err != nil {
+		return fmt.Errorf("reading a log: %w", err)
+	}
+	return nil
+}
+
+// parse reads key=value pairs from the first time stamp on; what stands before it is another program's prefix.
+func parse(text string) (Line, bool) {
+	at := strings.Index(text, "ts=")
+	if at < 0 {
+		return Line{}, false
+	}
+	var line Line
+	for rest := text[at:]; rest != ""; {
+		field, after, ok := next(rest)
+		if !ok {
+			return Line{}, false
+		}
+		switch field.Key {
+		case "ts":
+			moment, err := time.Parse("2006-01-02T15:04:05.000Z0700", field.Value)
+			if err != nil {
+				return Line{}, false
+			}
+			line.Time = moment
+		case "msg":
+			line.Name = field.Value
+		case "node":
+			line.Node = field.Value
+		case "level":
+		default:
+			line.Fields = append(line.Fields, field)
+		}
+		rest = after
+	}
+	return line, line.Name != ""
+}
+
+// next splits the first key=value pair off; a value in quotes may hold spaces and escaped quotes.
+func next(text string) (Field, string, bool) {
+	key, rest, ok := strings.Cut(text, "=")
+	if !ok || key == "" || strings.ContainsAny(key, " \"") {
+		return Field{}, "", false
+	}
+	if !strings.HasPrefix(rest, `"`) {
+		value, after, _ := strings.Cut(rest, " ")
+		return Field{key, value}, strings.TrimLeft(after, " "), true
+	}
+	var value strings.Builder
+	for i := 1; i < len(rest); i++ {
+		switch rest[i] {
+		case '\\':
+			if i++; i < len(rest) {
+				value.WriteByte(rest[i])
+			}
+		case '"':
+			return Field{key, value.String()}, strings.TrimLeft(rest[i+1:], " "), true
+		default:
+			value.WriteByte(rest[i])
+		}
+	}
+	return Field{}, "", false
+}
--- /dev/null
+++ b/ctl/internal/story/story.go
@@ -0,0 +1,147 @@
+package story
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// ErrNoLine reports that no line is about the job.
+var ErrNoLine = errors.New("no line is about this job")
+
+const (
+	eventSubmitted = "job submitted"
+	eventTaken     = "job-taken"
+	accepted       = "accepted"
+)
+
+// Skews returns how far the clocks of owners seem to be behind those of the nodes that stored jobs: an owner can't take a job
+// in before it was stored, so a node whose lines say so is shifted by the largest such difference.
+func (l *Log) Skews() map[string]time.Duration {
+	stored := make(map[string]Line)
+	for _, line := range l.Lines {
+		if line.Name == eventSubmitted && line.Get("outcome") == accepted {
+			if _, known := stored[line.Job()]; !known {
+				stored[line.Job()] = line
+			}
+		}
+	}
+	skews := make(map[string]time.Duration)
+	for _, line := range l.Lines {
+		submitted, ok := stored[line.Job()]
+		if line.Name != eventTaken || !ok || submitted.Node == line.Node {
+			continue
+		}
+		// The owner may read of a job before the node has logged that it is stored.
+		took, err := time.ParseDuration(submitted.Get("took"))
+		if err != nil {
+			took = 0
+		}
+		if behind := submitted.Time.Add(-took).Sub(line.Time); behind > skews[line.Node] {
+			skews[line.Node] = behind
+		}
+	}
+	return skews
+}
+
+// Tell writes what happened to a job, in the order of time with the clocks of owners set right; with around set, also what
+// processes believed from so long before the first line to so long after the last. It returns ErrNoLine if no line is about
+// the job.
+func (l *Log) Tell(out io.Writer, job string, around time.Duration) error {
+	skews := l.Skews()
+	moment := func(line Line) time.Time { return line.Time.Add(skews[line.Node]) }
+	var lines []Line
+	for _, line := range l.Lines {
+		if line.Job() == job {
+			lines = append(lines, line)
+		}
+	}
+	if len(lines) == 0 {
+		return fmt.Errorf("%w: %s", ErrNoLine, job)
+	}
+	first, last := moment(lines[0]), moment(lines[0])
+	for _, line := range lines {
+		if at := moment(line); at.Before(first) {
+			first = at
+		} else if at.After(last) {
+			last = at
+		}
+	}
+	if around > 0 {
+		from, to := first.Add(-around), last.Add(around)
+		for _, line := range l.Lines {
+			if at := moment(line); line.Job() == "" && !at.Before(from) && !at.After(to) {
+				lines = append(lines, line)
+			}
+		}
+	}
+	lines = merge(lines, moment)
+	for _, line := range lines {
+		mark := " "
+		if line.Job() == "" {
+			mark = "~"
+		}
+		if _, err := fmt.Fprintf(out, "%s %+9.3fs %-20s %s%s\n", mark, moment(line).Sub(first).Seconds(), line.Node, line.Name, rest(line)); err != nil {
+			return err
+		}
+	}
+	return l.summary(out, len(lines), skews)
+}
+
+// merge puts lines in the order of time and keeps the order of each node, whose clock may jump.
+func merge(lines []Line, moment func(Line) time.Time) []Line {
+	queues := make(map[string][]Line)
+	for _, line := range lines {
+		queues[line.Node] = append(queues[line.Node], line)
+	}
+	for _, queue := range queues {
+		slices.SortFunc(queue, func(a, b Line) int { return a.order - b.order })
+	}
+	merged := make([]Line, 0, len(lines))
+	for len(merged) < len(lines) {
+		var earliest []Line
+		for _, queue := range queues {
+			if len(queue) == 0 {
+				continue
+			}
+			if earliest == nil || moment(queue[0]).Before(moment(earliest[0])) ||
+				(moment(queue[0]).Equal(moment(earliest[0])) && queue[0].order < earliest[0].order) {
+				earliest = queue
+			}
+		}
+		merged = append(merged, earliest[0])
+		queues[earliest[0].Node] = earliest[1:]
+	}
+	return merged
+}
+
+// rest formats the fields that the job itself doesn't tell.
+func rest(line Line) string {
+	var text strings.Builder
+	for _, f := range line.Fields {
+		if f.Key != "job" {
+			fmt.Fprintf(&text, " %s=%s", f.Key, f.Value)
+		}
+	}
+	return text.String()
+}
+
+func (l *Log) summary(out io.Writer, told int, skews map[string]time.Duration) error {
+	if _, err := fmt.Fprintf(out, "%d lines told of %d read, %d passed over\n", told, len(l.Lines), l.Passed); err != nil {
+		return err
+	}
+	nodes := make([]string, 0, len(skews))
+	for node := range skews {
+		nodes = append(nodes, node)
+	}
+	slices.Sort(nodes)
+	for _, node := range nodes {
+		if _, err := fmt.Fprintf(out, "the clock of %s is taken to be %s behind\n", node, skews[node]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
