--- a/internal/shard/failures_test.go
+++ b/internal/shard/failures_test.go
@@ -88,3 +88,25 @@
 	r.report(cut, agent.Report{})
 	assert.Equal(t, len(r.startAll()), 1)
 }
+
+// Guards against a worker over its capacity: a start was left without an answer and repeated with success, the worker began
+// a new life, and the first start still reaches that life.
+func TestLateStartReachesNewLife(t *testing.T) {
+	r := newRig(t, "w1")
+	r.submit(tasks(4))
+	starts := r.orders().Starts
+	assert.Equal(t, len(starts), 4)
+	for i, o := range starts {
+		var err error
+		if i == 0 {
+			err = agent.ErrNoAnswer
+		}
+		r.clock["w1"] += time.Millisecond
+		r.s.Started(o, r.clock["w1"], err, r.now)
+	}
+	r.pass(retryOrder)
+	assert.Equal(t, len(r.startAll()), 1, "the start without an answer is repeated")
+	r.born["w1"], r.clock["w1"] = 2, 0
+	r.report("w1", agent.Report{})
+	assert.Assert(t, len(r.startAll()) < 4, "the room of a start that may still arrive is taken")
+}
