--- /dev/null
+++ b/bench/internal/files/doc.go
@@ -0,0 +1,2 @@
+// Package files writes results to files for other programs.
+package files
--- a/bench/internal/reqs/run.go
+++ b/bench/internal/reqs/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -11,6 +10,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"arbutuswing.example/bench/internal/files"
 	"arbutuswing.example/bench/internal/fits"
 )
 
@@ -148,7 +148,7 @@
 	if err := cfg.print(results, fits.New("processor time of the entry instance", "request/s", "us/s", cores)); err != nil {
 		return err
 	}
-	return cfg.write(results)
+	return files.WriteJSON(cfg.JSON, results)
 }
 
 // idle returns the part of a core that the entry instance uses without requests.
@@ -211,17 +211,3 @@
 	_, _ = fmt.Fprintln(c.Out)
 	return fits.Print(c.Out, []fits.Series{cpu})
 }
-
-func (c Config) write(results []Result) error {
-	if c.JSON == "" {
-		return nil
-	}
-	data, err := json.MarshalIndent(results, "", "  ")
-	if err != nil {
-		return fmt.Errorf("encoding the results: %w", err)
-	}
-	if err := os.WriteFile(c.JSON, append(data, '\n'), 0o644); err != nil {
-		return fmt.Errorf("writing the results: %w", err)
-	}
-	return nil
-}
--- a/bench/internal/slopes/run.go
+++ b/bench/internal/slopes/run.go
@@ -1,13 +1,13 @@
 package slopes
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"os"
 	"strings"
 
+	"arbutuswing.example/bench/internal/files"
 	"arbutuswing.example/bench/internal/fits"
 )
 
@@ -95,19 +95,5 @@
 	if err := fits.Print(cfg.Out, all); err != nil {
 		return err
 	}
-	return write(cfg.JSON, all)
-}
-
-func write(path string, all []fits.Series) error {
-	if path == "" {
-		return nil
-	}
-	data, err := json.MarshalIndent(all, "", "  ")
-	if err != nil {
-		return fmt.Errorf("encoding the results: %w", err)
-	}
-	if err := os.WriteFile(path, append(data, '\n'), 0o644); err != nil {
-		return fmt.Errorf("writing the results: %w", err)
-	}
-	return nil
+	return files.WriteJSON(cfg.JSON, all)
 }
--- a/bench/internal/trial/run.go
+++ b/bench/internal/trial/run.go
@@ -2,13 +2,13 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"os"
 	"time"
 
+	"arbutuswing.example/bench/internal/files"
 	"arbutuswing.example/bench/internal/fleet"
 	"arbutuswing.example/bench/internal/mixes"
 )
@@ -65,17 +65,7 @@
 	if err := printResults(cfg, results); err != nil {
 		return err
 	}
-	if cfg.JSON == "" {
-		return nil
-	}
-	data, err := json.MarshalIndent(results, "", "  ")
-	if err != nil {
-		return fmt.Errorf("encoding the results: %w", err)
-	}
-	if err := os.WriteFile(cfg.JSON, append(data, '\n'), 0o644); err != nil {
-		return fmt.Errorf("writing the results: %w", err)
-	}
-	return nil
+	return files.WriteJSON(cfg.JSON, results)
 }
 
 func (c Config) play(baseline bool) (Result, error) {
