refactor(shard,owner): call what exists instead of writing it again

The share by which a size exceeds the free room is Resources.Dominant of the difference; the bound on tasks of a worker stood three times beside atMost; room was reserved in three places; waiting with a wake-up stood beside pause.For.

--- a/internal/owner/directory.go
+++ b/internal/owner/directory.go
@@ -12,6 +12,7 @@
 	"arbutuswing.example/internal/intake"
 	"arbutuswing.example/internal/ledger"
 	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/pause"
 	"arbutuswing.example/internal/peers"
 	"arbutuswing.example/internal/work"
 )
@@ -103,23 +104,12 @@
 		if !failed {
 			failures = 0
 		}
-		wait(ctx, directoryRetry, nil)
-		wait(ctx, every-directoryRetry, d.kick)
+		pause.For(ctx, directoryRetry)
+		pause.UntilWoken(ctx, every-directoryRetry, d.kick)
 	}
 	return nil
 }
 
-// wait waits for d, for the end of the context or until woken.
-func wait(ctx context.Context, d time.Duration, wake <-chan struct{}) {
-	timer := time.NewTimer(max(d, 0))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-wake:
-	}
-}
-
 // refresh reads who owns the jobs, and decides on this node's candidacy if the owner doesn't tell.
 func (d *Directory) refresh(ctx context.Context, told bool) {
 	records, err := readOwner(ctx, d.cfg.Ledger)
@@ -174,7 +164,7 @@
 		if until <= 0 {
 			return Member{}, false
 		}
-		wait(ctx, until, recovered)
+		pause.UntilWoken(ctx, until, recovered)
 		if ctx.Err() != nil || !time.Now().Before(limit) {
 			return Member{}, false
 		}
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -6,7 +6,10 @@
 )
 
 // For waits for d, but not beyond the context's end; it returns at once if d isn't positive.
-func For(ctx context.Context, d time.Duration) {
+func For(ctx context.Context, d time.Duration) { UntilWoken(ctx, d, nil) }
+
+// UntilWoken is For, but ends early when wake has something or is closed.
+func UntilWoken(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	if d <= 0 {
 		return
 	}
@@ -15,5 +18,6 @@
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
+	case <-wake:
 	}
 }
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -136,7 +136,6 @@
 // reserve keeps room for n tasks on the workers until the tickets for some of them have come.
 func (s *Shard) reserve(st *stage, list []candidate, named, n int, now time.Duration) {
 	s.release(st)
-	st.reserved = make(map[*worker]model.Resources)
 	st.reservedUntil = now + s.cost(st, named) + reserveSlack
 	for _, c := range list {
 		if n <= 0 {
@@ -144,8 +143,7 @@
 		}
 		take := min(c.slots, n)
 		n -= take
-		st.reserved[c.worker] = st.spec.Size.Times(take)
-		c.worker.reservations[st] = st.spec.Size.Times(take)
+		st.reserve(c.worker, take)
 	}
 }
 
--- a/internal/shard/gang.go
+++ b/internal/shard/gang.go
@@ -86,7 +86,7 @@
 	for _, w := range s.goodWorkers(st, now) {
 		fits, free := st.atMost(w, slots(w.claimable(st), st.spec.Size, n)), w.free(st)
 		for k := 1; k <= fits; k++ {
-			places = append(places, place{w, lack(free, st.spec.Size.Times(k), w.entry.Capacity)})
+			places = append(places, place{w, st.spec.Size.Times(k).Minus(free).Dominant(w.entry.Capacity)})
 		}
 	}
 	if len(places) < n {
@@ -99,29 +99,10 @@
 	slices.SortStableFunc(places, func(a, b place) int {
 		return cmp.Or(cmp.Compare(a.lack, b.lack), cmp.Compare(a.worker.id, b.worker.id))
 	})
-	st.reserved = make(map[*worker]model.Resources)
 	st.reservedUntil = now + claimTime
 	for _, p := range places[:n] {
-		st.reserved[p.worker] = st.reserved[p.worker].Plus(st.spec.Size)
+		st.reserve(p.worker, 1)
 	}
-	for w, room := range st.reserved {
-		w.reservations[st] = room
-	}
-}
-
-// lack returns the share of capacity by which size exceeds free, in the scarcest dimension.
-func lack(free, size, capacity model.Resources) float64 {
-	missing := 0.0
-	for _, d := range [][3]int64{
-		{int64(size.Cores), int64(free.Cores), int64(capacity.Cores)},
-		{int64(size.Memory), int64(free.Memory), int64(capacity.Memory)},
-		{size.Accelerators, free.Accelerators, capacity.Accelerators},
-	} {
-		if d[0] > d[1] && d[2] > 0 {
-			missing = max(missing, float64(d[0]-d[1])/float64(d[2]))
-		}
-	}
-	return missing
 }
 
 // claimedShare returns the share of the cores of the stage's pool that is kept for other gangs, and the share that would be
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -23,10 +24,7 @@
 		return
 	}
 	s.replan = false
-	freed := make([]*worker, 0, len(s.freed))
-	for w := range s.freed {
-		freed = append(freed, w)
-	}
+	freed := slices.Collect(maps.Keys(s.freed))
 	clear(s.freed)
 	for i, st := range waiting {
 		if i == scanLimit {
@@ -42,8 +40,8 @@
 // worthTrying reports whether a worker that may run the stage has room again; a plan would otherwise try hundreds of
 // stages in vain.
 func (s *Shard) worthTrying(st *stage, freed []*worker, now time.Duration) bool {
-	switch rest := now - st.triedAt; {
-	case st.spec.Gang && rest < gangRetry, st.hopeless(now) && rest < lateRetry:
+	rested := now - st.triedAt
+	if (st.spec.Gang && rested < gangRetry) || (st.hopeless(now) && rested < lateRetry) {
 		// Tried later, also if nothing else becomes free until then.
 		for _, w := range freed {
 			s.freed[w] = true
@@ -55,7 +53,7 @@
 			return true
 		}
 	}
-	return !st.asking && st.waitsFor == waitRoom && now-st.triedAt >= lateRetry
+	return !st.asking && st.waitsFor == waitRoom && rested >= lateRetry
 }
 
 func (s *Shard) hasRoom(st *stage, w *worker) bool {
@@ -213,10 +211,7 @@
 		if st.spec.Scavenger {
 			n = st.spec.Count
 		}
-		if st.spec.MaxPerWorker > 0 {
-			n = min(n, st.spec.MaxPerWorker-st.runsOn(w))
-		}
-		if n > 0 {
+		if n = st.atMost(w, n); n > 0 {
 			list = append(list, candidate{w, n, free, ticket})
 		}
 	}
--- a/internal/shard/preempt.go
+++ b/internal/shard/preempt.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/terms"
 )
 
@@ -39,10 +38,7 @@
 			p.loss += s.loss(a, now)
 			free = free.Plus(a.size())
 		}
-		p.slots = slots(free, st.spec.Size, n)
-		if st.spec.MaxPerWorker > 0 {
-			p.slots = min(p.slots, st.spec.MaxPerWorker-st.runsOn(w))
-		}
+		p.slots = st.atMost(w, slots(free, st.spec.Size, n))
 		if p.slots > 0 {
 			plans = append(plans, p)
 			total += p.slots
@@ -64,7 +60,6 @@
 	if loss > limit*float64(min(n, found)) {
 		return
 	}
-	st.reserved = make(map[*worker]model.Resources)
 	st.reservedUntil = now + s.cfg.KillGrace + 2*ticketMargin
 	for _, p := range plans {
 		if n <= 0 {
@@ -72,8 +67,7 @@
 		}
 		take := min(n, p.slots)
 		n -= take
-		p.worker.reservations[st] = st.spec.Size.Times(take)
-		st.reserved[p.worker] = st.spec.Size.Times(take)
+		st.reserve(p.worker, take)
 		for _, a := range p.victims {
 			s.event("run-preempted", string(a.stage.job.spec.ID), a.ref().String(), p.worker, string(st.job.spec.ID), int64(a.run))
 			s.stop(a, now)
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -121,4 +121,13 @@
 	return w.acked
 }
 
+// reserve keeps room for n more tasks of the stage on a worker.
+func (st *stage) reserve(w *worker, n int) {
+	if st.reserved == nil {
+		st.reserved = make(map[*worker]model.Resources)
+	}
+	st.reserved[w] = st.reserved[w].Plus(st.spec.Size.Times(n))
+	w.reservations[st] = st.reserved[w]
+}
+
 func (w *worker) unreserve(st *stage) { delete(w.reservations, st) }
