test(peer): let each read of the silent-connection test need its own connection

Cause: the test's own race. The client dialled a connection, meanwhile got a released one, and the dialled one was accepted after the others had been silenced, so that the next call found a connection that was not silent. Change: each of the three reads waits in the server for the other two, so exactly three connections are dialled. The number of accepted connections is checked too; all former checks stay.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -18,7 +18,10 @@
 
 // fakeInstance handles all calls. Those that reach the log, and Snapshot and Handoff, return err.
 type fakeInstance struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// gated makes each read of the log count down reading and wait until it is zero.
+	gated    bool
+	reading  sync.WaitGroup
 	err      error
 	appended [][]byte
 	claims   []once.ClaimRequest
@@ -36,6 +39,10 @@
 }
 
 func (f *fakeInstance) ReadLog(_ context.Context, from model.Offset, limit int, _ time.Duration) (ports.Batch, error) {
+	if f.gated {
+		f.reading.Done()
+		f.reading.Wait()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	batch := ports.Batch{First: 3, Next: 9}
@@ -260,15 +267,20 @@
 
 // Guards against reusing connections that have stopped responding, although new ones would work.
 func TestSilentConnectionsAreReplaced(t *testing.T) {
+	const connections = 3
 	listener := &silentListener{Listener: listen(t)}
-	serve(t, listener, &fakeInstance{})
+	instance := &fakeInstance{gated: true}
+	// Each read waits for the others, so that each needs a connection of its own and no other connection is dialled.
+	instance.reading.Add(connections)
+	serve(t, listener, instance)
 	client, address := newClient(t, ClientConfig{HeartbeatTimeout: 100 * time.Millisecond}), listener.Addr().String()
 	var calls sync.WaitGroup
-	for range 3 { // leaves several idle connections
+	for range connections {
 		calls.Go(func() { _, _ = client.ReadLog(context.Background(), address, 3, 1, 0) })
 	}
 	calls.Wait()
 	before := listener.silenceAll()
+	assert.Equal(t, before, connections)
 	_, err := client.Heartbeat(t.Context(), address, Status{})
 	assert.ErrorIs(t, err, ErrUnreachable)
 	_, err = client.Heartbeat(t.Context(), address, Status{})
