fix(shard): expect a late start in a worker's next incarnation

Cause: a start without an answer that was repeated with success counted as answered. Its first copy can still reach the worker seconds later; if the worker has restarted by then, the new incarnation runs a task that the shard has placed elsewhere or whose end is acknowledged. Ruled out: the header that names the worker (it holds the worker's ID, which a restart keeps), the lease end (the new incarnation's clock starts at zero) and a token for each incarnation (a node of the former version could then no longer take over). Change: an attempt remembers until when an unanswered start may arrive (15 s). After a restart such runs keep their capacity until the new incarnation has confirmed a stop; for runs that have ended the worker gets no tasks until then.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -73,6 +73,9 @@
 	a := cmd.attempt
 	a.commandPending = false
 	if a.worker.attempts[a.key()] != a || s.stopped {
+		if errors.Is(err, agent.ErrNoAnswer) {
+			a.worker.unknownRuns[a.key()] = &unknownRun{mayArrive: true}
+		}
 		return
 	}
 	switch {
@@ -84,7 +87,7 @@
 			s.markStarted(a, now)
 		}
 	case errors.Is(err, agent.ErrNoAnswer):
-		a.startUnanswered = true
+		a.startUnanswered, a.startInFlightUntil = true, now+maxCommandDelay
 		a.notBefore = now + commandRetryDelay
 		s.emit("start-unanswered", string(a.stage.job.spec.ID), a.ref().String(), a.worker, err.Error(), int64(a.run))
 		if a.worker.incarnation != 0 && now-a.worker.lastReportAt > suspectAfter {
@@ -126,6 +129,9 @@
 		if unknown := cmd.worker.unknownRuns[cmd.key]; unknown != nil {
 			unknown.stopPending = false
 			unknown.notBefore = now + s.cfg.KillGrace + commandRetryDelay
+			if err == nil {
+				unknown.mayArrive = false
+			}
 		}
 		return
 	}
--- a/internal/shard/config.go
+++ b/internal/shard/config.go
@@ -13,6 +13,8 @@
 	leaseExpiryMargin = 150 * time.Millisecond
 	// commandRetryDelay is the pause before a command that went unanswered is sent again.
 	commandRetryDelay = 150 * time.Millisecond
+	// maxCommandDelay is how long a command without an answer may take to reach its worker.
+	maxCommandDelay = 15 * time.Second
 	// gangStopGrace is how long workers have to stop the members of a broken gang themselves before stop commands are
 	// sent.
 	gangStopGrace = 200 * time.Millisecond
--- a/internal/shard/failures_test.go
+++ b/internal/shard/failures_test.go
@@ -111,3 +111,43 @@
 	h.report("w1", agent.Report{})
 	assert.Assert(t, len(h.confirmStarts()) < 4, "a start that may still arrive keeps its capacity")
 }
+
+// TestLateStartOfEndedRunIsStopped guards against starting a task again after its success was acknowledged: a start went
+// unanswered and was repeated successfully, the run ended, the worker restarted, and the first start is still in flight.
+func TestLateStartOfEndedRunIsStopped(t *testing.T) {
+	tests := []struct {
+		name    string
+		restart time.Duration
+		stops   int
+	}{
+		{"while the start may arrive", time.Second, 1},
+		{"after the start is lost for certain", maxCommandDelay + time.Second, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, "w1")
+			h.submitJob(tasks(1))
+			starts := h.nextCommands().Starts
+			assert.Equal(t, len(starts), 1)
+			h.shard.ApplyStartResult(starts[0], 0, agent.ErrNoAnswer, h.now)
+			h.advance(commandRetryDelay)
+			assert.Equal(t, len(h.confirmStarts()), 1)
+			h.report("w1", agent.Report{Ended: []agent.EndedRun{firstEnd(starts[0], agent.OutcomeDone)}})
+			h.commit()
+			h.requireState(work.StateCompleted)
+			h.advance(tt.restart)
+			h.incarnation["w1"], h.clock["w1"] = 2, 0
+			h.report("w1", agent.Report{})
+			commands := h.nextCommands()
+			assert.Equal(t, len(commands.Stops), tt.stops)
+			w := h.shard.workers["w1"]
+			assert.Equal(t, w.usable(h.now), tt.stops == 0)
+			for _, stop := range commands.Stops {
+				assert.Equal(t, stop.Stop.Task, starts[0].Start.Task)
+				h.shard.ApplyStopResult(stop, h.clock["w1"], nil, h.now)
+			}
+			h.report("w1", agent.Report{})
+			assert.Assert(t, w.usable(h.now), "the worker refuses the late start once the stop is confirmed")
+		})
+	}
+}
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -115,6 +115,9 @@
 	// commandPending is set while a command is in flight, startUnanswered once a start went unanswered.
 	commandPending  bool
 	startUnanswered bool
+	// startInFlightUntil is when the last unanswered start has arrived or is lost for certain; zero if each start was
+	// answered. It stays set when a repeated start succeeds, because the first one may still reach a later incarnation.
+	startInFlightUntil time.Duration
 	// notBefore is the earliest time for the run's next command.
 	notBefore time.Duration
 	// visibleSince is a reading of the worker's clock: a later report that doesn't list the run proves that it is gone.
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -63,8 +63,8 @@
 		listed[key] = true
 		s.applyRunning(w, key, row, now)
 	}
-	for key := range w.unknownRuns {
-		if !listed[key] {
+	for key, unknown := range w.unknownRuns {
+		if !listed[key] && !unknown.mayArrive {
 			delete(w.unknownRuns, key)
 			s.freedWorkers[w] = true
 		}
@@ -80,13 +80,18 @@
 	}
 }
 
-// replaceIncarnation ends the runs of the worker's previous incarnation. It keeps a run whose start went unanswered or
-// is in flight until a stop is confirmed, because that start may still reach the new incarnation. It also keeps the
+// replaceIncarnation ends the runs of the worker's previous incarnation. It keeps a run of which a start went unanswered
+// or is in flight until a stop is confirmed, because that start may still reach the new incarnation. It also keeps the
 // runs that the new incarnation reports: their start reached it.
 func (s *Shard) replaceIncarnation(w *worker, r agent.Report, now time.Duration) {
 	first, incarnation := w.incarnation == 0, r.Incarnation
 	w.incarnation, w.clock, w.lastEndSeen, w.ackedEnd, w.pendingAcks = incarnation, 0, 0, 0, nil
 	w.unknownRuns = make(map[runKey]*unknownRun)
+	for key, until := range w.inFlightStarts {
+		if now < until {
+			w.unknownRuns[key] = &unknownRun{mayArrive: true}
+		}
+	}
 	if first {
 		return
 	}
@@ -103,7 +108,7 @@
 		if reported[a.key()] {
 			continue
 		}
-		if a.startUnanswered || a.commandPending {
+		if a.startUnanswered || a.commandPending || now < a.startInFlightUntil {
 			s.stopRun(a, now)
 			a.visibleSince = -1
 			continue
@@ -212,6 +217,7 @@
 		return
 	}
 	delete(w.attempts, a.key())
+	w.noteInFlightStart(a, now)
 	w.used = w.used.Minus(a.size())
 	s.freedWorkers[w], st.retry = true, true
 	s.retryTeamStages(j.spec.Team)
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"maps"
 	"time"
 
 	"arbutuswing.example/internal/agent"
@@ -20,6 +21,8 @@
 	// unknownRuns holds runs that the worker reports but no job of this shard accounts for. The worker gets no new
 	// tasks until these are stopped.
 	unknownRuns map[runKey]*unknownRun
+	// inFlightStarts holds, for runs without an attempt, until when an unanswered start may still reach the worker.
+	inFlightStarts map[runKey]time.Duration
 	// clock is a reading of the worker's clock, taken at clockReadAt or earlier.
 	clock        time.Duration
 	clockReadAt  time.Duration
@@ -47,16 +50,26 @@
 	commitNumber uint64
 }
 
-// unknownRun is a run that the worker reports but no job of this shard accounts for.
+// unknownRun is a run that the worker reports, or might still start, but no job of this shard accounts for.
 type unknownRun struct {
 	stopPending bool
 	notBefore   time.Duration
+	// mayArrive tells that a start may still be in flight; once a stop is confirmed, the worker refuses that start.
+	mayArrive bool
 }
 
 func newWorker(id model.WorkerID) *worker {
 	return &worker{
 		id: id, attempts: make(map[runKey]*attempt), unknownRuns: make(map[runKey]*unknownRun),
-		reservations: make(map[*stage]model.Resources),
+		inFlightStarts: make(map[runKey]time.Duration), reservations: make(map[*stage]model.Resources),
+	}
+}
+
+// noteInFlightStart keeps in mind that a start of a run that has ended may still reach a later incarnation of the worker.
+func (w *worker) noteInFlightStart(a *attempt, now time.Duration) {
+	maps.DeleteFunc(w.inFlightStarts, func(_ runKey, until time.Duration) bool { return now >= until })
+	if now < a.startInFlightUntil {
+		w.inFlightStarts[a.key()] = a.startInFlightUntil
 	}
 }
 
