fix: keep odd entries and records from costing more than themselves

Cause: numbers beyond their range were cut when converted (differently on arm64 and x86-64), ports were not checked, one record of a page or one row of a report that did not fit cost the whole page or report, a client's job with two billion occurrences was stored and would have ended each owner that read it, and a takeover went on without progress records that it could not decode, so their jobs would have run again. Change: the decoders in platform/ refuse what is out of range; a page keeps its other records; a report with an unreadable row no longer proves runs gone; jobs are bounded in tasks, occurrences and times; jobs with unreadable records are held: their state stays running, their runs stay, their ends are not acknowledged. Registry entries are decoded only when they change, odd ones are logged and counted once. The soak puts odd entries into the registry, reports processes that end by themselves, and no longer clears one fault of the store when another ends.

--- a/Makefile
+++ b/Makefile
@@ -11,8 +11,9 @@
 GOFUMPT_VERSION := v0.12.0
 GOPLS_VERSION := v0.23.0
 MEASURE_SEEDS := 1 2
+FUZZ_TIME := 1m
 
-.PHONY: build test vet lint format format-check house tools rename-tool demo soak faultsoak slopes measure clean
+.PHONY: build test vet lint format format-check house tools rename-tool demo soak faultsoak fuzz slopes measure clean
 
 build:
 	@mkdir -p $(BIN)
@@ -70,6 +71,12 @@
 faultsoak:
 	go test -count=1 -timeout 60m -v -run TestSoak ./soak -soak.seed=$(SEED) -soak.length=$(LENGTH) -soak.nodes=$(NODES)
 
+# Fuzzes the decoders of what other programs write, FUZZ_TIME each.
+fuzz:
+	@for package in ./platform ./internal/work; do \
+		for target in $$(go test $$package -list '^Fuzz' | grep ^Fuzz); do \
+			go test $$package -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZ_TIME) || exit 1; done; done
+
 demo: build
 	scripts/demo
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -127,8 +127,8 @@
 	Incarnation int64
 	Running     []ActiveRun
 	Ended       []EndedRun
-	// Truncated tells that the report may not list all ended runs.
-	Truncated bool
+	// Incomplete tells that the report may not list all runs, so that a run that it doesn't list may exist.
+	Incomplete bool
 }
 
 // Workers sends commands to workers. Start and Stop return the worker's clock if the worker answered.
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -12,7 +12,9 @@
 var (
 	ownershipsTotal = metrics.NewCounter(`aw_owner_tenures_total`)
 	takeoverSeconds = metrics.NewHistogram(`aw_owner_takeover_seconds`)
-	load            = newLoadGauges()
+	// unreadableRecords counts the records of this program that a node could not decode.
+	unreadableRecords = metrics.NewCounter(`aw_unreadable_records_total`)
+	load              = newLoadGauges()
 )
 
 // loadGauges show the load of a node that owns jobs; without ownership they keep their last values.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"strconv"
 	"sync"
@@ -45,6 +44,8 @@
 	claimantKey = "owner"
 	servingKey  = "serving"
 	strengthKey = "strength"
+	// maxStrength is the largest strength that an owner's record may name, in cores.
+	maxStrength = 1 << 20
 	// standbySuffix is appended to the name of the group to name the group of nodes that may not own jobs. Renewing a
 	// membership there shows whether the store answers.
 	standbySuffix = "-standby"
@@ -317,8 +318,10 @@
 		case servingKey:
 			out.serving, _ = parseMember(string(r.Value))
 		case strengthKey:
-			if out.strength, err = strconv.ParseFloat(string(r.Value), 64); err != nil {
-				return ownerRecords{}, fmt.Errorf("strength of the owner: %w", err)
+			// An owner of unknown strength doesn't keep others from becoming candidates.
+			if out.strength, err = strconv.ParseFloat(string(r.Value), 64); err != nil || !(out.strength >= 0 && out.strength <= maxStrength) {
+				unreadableRecords.Inc()
+				out.strength = 0
 			}
 		}
 	}
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -249,8 +249,11 @@
 		ow.lastStoreAnswer, ow.inboxRead = time.Now(), begun
 		now := ow.now()
 		for _, r := range page.Records {
-			ow.dispatchRecord(r, func(j work.Job) { ow.shard.Submit(j, now) },
-				func(id model.JobID) { ow.shard.Cancel(id, now) })
+			ow.dispatchRecord(r, inboxHandler{
+				submit: func(j work.Job) { ow.shard.Submit(j, now) },
+				cancel: func(id model.JobID) { ow.shard.Cancel(id, now) },
+				hold:   ow.shard.Hold,
+			})
 		}
 		ow.mu.Unlock()
 		if len(page.Records) > 0 {
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -57,14 +58,19 @@
 	for _, r := range progress.Records {
 		p, err := work.DecodeProgress(r.Value)
 		if err != nil {
-			ow.cfg.Log.Error("decoding progress failed", zap.String("job", r.Key), zap.Error(err))
+			ow.cfg.Log.Error("decoding progress failed, job is held", zap.String("job", r.Key), zap.Error(err))
+			unreadableRecords.Inc()
+			restored.Unreadable = append(restored.Unreadable, model.JobID(r.Key))
 			continue
 		}
 		restored.Progress[model.JobID(r.Key)] = p
 	}
 	for _, r := range inbox.Records {
-		ow.dispatchRecord(r, func(j work.Job) { restored.Jobs = append(restored.Jobs, j) },
-			func(id model.JobID) { restored.Cancelled = append(restored.Cancelled, id) })
+		ow.dispatchRecord(r, inboxHandler{
+			submit: func(j work.Job) { restored.Jobs = append(restored.Jobs, j) },
+			cancel: func(id model.JobID) { restored.Cancelled = append(restored.Cancelled, id) },
+			hold:   func(id model.JobID) { restored.Unreadable = append(restored.Unreadable, id) },
+		})
 	}
 	ow.mu.Lock()
 	ow.shard.SetConfiguration(current)
@@ -119,22 +125,35 @@
 	}
 }
 
-// dispatchRecord decodes a record of the inbox and passes it to submit or cancel. It skips deleted records and logs invalid
-// ones.
-func (ow *ownership) dispatchRecord(r ledger.Record, submit func(work.Job), cancel func(model.JobID)) {
+// inboxHandler handles the records of the inbox.
+type inboxHandler struct {
+	submit func(work.Job)
+	cancel func(model.JobID)
+	// hold is called for a job whose record can't be decoded.
+	hold func(model.JobID)
+}
+
+// dispatchRecord decodes a record of the inbox and passes it to the handler. It skips deleted records and those with an
+// unknown key.
+func (ow *ownership) dispatchRecord(r ledger.Record, h inboxHandler) {
 	id, cancelled, ok := intake.ParseRecordKey(r.Key)
 	switch {
 	case !ok:
 		ow.cfg.Log.Warn("record with unknown key", zap.String("key", r.Key))
 	case len(r.Value) == 0:
 	case cancelled:
-		cancel(id)
+		h.cancel(id)
 	default:
 		job, err := work.DecodeJob(r.Value)
+		if err == nil && job.ID != id {
+			err = fmt.Errorf("%w: record of job %s is about %s", work.ErrInvalidJob, id, job.ID)
+		}
 		if err != nil {
-			ow.cfg.Log.Error("decoding job failed", zap.String("job", string(id)), zap.Error(err))
+			ow.cfg.Log.Error("decoding job failed, job is held", zap.String("job", string(id)), zap.Error(err))
+			unreadableRecords.Inc()
+			h.hold(id)
 			return
 		}
-		submit(job)
+		h.submit(job)
 	}
 }
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -175,8 +175,8 @@
 	for i := len(j.stages) - 1; i >= 0; i-- {
 		st := j.stages[i]
 		longest := time.Duration(0)
-		for _, later := range j.stages[i+1:] {
-			if later.occurrence == st.occurrence && slices.Contains(later.spec.After, st.index) {
+		for _, later := range j.stages[i+1 : (st.occurrence+1)*len(j.spec.Stages)] {
+			if slices.Contains(later.spec.After, st.index) {
 				longest = max(longest, later.criticalPath)
 			}
 		}
@@ -203,11 +203,10 @@
 }
 
 func (j *job) stage(occurrence, index int) *stage {
-	at := occurrence*len(j.spec.Stages) + index
-	if occurrence < 0 || index < 0 || index >= len(j.spec.Stages) || at >= len(j.stages) {
+	if occurrence < 0 || occurrence >= j.spec.OccurrenceCount() || index < 0 || index >= len(j.spec.Stages) {
 		return nil
 	}
-	return j.stages[at]
+	return j.stages[occurrence*len(j.spec.Stages)+index]
 }
 
 // open reports whether tasks of the job may still be started.
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -69,7 +69,7 @@
 			s.freedWorkers[w] = true
 		}
 	}
-	if r.Truncated {
+	if r.Incomplete {
 		return
 	}
 	s.clearUnconfirmed(w)
@@ -86,7 +86,7 @@
 func (s *Shard) replaceIncarnation(w *worker, r agent.Report, now time.Duration) {
 	first, incarnation := w.incarnation == 0, r.Incarnation
 	w.incarnation, w.clock, w.lastEndSeen, w.ackedEnd, w.pendingAcks = incarnation, 0, 0, 0, nil
-	w.unknownRuns = make(map[runKey]*unknownRun)
+	w.unknownRuns, w.firstHeldEnd = make(map[runKey]*unknownRun), 0
 	for key, until := range w.inFlightStarts {
 		if now < until {
 			w.unknownRuns[key] = &unknownRun{mayArrive: true}
@@ -121,7 +121,7 @@
 // commit.
 func (s *Shard) applyEnd(w *worker, end agent.EndedRun, now time.Duration) {
 	key := runKey{end.Task, end.Run}
-	if end.Number > w.lastEndSeen {
+	if end.Number > w.lastEndSeen && !s.holdEnd(w, end) {
 		w.lastEndSeen = end.Number
 		if a, ok := w.attempts[key]; ok {
 			if end.Outcome != agent.OutcomeDone {
@@ -139,7 +139,7 @@
 func (s *Shard) applyRunning(w *worker, key runKey, row agent.ActiveRun, now time.Duration) {
 	a, ok := w.attempts[key]
 	if !ok {
-		if w.unknownRuns[key] == nil {
+		if !s.holdRun(w, key, now) && w.unknownRuns[key] == nil {
 			w.unknownRuns[key] = &unknownRun{}
 			s.emit("run-unknown", string(key.task.Job), key.task.String(), w, "", int64(key.run))
 		}
--- a/internal/shard/restore.go
+++ b/internal/shard/restore.go
@@ -16,13 +16,20 @@
 	Jobs      []work.Job
 	Progress  map[model.JobID]work.Progress
 	Cancelled []model.JobID
+	// Unreadable lists the jobs of which a record can't be decoded.
+	Unreadable []model.JobID
 }
 
 // Restore loads the recorded state. Bound runs may still be on their workers until these report under the new token, or
 // until the longest lease that the former owner may have granted has expired.
 func (s *Shard) Restore(r RecordedState, now time.Duration, wall time.Time) {
+	for _, id := range r.Unreadable {
+		if r.Progress[id].Final == "" {
+			s.Hold(id)
+		}
+	}
 	for _, spec := range r.Jobs {
-		if _, ok := s.jobs[spec.ID]; ok {
+		if _, ok := s.jobs[spec.ID]; ok || s.held[spec.ID] {
 			continue
 		}
 		queue, _ := s.configuration.Queue(spec.Queue)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -25,6 +25,8 @@
 	activeStages []*stage
 	// cancelled holds the cancelled jobs, including those whose submission has not arrived yet.
 	cancelled map[model.JobID]bool
+	// held holds the jobs whose records can't be decoded.
+	held map[model.JobID]bool
 
 	adviceCalls []AdviceCall
 	// permittedShares holds, for each queue, a moving average of the share of workers that the advice service permits.
@@ -67,7 +69,7 @@
 	return &Shard{
 		cfg: cfg, jobs: make(map[model.JobID]*job), workers: make(map[model.WorkerID]*worker),
 		teamUsage: make(map[model.TeamID]model.Resources), teamRates: make(map[model.TeamID]*tokenBucket),
-		cancelled: make(map[model.JobID]bool), permittedShares: make(map[string]float64), nextCommit: 1,
+		cancelled: make(map[model.JobID]bool), held: make(map[model.JobID]bool), permittedShares: make(map[string]float64), nextCommit: 1,
 		freedWorkers: make(map[*worker]bool),
 	}
 }
@@ -111,6 +113,9 @@
 		}
 		return
 	}
+	if s.held[spec.ID] {
+		return
+	}
 	queue, _ := s.configuration.Queue(spec.Queue)
 	j := newJob(spec, queue, now)
 	j.overShare = s.exceedsTeamShare(spec.Team, now)
@@ -263,6 +268,8 @@
 func (s *Shard) JobState(id model.JobID) (work.State, bool) {
 	j, ok := s.jobs[id]
 	switch {
+	case s.held[id]:
+		return work.StateRunning, true
 	case !ok:
 		return "", false
 	case j.final != "" && j.finalCommit <= s.lastCommitted:
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -35,6 +35,11 @@
 	ackedEnd    int64
 	pendingAcks []pendingAck
 
+	// firstHeldEnd is the number of the first ended run of a held job, or zero; no end from it on is acknowledged. heldRunAt
+	// is when the worker last reported a run of a held job.
+	firstHeldEnd int64
+	heldRunAt    time.Duration
+
 	// hasUnconfirmed tells that there may be unconfirmed runs of this worker.
 	hasUnconfirmed bool
 
@@ -75,7 +80,9 @@
 
 // usable reports whether new tasks may be sent to the worker.
 func (w *worker) usable(now time.Duration) bool {
-	return w.listed && w.tokenSeen && !w.entry.Draining && len(w.unknownRuns) == 0 && now-w.lastReportAt < suspectAfter
+	holdsRun := w.heldRunAt > 0 && w.heldRunAt >= w.lastReportAt
+	return w.listed && w.tokenSeen && !w.entry.Draining && len(w.unknownRuns) == 0 && !holdsRun &&
+		now-w.lastReportAt < suspectAfter
 }
 
 // freeFor returns the capacity that is free for a stage: what is used neither by runs nor by reservations of other
@@ -137,6 +144,9 @@
 		w.ackedEnd = w.pendingAcks[0].number
 		w.pendingAcks = w.pendingAcks[1:]
 	}
+	if w.firstHeldEnd > 0 {
+		return min(w.ackedEnd, w.firstHeldEnd-1)
+	}
 	return w.ackedEnd
 }
 
--- /dev/null
+++ b/internal/work/decode_test.go
@@ -0,0 +1,76 @@
+package work
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"arbutuswing.example/internal/model"
+)
+
+// TestDecodeOddRecords guards against an odd record that is used, or that ends the process.
+func TestDecodeOddRecords(t *testing.T) {
+	const stage = `"stages":[{"count":1,"size":{"milli-cores":1,"memory-mib":1}}]`
+	huge := strings.Repeat("9", 30)
+	tests := []struct{ name, job, progress string }{
+		{"nothing", "", ""},
+		{"not JSON", "\xff", "\xff"},
+		{"another type", "[]", "[]"},
+		{"deeply nested", strings.Repeat("[", 30_000), `{"tasks":` + strings.Repeat("[", 30_000)},
+		{"no stages", `{"id":"j"}`, `{"final":"unknown"}`},
+		{"negative", `{"stages":[{"count":-1}]}`, `{"tasks":[{"occurrence":-1}]}`},
+		{"beyond its type", `{"stages":[{"count":` + huge + `}]}`, `{"tasks":[{"index":` + huge + `}]}`},
+		{"beyond memory", `{"occurrences":2000000000,` + stage + `}`, `{"tasks":[{"last-run":-1}]}`},
+		{"stage after itself", `{"stages":[{"count":1,"after":[0]}]}`, `{"tasks":[{"bindings":[{"run":1,"worker":"w"}]}]}`},
+		{"1 MB", `{"stages":"` + strings.Repeat("x", 1<<20) + `"}`, `{"tasks":"` + strings.Repeat("x", 1<<20) + `"}`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := DecodeJob([]byte(tt.job))
+			assert.ErrorIs(t, err, ErrInvalidJob)
+			_, err = DecodeProgress([]byte(tt.progress))
+			assert.ErrorIs(t, err, ErrInvalidProgress)
+		})
+	}
+}
+
+// validJob has all fields that a decoder reads.
+var validJob = Job{
+	ID: "j", Queue: "q", Team: "t", Payload: "p", Accepted: time.Unix(1, 0), Occurrences: 2, Start: time.Unix(2, 0),
+	Interval: model.Duration(time.Second),
+	Stages:   []Stage{{Count: 2, Size: model.Resources{Cores: 1}, RunTime: model.Duration(time.Second)}, {Count: 1, After: []int{0}}},
+}
+
+func FuzzDecodeJob(f *testing.F) {
+	data, err := validJob.Encode()
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		job, err := DecodeJob(data)
+		if err != nil {
+			return
+		}
+		// A job without occurrences starts at once, whatever its start time.
+		overflow := job.Occurrences > 0 && job.OccurrenceStart(job.Occurrences).Before(job.Start)
+		if overflow || job.CriticalPathTime(0) < 0 {
+			t.Fatalf("overflow in %+v", job)
+		}
+	})
+}
+
+func FuzzDecodeProgress(f *testing.F) {
+	data, err := Progress{Begun: true, Tasks: []TaskProgress{{LastRun: 1, Bindings: []Binding{{Run: 1, Worker: "w", Incarnation: 5}}}}}.Encode()
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		p, err := DecodeProgress(data)
+		if err != nil {
+			return
+		}
+		if _, err := p.Encode(); err != nil {
+			t.Fatalf("%+v: %v", p, err)
+		}
+	})
+}
--- a/internal/work/job.go
+++ b/internal/work/job.go
@@ -13,7 +13,17 @@
 
 const (
 	maxStages = 64
-	maxTasks  = 10_000
+	// maxTasks bounds the tasks of a stage, and maxJobTasks those of all stages and occurrences of a job, which an owner
+	// keeps in memory together with the occurrences.
+	maxTasks       = 10_000
+	maxJobTasks    = 100_000
+	maxOccurrences = 10_000
+	// maxSpan bounds the time from the first to the last occurrence, and maxRunTime a stage's estimate, so that sums of
+	// them fit into their type.
+	maxSpan    = 100 * 365 * 24 * time.Hour
+	maxRunTime = 365 * 24 * time.Hour
+	// maxAmount bounds each dimension of a task's size.
+	maxAmount = 1 << 40
 )
 
 // Stage is a set of identical tasks of a job; sizes and run times are the submitter's estimates.
@@ -81,18 +91,28 @@
 }
 
 // Validate returns ErrInvalidJob for a job without tasks, with negative values, with a stage that waits for itself or for
-// a later stage, or with more stages or tasks than allowed.
+// a later stage, or with more stages or tasks, larger sizes or longer times than allowed.
 func (j Job) Validate() error {
 	if len(j.Stages) == 0 || len(j.Stages) > maxStages {
 		return fmt.Errorf("%w: %d stages: must be 1 to %d", ErrInvalidJob, len(j.Stages), maxStages)
 	}
-	if j.Occurrences < 0 || j.Interval < 0 {
-		return fmt.Errorf("%w: negative occurrences or interval", ErrInvalidJob)
+	if j.Occurrences < 0 || j.Occurrences > maxOccurrences || j.Interval < 0 {
+		return fmt.Errorf("%w: %d occurrences every %v: must be at most %d, and not negative", ErrInvalidJob, j.Occurrences,
+			j.Interval.Std(), maxOccurrences)
 	}
+	if float64(j.Occurrences)*float64(j.Interval) > float64(maxSpan) {
+		return fmt.Errorf("%w: %d occurrences every %v last too long", ErrInvalidJob, j.Occurrences, j.Interval.Std())
+	}
+	tasks := 0
 	for i, stage := range j.Stages {
 		if err := stage.validate(i); err != nil {
 			return err
 		}
+		tasks += stage.Count
+	}
+	if j.OccurrenceCount() > maxJobTasks/tasks {
+		return fmt.Errorf("%w: %d occurrences of %d tasks: at most %d tasks in all", ErrInvalidJob, j.OccurrenceCount(), tasks,
+			maxJobTasks)
 	}
 	return nil
 }
@@ -104,6 +124,9 @@
 	if s.Size.Negative() || s.RunTime < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 || s.LatencyTarget < 0 {
 		return fmt.Errorf("%w: stage %d has a negative figure", ErrInvalidJob, index)
 	}
+	if s.Size.Cores > maxAmount || s.Size.Memory > maxAmount || s.Size.Accelerators > maxAmount || s.RunTime.Std() > maxRunTime {
+		return fmt.Errorf("%w: stage %d has a size or run time beyond any machine", ErrInvalidJob, index)
+	}
 	for _, earlier := range s.After {
 		if earlier < 0 || earlier >= index {
 			return fmt.Errorf("%w: stage %d waits for stage %d, which is not an earlier one", ErrInvalidJob, index, earlier)
--- a/internal/work/progress.go
+++ b/internal/work/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 
 	"arbutuswing.example/internal/model"
@@ -57,11 +58,27 @@
 // Encode returns the stored form of the progress.
 func (p Progress) Encode() ([]byte, error) { return json.Marshal(p) }
 
-// DecodeProgress parses the stored form of a job's progress.
+// ErrInvalidProgress reports recorded progress that can't be understood.
+var ErrInvalidProgress = errors.New("bad progress")
+
+// DecodeProgress parses the stored form of a job's progress. It returns ErrInvalidProgress for progress that is malformed or
+// names an impossible task, run or state.
 func DecodeProgress(data []byte) (Progress, error) {
 	var p Progress
 	if err := json.Unmarshal(data, &p); err != nil {
-		return Progress{}, fmt.Errorf("decoding progress: %w", err)
+		return Progress{}, fmt.Errorf("%w: %w", ErrInvalidProgress, err)
+	}
+	if p.Final != "" && !p.Final.Final() {
+		return Progress{}, fmt.Errorf("%w: final state %.100q", ErrInvalidProgress, p.Final)
+	}
+	for _, t := range p.Tasks {
+		valid := t.Occurrence >= 0 && t.Stage >= 0 && t.Index >= 0 && t.LastRun >= 0
+		for _, b := range t.Bindings {
+			valid = valid && b.Run > 0 && b.Run <= t.LastRun && b.Worker != ""
+		}
+		if !valid {
+			return Progress{}, fmt.Errorf("%w: task %d/%d/%d", ErrInvalidProgress, t.Occurrence, t.Stage, t.Index)
+		}
 	}
 	return p, nil
 }
@@ -69,11 +86,11 @@
 // Encode returns the stored form of the job.
 func (j Job) Encode() ([]byte, error) { return json.Marshal(j) }
 
-// DecodeJob parses the stored form of a job.
+// DecodeJob parses the stored form of a job. It returns ErrInvalidJob for a job that is malformed or not valid.
 func DecodeJob(data []byte) (Job, error) {
 	var j Job
 	if err := json.Unmarshal(data, &j); err != nil {
-		return Job{}, fmt.Errorf("decoding job: %w", err)
+		return Job{}, fmt.Errorf("%w: %w", ErrInvalidJob, err)
 	}
-	return j, nil
+	return j, j.Validate()
 }
--- a/node/internal/daemon/components.go
+++ b/node/internal/daemon/components.go
@@ -158,23 +158,10 @@
 // newRegistry returns a function that creates a mirror of the workers' entries; only the owner runs one.
 func newRegistry(store ledger.Store, log *zap.Logger) func(changed func([]agent.Entry)) owner.Runner {
 	return func(changed func([]agent.Entry)) owner.Runner {
+		registry := newRegistryView(log)
 		return mirror.New(mirror.Config{
 			Store: store, Topic: adapt.TopicWorkers, Pause: registryPause, Log: log,
-			OnChange: func(records map[string][]byte) { changed(decodeEntries(records, log)) },
+			OnChange: func(records map[string][]byte) { changed(registry.update(records)) },
 		})
 	}
 }
-
-// decodeEntries decodes the workers' entries and leaves out those that are invalid.
-func decodeEntries(records map[string][]byte, log *zap.Logger) []agent.Entry {
-	entries := make([]agent.Entry, 0, len(records))
-	for id, value := range records {
-		entry, err := adapt.DecodeEntry(id, value)
-		if err != nil {
-			log.Debug("skipped an invalid worker entry", zap.Error(err))
-			continue
-		}
-		entries = append(entries, entry)
-	}
-	return entries
-}
--- a/soak/node_test.go
+++ b/soak/node_test.go
@@ -31,6 +31,9 @@
 	cmd      *exec.Cmd
 	stayDown bool
 	closing  bool
+	// signalled is set once the process has been told to end; ends holds how processes ended that had not been told to.
+	signalled bool
+	ends      []string
 	done     chan struct{}
 }
 
@@ -82,6 +85,7 @@
 		}
 		stayDown := n.stayDown
 		if !stayDown {
+			n.signalled = false
 			n.cmd = exec.Command(nodeBinary, "run", "--settings", n.settings)
 			n.cmd.Stdout, n.cmd.Stderr = out, out
 			// The kernel kills the node when the test binary ends: a binary that is killed at its timeout runs no cleanup.
@@ -93,7 +97,12 @@
 		cmd := n.cmd
 		n.mu.Unlock()
 		if !stayDown {
-			_ = cmd.Wait()
+			err := cmd.Wait()
+			n.mu.Lock()
+			if !n.signalled {
+				n.ends = append(n.ends, fmt.Sprintf("%s ended by itself: %v", n.name, err))
+			}
+			n.mu.Unlock()
 		}
 		time.Sleep(restartDelay)
 	}
@@ -103,11 +112,19 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.cmd != nil {
+		n.signalled = n.signalled || s == syscall.SIGKILL || s == syscall.SIGTERM
 		// The process may have ended already.
 		_ = n.cmd.Process.Signal(s)
 	}
 }
 
+// ownEnds returns how processes of the node ended that had not been told to.
+func (n *node) ownEnds() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ends
+}
+
 // setStayDown sets whether an ended process stays down instead of being restarted.
 func (n *node) setStayDown(stayDown bool) {
 	n.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -53,6 +54,8 @@
 	accepted    []string
 	jobsInDoubt int
 	refused     int
+	// storeFaults are the faults of the store that last.
+	storeFaults []fault
 	violations  []string
 }
 
@@ -74,6 +77,7 @@
 	assert.NilError(t, err)
 	t.Cleanup(d.fleet.Close)
 	d.store.PutConfig(fakes.Config(d.version, queueHost, queuePath, teamKey))
+	d.putOddEntries()
 	for i := range nodes {
 		d.nodes = append(d.nodes, newNode(t, dir, i, dataCentres[i%len(dataCentres)], d.store, d.fleet))
 	}
@@ -196,13 +200,8 @@
 		n.store.set(linkModeAt(e))
 	case faultWorkerLink:
 		d.links[e.fault.Target%workerCount].set(linkModeAt(e))
-	case faultStoreDown:
-		d.store.SetFaults(fakes.StoreFaults{Down: e.start})
-	case faultStoreSlow:
-		d.store.SetFaults(
-			fakes.StoreFaults{Delay: time.Duration(e.fault.Target%300) * time.Millisecond * time.Duration(boolToInt(e.start))})
-	case faultStoreDropsAnswers:
-		d.store.SetFaults(fakes.StoreFaults{DropAnswerEvery: 3 * boolToInt(e.start)})
+	case faultStoreDown, faultStoreSlow, faultStoreDropsAnswers:
+		d.applyStoreFault(e)
 	case faultWorkerCrash:
 		if e.start {
 			worker.Crash()
@@ -219,6 +218,42 @@
 	}
 }
 
+// applyStoreFault starts or ends a fault of the store while others last.
+func (d *deployment) applyStoreFault(e faultEvent) {
+	if e.start {
+		d.storeFaults = append(d.storeFaults, e.fault)
+	} else if at := slices.Index(d.storeFaults, e.fault); at >= 0 {
+		d.storeFaults = slices.Delete(d.storeFaults, at, at+1)
+	}
+	var all fakes.StoreFaults
+	for _, f := range d.storeFaults {
+		switch f.Kind {
+		case faultStoreDown:
+			all.Down = true
+		case faultStoreSlow:
+			all.Delay = max(all.Delay, time.Duration(f.Target%300)*time.Millisecond)
+		case faultStoreDropsAnswers:
+			all.DropAnswerEvery = 3
+		}
+	}
+	d.store.SetFaults(all)
+}
+
+// putOddEntries writes registry entries that name no worker, as another writer might leave them.
+func (d *deployment) putOddEntries() {
+	const template = `{"service":"pool","address":"127.0.0.1:%s","state":"ready","capacity":{"cpu":%s,"mem-mb":1},"labels":%s,"born":%s}`
+	odd := []string{
+		"", "\xff", "null", "[]", strings.Repeat("[", 100_000), strings.Repeat(`{"service":`, 50_000),
+		fmt.Sprintf(template, "70000", "1", "[]", "1"), fmt.Sprintf(template, "-1", "1", "[]", "1"),
+		fmt.Sprintf(template, "80", strings.Repeat("9", 40), "[]", "1"), fmt.Sprintf(template, "80", "-9000", "[]", "1"),
+		fmt.Sprintf(template, "80", "1", "[]", "1e300"), fmt.Sprintf(template, "80", "1", strings.Repeat("[", 50_000), "1"),
+	}
+	for i, value := range odd {
+		d.store.Put("servers", fmt.Sprintf("odd-%d", i), []byte(value))
+	}
+	d.store.Put("owner", "strength", []byte("1e999"))
+}
+
 // linkModeAt returns the mode of the link after the event.
 func linkModeAt(e faultEvent) linkMode {
 	if e.start {
@@ -236,6 +271,7 @@
 
 // clearFaults ends all faults.
 func (d *deployment) clearFaults() {
+	d.storeFaults = nil
 	d.store.SetFaults(fakes.StoreFaults{})
 	for _, n := range d.nodes {
 		n.setStayDown(false)
@@ -309,6 +345,9 @@
 	d.clearFaults()
 	d.awaitCompletion()
 	violations := append(d.fleet.Violations(), d.violations...)
+	for _, n := range d.nodes {
+		violations = append(violations, n.ownEnds()...)
+	}
 	t.Logf("seed %d, %d nodes: %d faults, %d jobs accepted, %d refused, %d in doubt, %d starts", seed, nodes, len(plan),
 		len(d.accepted), d.refused, d.jobsInDoubt, d.fleet.Starts())
 	assert.Assert(t, len(d.accepted) > 0, "no job was accepted")
