--- a/soak/node_test.go
+++ b/soak/node_test.go
@@ -34,7 +34,7 @@
 	// signalled is set once the process has been told to end; ends holds how processes ended that had not been told to.
 	signalled bool
 	ends      []string
-	done     chan struct{}
+	done      chan struct{}
 }
 
 // newNode starts a node, which reaches the store through a proxy of its own.
