--- a/internal/logs/buffer.go
+++ b/internal/logs/buffer.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -16,12 +17,14 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
+	closing chan struct{}
+	once    sync.Once
 	done    chan struct{}
 }
 
 // NewBuffer returns a buffer that writes to out and starts its goroutine.
 func NewBuffer(out io.Writer) *Buffer {
-	b := &Buffer{out: out, lines: make(chan []byte, maxBufferedLines), done: make(chan struct{})}
+	b := &Buffer{out: out, lines: make(chan []byte, maxBufferedLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go b.loop()
 	return b
 }
@@ -39,9 +42,9 @@
 // Dropped returns the number of lines dropped so far.
 func (b *Buffer) Dropped() int64 { return b.dropped.Load() }
 
-// Close waits up to limit for the buffered lines to be written. Write must not be called after Close.
+// Close waits up to limit for the buffered lines to be written. Lines that are added later may be lost.
 func (b *Buffer) Close(limit time.Duration) {
-	close(b.lines)
+	b.once.Do(func() { close(b.closing) })
 	select {
 	case <-b.done:
 	case <-time.After(limit):
@@ -51,11 +54,27 @@
 func (b *Buffer) loop() {
 	defer close(b.done)
 	reported := int64(0)
-	for line := range b.lines {
+	write := func(line []byte) {
 		if dropped := b.dropped.Load(); dropped > reported {
 			_, _ = fmt.Fprintf(b.out, "level=warn msg=\"log lines left out\" count=%d\n", dropped-reported)
 			reported = dropped
 		}
 		_, _ = b.out.Write(line)
 	}
+	for {
+		select {
+		case line := <-b.lines:
+			write(line)
+			continue
+		case <-b.closing:
+		}
+		for {
+			select {
+			case line := <-b.lines:
+				write(line)
+			default:
+				return
+			}
+		}
+	}
 }
--- a/internal/logs/buffer_test.go
+++ b/internal/logs/buffer_test.go
@@ -41,6 +41,15 @@
 	assert.Assert(t, strings.Contains(out.text.String(), "log lines left out"))
 }
 
+// TestWriteAfterClose guards against a process that panics because a goroutine logs while the process ends.
+func TestWriteAfterClose(t *testing.T) {
+	b := NewBuffer(io.Discard)
+	b.Close(time.Minute)
+	_, err := b.Write([]byte("line\n"))
+	assert.NilError(t, err)
+	b.Close(time.Minute)
+}
+
 func BenchmarkBuffer(b *testing.B) {
 	log, err := New(NewBuffer(io.Discard), "info")
 	assert.NilError(b, err)
--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -21,6 +21,8 @@
 	since  time.Time
 	// victims are the attempts preempted for the task.
 	victims []*attempt
+	// gang holds the claims of all members of the task's gang, this one included; it is nil for other tasks.
+	gang []*claim
 }
 
 // blockedHead is the job at the head of the queue that fits on no worker, and since when.
@@ -75,6 +77,11 @@
 		}
 		victims = append(victims, chosen...)
 	}
+	if c.Spec.Kind == model.KindGang {
+		for _, newClaim := range newClaims {
+			newClaim.gang = newClaims
+		}
+	}
 	for _, v := range victims {
 		countEviction(evictPreempt)
 		p.serveSoon(v.worker)
@@ -220,12 +227,12 @@
 	for id, c := range p.claims {
 		task, spec, ok := p.deps.View.Task(id)
 		if !ok || task.Phase != state.PhaseQueued || !p.queue.Has(id) {
-			p.dropClaim(c)
+			p.dropWhole(c)
 			continue
 		}
 		free, known := p.inventory.Free(c.worker)
 		if !known || !usable(p.workers[c.worker]) || r.now.Sub(c.since) > p.cfg.ClaimTimeout {
-			p.dropClaim(c)
+			p.dropWhole(c)
 			continue
 		}
 		if free.Negative() || p.evictBacklogged(c.worker) {
@@ -278,6 +285,19 @@
 	p.changed = true
 }
 
+// dropWhole drops a claim and, if its task is a member of a gang, the claims of all members: a gang is bound whole.
+func (p *Placer) dropWhole(c *claim) {
+	if c.gang == nil {
+		p.dropClaim(c)
+		return
+	}
+	for _, member := range c.gang {
+		if p.claims[member.task] == member {
+			p.dropClaim(member)
+		}
+	}
+}
+
 // dropAllClaims drops all claims when the instance is not the placer, since only the placer fulfils and expires them.
 func (p *Placer) dropAllClaims() {
 	for _, c := range p.claims {
--- a/internal/sched/claim_test.go
+++ b/internal/sched/claim_test.go
@@ -43,6 +43,30 @@
 	assert.Equal(t, c.fleet.startCount, 8)
 }
 
+// Guards against a gang that is bound with fewer members after the claim of one member was dropped.
+func TestDroppedClaimOfGangMemberDropsAll(t *testing.T) {
+	c := newTestCluster(t, 2, cores(8))
+	c.fleet.runTime = time.Hour
+	c.log.accept(job("patient", "a", "patient", 8, cores(2)))
+	c.advance(3 * time.Second)
+	p := c.nodes[0].placer
+	gang := job("gang", "b", "urgent", 2, cores(6))
+	gang.Kind = model.KindGang
+	c.log.accept(gang)
+	c.nodes[0].applyNewRecords()
+	p.decide()
+	assert.Equal(t, len(p.claims), 2)
+	p.claims[model.TaskID{Job: "gang"}].since = time.Time{}
+	for range 20 {
+		p.decide()
+		assert.Assert(t, len(p.claims) != 1, "one member's claim is left")
+		c.advance(200 * time.Millisecond)
+		n := c.fleet.running("gang")
+		assert.Assert(t, n == 0 || n == 2, "%d members of the gang run", n)
+	}
+	assert.Equal(t, c.fleet.running("gang"), 2)
+}
+
 // Guards against a task that uses up all its attempts on a worker where it fails.
 func TestRetryAvoidsFailedWorker(t *testing.T) {
 	c := newTestCluster(t, 2, cores(8))
--- a/internal/sched/config.go
+++ b/internal/sched/config.go
@@ -101,7 +101,7 @@
 		return fmt.Errorf("%w: the data centre must be set", ErrConfig)
 	}
 	if c.RoundInterval <= 0 || c.MaintenanceInterval < c.RoundInterval || c.PreemptionDelay < 0 ||
-		c.ClaimTimeout <= 0 || c.RetryDelay <= 0 || c.TaskTTL <= 0 {
+		c.MinRemainingTime < 0 || c.ClaimTimeout <= 0 || c.RetryDelay <= 0 || c.TaskTTL <= 0 {
 		return fmt.Errorf("%w: durations out of range", ErrConfig)
 	}
 	if c.MaxBindings < 1 || c.MaxSubmissions < 1 || c.MaxStarts < 1 || c.MaxClaims < 1 ||
--- a/internal/strict/decode.go
+++ b/internal/strict/decode.go
@@ -58,7 +58,7 @@
 		return n.member(step)
 	}
 	index, err := strconv.Atoi(strings.Trim(step, "[]"))
-	if err != nil || index >= len(n.items) {
+	if err != nil || index < 0 || index >= len(n.items) {
 		return nil
 	}
 	return n.items[index]
--- a/internal/strict/decode_test.go
+++ b/internal/strict/decode_test.go
@@ -64,6 +64,7 @@
 		{"list[1].wait", "f.json:4:12: list[1].wait: bad"},
 		{"list[1].count", "f.json:4:3: list[1].count: bad"},
 		{"list[7]", "f.json:2:10: list[7]: bad"},
+		{"list[-1]", "f.json:2:10: list[-1]: bad"},
 		{"name", "f.json:1:1: name: bad"},
 		{"", "f.json:1:1: bad"},
 	}
--- a/node/internal/daemon/daemon.go
+++ b/node/internal/daemon/daemon.go
@@ -28,6 +28,8 @@
 	shutdownReserve   = 1200 * time.Millisecond
 	drainPollInterval = 50 * time.Millisecond
 	logFlushTimeout   = 200 * time.Millisecond
+	// componentsTimeout bounds the wait for the components to end, so that their last calls and log lines get out.
+	componentsTimeout = 200 * time.Millisecond
 )
 
 // Run runs a node until SIGTERM or SIGINT and then stops it gracefully. It returns an error if the settings are invalid or a
@@ -86,11 +88,34 @@
 	stopOwner()
 	err := d.stop(cause)
 	stopBase()
+	awaitComponents(group, componentsTimeout)
 	d.Log.Info("node stopped", zap.Error(err))
 	d.Buffer.Close(logFlushTimeout)
 	return err
 }
 
+// awaitComponents waits until the components have ended, but at most for the timeout.
+func awaitComponents(group *errgroup.Group, timeout time.Duration) {
+	w := componentWaiter{group, make(chan struct{})}
+	go w.run()
+	select {
+	case <-w.ended:
+	case <-time.After(timeout):
+	}
+}
+
+// componentWaiter closes ended once all components of the group have ended.
+type componentWaiter struct {
+	group *errgroup.Group
+	ended chan struct{}
+}
+
+func (w componentWaiter) run() {
+	// The first error of a component has already made the node stop.
+	_ = w.group.Wait()
+	close(w.ended)
+}
+
 // wait handles signals until one asks for a stop. It returns nil then, or the error of a component that has ended by itself.
 func (d *daemon) wait(ctx context.Context, signals <-chan os.Signal) error {
 	for {
@@ -98,7 +123,7 @@
 		case s := <-signals:
 			switch s {
 			case syscall.SIGHUP:
-				d.reload()
+				d.checkSettings()
 			case syscall.SIGUSR1:
 				d.dump()
 			default:
@@ -110,14 +135,14 @@
 	}
 }
 
-// reload reads and checks the settings again and logs whether they have changed. A running node keeps its settings.
-func (d *daemon) reload() {
+// checkSettings reads and checks the settings again and logs whether they have changed. A running node keeps its settings.
+func (d *daemon) checkSettings() {
 	fresh, err := config.Load[config.Node](d.file)
 	if err != nil {
-		d.Log.Error("settings not reloaded", zap.Error(err))
+		d.Log.Error("settings on disk are invalid", zap.Error(err))
 		return
 	}
-	d.Log.Info("settings reloaded", zap.Bool("changed", fresh != d.Settings))
+	d.Log.Info("settings checked, a restart applies them", zap.Bool("changed", fresh != d.Settings))
 }
 
 // dump logs the node's state.
