perf(shard): look only at the workers that a decision is about

Advice calls name the same workers as before, but for ties with capacity reserved for others, which now come last in every call.

--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -56,6 +56,8 @@
 	fenced   bool
 	shard    *shard.Shard
 	sessions map[model.WorkerID]*workerSession
+	// sessionsVersion is the version of the shard's targets that the sessions match.
+	sessionsVersion uint64
 	// entries are the workers' registry entries, valid once entriesKnown is set.
 	entries      []agent.Entry
 	entriesKnown bool
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -31,10 +31,12 @@
 
 // syncSessions keeps one session for each worker of the shard; the lock is held.
 func (ow *ownership) syncSessions(ctx context.Context) {
-	targets := ow.shard.Targets()
-	if len(targets) == len(ow.sessions) && ow.sessionsMatch(targets) {
+	version := ow.shard.TargetsVersion()
+	if version == ow.sessionsVersion {
 		return
 	}
+	ow.sessionsVersion = version
+	targets := ow.shard.Targets()
 	listed := make(map[model.WorkerID]agent.Target, len(targets))
 	for _, target := range targets {
 		listed[target.ID] = target
@@ -56,15 +58,6 @@
 	}
 }
 
-func (ow *ownership) sessionsMatch(targets []agent.Target) bool {
-	for _, target := range targets {
-		if s := ow.sessions[target.ID]; s == nil || s.target != target {
-			return false
-		}
-	}
-	return true
-}
-
 // mayRenewLeases reports whether leases may be renewed: the store has answered within the renewal limit.
 func (ow *ownership) mayRenewLeases() bool {
 	return time.Since(ow.lastStoreAnswer) < ow.cfg.Shard.RenewLimit
--- a/internal/shard/adviceworkers.go
+++ b/internal/shard/adviceworkers.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -35,59 +34,91 @@
 // that large free capacity remains for gangs. It includes workers without free capacity only while too few eligible
 // workers are known.
 func (s *Shard) unadvisedWorkers(st *stage, n int, now time.Duration) []candidate {
-	var notFull, full []candidate
-	for _, w := range s.workersByID {
-		if _, known := st.answers[w.id]; known || !s.meetsConstraints(st, w, now) {
-			continue
-		}
-		free := w.freeFor(st)
-		c := candidate{worker: w, slots: st.limitPerWorker(w, slots(free, st.spec.Size, n)), freeCapacity: free}
-		if c.slots > 0 {
-			notFull = append(notFull, c)
-		} else {
-			full = append(full, c)
-		}
-	}
-	limit := s.workerLimit(st)
-	switch {
-	case st.spec.Gang:
+	limit, share := s.workerLimit(st), s.permittedShare(st.job.queue.Name)
+	if st.spec.Gang {
 		// A gang reserves capacity until it suffices, so each worker counts with the slots that it has when empty.
 		missing := max(gangCapacityFactor*n-s.eligibleSlots(st, n, now), n)
-		for i := range notFull {
-			notFull[i].slots = st.limitPerWorker(notFull[i].worker, slots(notFull[i].worker.entry.Capacity, st.spec.Size, n))
-		}
-		slices.SortFunc(notFull, compareByFree)
-		slices.SortFunc(full, compareByFree)
-		return firstWithSlots(append(notFull, full...), float64(missing)/s.permittedShare(st.job.queue.Name), limit)
-	case len(notFull) == 0:
-		if s.eligibleSlots(st, n, now) >= stageCapacityFactor*n {
-			return nil
+		return s.emptiestUnadvised(st, n, float64(missing)/share, limit, now)
+	}
+	if len(st.answers) == 0 {
+		if list := s.fullestUnadvised(st, n, slotMargin*float64(n)/share, limit, now); len(list) > 0 {
+			return list
 		}
-		slices.SortFunc(full, compareByFree)
-		return firstWithSlots(full, math.Inf(1), limit)
 	}
-	needed := slotMargin * float64(n) / s.permittedShare(st.job.queue.Name)
-	if len(st.answers) > 0 {
-		// The first call didn't yield enough slots. Ask about as many workers as possible, since most of a call's
-		// service time is independent of their number.
-		needed = math.Inf(1)
-		slices.SortFunc(full, compareByFree)
-	} else {
-		full = nil
+	// The first call didn't yield enough slots. Ask about as many workers as possible, since most of a call's service time
+	// is independent of their number.
+	list := s.emptiestUnadvised(st, n, math.Inf(1), limit, now)
+	if len(list) > 0 && list[0].slots <= 0 && s.eligibleSlots(st, n, now) >= stageCapacityFactor*n {
+		return nil
 	}
-	slices.SortFunc(notFull, func(a, b candidate) int {
-		return cmp.Or(compareBool(a.worker.reservedForOther(st), b.worker.reservedForOther(st)), -compareByFree(a, b))
-	})
-	for len(notFull) > limit && totalSlots(notFull[:limit]) < needed &&
-		totalSlots(notFull[:limit]) < totalSlots(notFull[len(notFull)-limit:]) {
-		notFull = notFull[1:]
+	return list
+}
+
+// unadvised returns a worker as a candidate for n tasks of the stage, or false if there is advice about it or it doesn't
+// meet the stage's constraints. The worker may have no free capacity.
+func (s *Shard) unadvised(st *stage, w *worker, n int, now time.Duration) (candidate, bool) {
+	if _, known := st.answers[w.id]; known || !s.meetsConstraints(st, w, now) {
+		return candidate{}, false
 	}
-	return firstWithSlots(append(notFull, full...), needed, limit)
+	free := w.freeFor(st)
+	return candidate{worker: w, slots: st.limitPerWorker(w, slots(free, st.spec.Size, n)), freeCapacity: free}, true
 }
 
-// compareByFree sorts the workers with the most free cores first.
-func compareByFree(a, b candidate) int {
-	return cmp.Or(cmp.Compare(b.freeCapacity.Cores, a.freeCapacity.Cores), cmp.Compare(a.worker.id, b.worker.id))
+// fullestUnadvised returns the fullest workers in which a task fits and that have the slots needed in sum, at least
+// minWorkersPerCall and at most limit workers. If no such workers have the slots, it returns emptier ones. Workers with
+// capacity reserved for other stages come last.
+func (s *Shard) fullestUnadvised(st *stage, n int, needed float64, limit int, now time.Duration) []candidate {
+	var list, reserved []candidate
+	total := 0.0
+	for _, w := range s.workersByFreeCores() {
+		if w.freeCores < st.spec.Size.Cores {
+			continue
+		}
+		c, ok := s.unadvised(st, w, n, now)
+		if !ok || c.slots <= 0 {
+			continue
+		}
+		if w.reservedForOther(st) {
+			reserved = append(reserved, c)
+			continue
+		}
+		list, total = append(list, c), total+float64(c.slots)
+		if len(list) > limit {
+			total -= float64(list[0].slots)
+			list = list[1:]
+		}
+		if len(list) >= min(minWorkersPerCall, limit) && total >= needed {
+			return list
+		}
+	}
+	return append(list, reserved[:min(len(reserved), limit-len(list))]...)
+}
+
+// emptiestUnadvised returns the emptiest workers, those without room for a task last, that have the slots needed in sum,
+// at least minWorkersPerCall and at most limit workers. The slots of a gang are those of empty workers.
+func (s *Shard) emptiestUnadvised(st *stage, n int, needed float64, limit int, now time.Duration) []candidate {
+	var list, reserved, full []candidate
+	total := 0.0
+	for _, w := range slices.Backward(s.workersByFreeCores()) {
+		c, ok := s.unadvised(st, w, n, now)
+		switch {
+		case !ok:
+			continue
+		case c.slots <= 0:
+			full = append(full, c)
+			continue
+		case !st.spec.Gang && w.reservedForOther(st):
+			reserved = append(reserved, c)
+			continue
+		case st.spec.Gang:
+			c.slots = st.limitPerWorker(w, slots(w.entry.Capacity, st.spec.Size, n))
+		}
+		list, total = append(list, c), total+float64(c.slots)
+		if len(list) == limit || (len(list) >= minWorkersPerCall && total >= needed) {
+			return list
+		}
+	}
+	return firstWithSlots(slices.Concat(list, reserved, full), needed, limit)
 }
 
 // workerLimit returns the maximum number of workers in an advice call for the stage.
@@ -100,15 +131,6 @@
 		max(minWorkersPerCall, int(maxPerWorkerShare*float64(advice.BaseTime)/float64(advice.TimePerWorker))))
 }
 
-// totalSlots returns the number of slots of all candidates in the list.
-func totalSlots(list []candidate) float64 {
-	total := 0
-	for _, c := range list {
-		total += c.slots
-	}
-	return float64(total)
-}
-
 // firstWithSlots returns the shortest prefix of the list that has the slots needed, with at least minWorkersPerCall and
 // at most limit workers.
 func firstWithSlots(list []candidate, needed float64, limit int) []candidate {
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -1,7 +1,9 @@
 package shard
 
 import (
+	"cmp"
 	"errors"
+	"slices"
 	"time"
 
 	"arbutuswing.example/internal/agent"
@@ -30,12 +32,12 @@
 	if s.stopped {
 		return commands
 	}
-	for _, w := range s.workersByID {
+	for _, w := range s.workersToCommand() {
 		if w.entry.Address == "" {
 			continue
 		}
 		target := agent.Target{ID: w.id, Address: w.entry.Address}
-		for _, a := range w.attemptsToCommand() {
+		for _, a := range sortedAttempts(w) {
 			if a.commandPending || now < a.notBefore || now-w.lastReportAt > suspectAfter {
 				continue
 			}
@@ -61,6 +63,20 @@
 	return commands
 }
 
+// workersToCommand returns the workers to which commands may have to be sent, sorted by ID.
+func (s *Shard) workersToCommand() []*worker {
+	list := make([]*worker, 0, len(s.toCommand))
+	for w := range s.toCommand {
+		if s.workers[w.id] != w || (len(w.unknownRuns) == 0 && !w.hasAttemptToCommand()) {
+			delete(s.toCommand, w)
+			continue
+		}
+		list = append(list, w)
+	}
+	slices.SortFunc(list, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
+	return list
+}
+
 func (s *Shard) startCommand(a *attempt, now time.Duration) agent.Start {
 	return agent.Start{
 		Task: a.ref(), Run: a.run, Payload: a.stage.job.spec.Payload, LeaseEnd: a.worker.newLeaseEnd(now, s.cfg.Lease),
@@ -74,7 +90,7 @@
 	a.commandPending = false
 	if a.worker.attempts[a.key()] != a || s.stopped {
 		if errors.Is(err, agent.ErrNoAnswer) {
-			a.worker.unknownRuns[a.key()] = &unknownRun{mayArrive: true}
+			s.addUnknownRun(a.worker, a.key(), unknownRun{mayArrive: true})
 		}
 		return
 	}
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -318,6 +318,7 @@
 // attach adds a run to its worker, its task and the usage of its team.
 func (s *Shard) attach(a *attempt) {
 	a.worker.attempts[a.key()] = a
+	s.toCommand[a.worker], s.freeCoresChanged = true, true
 	a.worker.used = a.worker.used.Plus(a.size())
 	team := a.stage.job.spec.Team
 	s.teamUsage[team] = s.teamUsage[team].Plus(a.stage.spec.Size)
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -89,7 +89,7 @@
 	w.unknownRuns, w.firstHeldEnd = make(map[runKey]*unknownRun), 0
 	for key, until := range w.inFlightStarts {
 		if now < until {
-			w.unknownRuns[key] = &unknownRun{mayArrive: true}
+			s.addUnknownRun(w, key, unknownRun{mayArrive: true})
 		}
 	}
 	if first {
@@ -140,7 +140,7 @@
 	a, ok := w.attempts[key]
 	if !ok {
 		if !s.holdRun(w, key, now) && w.unknownRuns[key] == nil {
-			w.unknownRuns[key] = &unknownRun{}
+			s.addUnknownRun(w, key, unknownRun{})
 			s.emit("run-unknown", string(key.task.Job), key.task.String(), w, "", int64(key.run))
 		}
 		return
@@ -219,7 +219,7 @@
 	delete(w.attempts, a.key())
 	w.noteInFlightStart(a, now)
 	w.used = w.used.Minus(a.size())
-	s.freedWorkers[w], st.retry = true, true
+	s.freedWorkers[w], s.freeCoresChanged, st.retry = true, true, true
 	s.retryTeamStages(j.spec.Team)
 	s.teamUsage[j.spec.Team] = s.teamUsage[j.spec.Team].Minus(st.spec.Size)
 	for i, other := range t.attempts {
@@ -339,4 +339,5 @@
 		return
 	}
 	a.phase, a.notBefore = phaseStopping, now
+	s.toCommand[a.worker] = true
 }
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -19,8 +19,17 @@
 	workers       map[model.WorkerID]*worker
 	// workersByID holds the same workers sorted by ID, so that equal inputs give equal decisions.
 	workersByID []*worker
-	teamUsage   map[model.TeamID]model.Resources
-	teamRates   map[model.TeamID]*tokenBucket
+	// byFreeCores holds the same workers sorted by free cores, as of the last call of workersByFreeCores. membersChanged and
+	// freeCoresChanged tell what has changed since.
+	byFreeCores      []*worker
+	membersChanged   bool
+	freeCoresChanged bool
+	// targetsVersion counts the changes of the result of Targets.
+	targetsVersion uint64
+	// toCommand holds at least the workers with a run that may have to be started or stopped.
+	toCommand map[*worker]bool
+	teamUsage map[model.TeamID]model.Resources
+	teamRates map[model.TeamID]*tokenBucket
 	// activeStages holds the stages of the jobs that are not final.
 	activeStages []*stage
 	// cancelled holds the cancelled jobs, including those whose submission has not arrived yet.
@@ -70,7 +79,7 @@
 		cfg: cfg, jobs: make(map[model.JobID]*job), workers: make(map[model.WorkerID]*worker),
 		teamUsage: make(map[model.TeamID]model.Resources), teamRates: make(map[model.TeamID]*tokenBucket),
 		cancelled: make(map[model.JobID]bool), held: make(map[model.JobID]bool), permittedShares: make(map[string]float64), nextCommit: 1,
-		freedWorkers: make(map[*worker]bool),
+		freedWorkers: make(map[*worker]bool), toCommand: make(map[*worker]bool),
 	}
 }
 
@@ -215,6 +224,10 @@
 		if !w.listed || w.entry.Draining != entry.Draining {
 			s.freedWorkers[w] = true
 		}
+		if w.entry.Address != entry.Address {
+			s.targetsVersion++
+		}
+		s.freeCoresChanged = s.freeCoresChanged || w.entry.Capacity != entry.Capacity
 		w.entry, w.listed = entry, true
 	}
 	for id, w := range s.workers {
@@ -227,6 +240,8 @@
 		w.listed = false
 		if len(w.attempts) == 0 {
 			delete(s.workers, id)
+			s.targetsVersion++
+			s.membersChanged = true
 			s.workersByID = slices.DeleteFunc(s.workersByID, func(other *worker) bool { return other == w })
 			s.forgetAdvice(id)
 		}
@@ -240,7 +255,7 @@
 		return w
 	}
 	w := newWorker(id)
-	s.workers[id] = w
+	s.workers[id], s.membersChanged = w, true
 	at, _ := slices.BinarySearchFunc(s.workersByID, id, func(w *worker, id model.WorkerID) int { return cmp.Compare(w.id, id) })
 	s.workersByID = slices.Insert(s.workersByID, at, w)
 	return w
@@ -253,6 +268,9 @@
 	}
 }
 
+// TargetsVersion returns a number that rises whenever the result of Targets changes.
+func (s *Shard) TargetsVersion() uint64 { return s.targetsVersion }
+
 // Targets returns the workers to send heartbeats to, with their addresses.
 func (s *Shard) Targets() []agent.Target {
 	targets := make([]agent.Target, 0, len(s.workers))
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -451,8 +451,25 @@
 	return clock, err
 }
 
+// checkIndexes fails the test if what the shard keeps besides its workers doesn't match them.
+func (cl *cluster) checkIndexes() {
+	sorted := cl.shard.workersByFreeCores()
+	if len(sorted) != len(cl.shard.workers) || !slices.IsSortedFunc(sorted, compareByFreeCores) {
+		cl.t.Fatalf("workers aren't sorted by free cores")
+	}
+	for _, w := range cl.shard.workersByID {
+		if w.freeCores != w.entry.Capacity.Cores-w.used.Cores {
+			cl.t.Fatalf("%s is sorted with %d free cores, used %d", w.id, w.freeCores, w.used.Cores)
+		}
+		if (w.hasAttemptToCommand() || len(w.unknownRuns) > 0) && !cl.shard.toCommand[w] {
+			cl.t.Fatalf("%s would get no commands: %s", w.id, w.describe())
+		}
+	}
+}
+
 // checkInvariants fails the test if the current runs or job states violate an invariant.
 func (cl *cluster) checkInvariants() {
+	cl.checkIndexes()
 	where := make(map[work.TaskRef]model.WorkerID)
 	usage := make(map[model.TeamID]model.Resources)
 	for _, w := range cl.workers {
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -1,7 +1,9 @@
 package shard
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 
 	"arbutuswing.example/internal/agent"
@@ -18,6 +20,8 @@
 	tokenSeen bool
 	attempts  map[runKey]*attempt
 	used      model.Resources
+	// freeCores are the cores that no run used when the workers were last sorted by them.
+	freeCores model.MilliCores
 	// unknownRuns holds runs that the worker reports but no job of this shard accounts for. The worker gets no new
 	// tasks until these are stopped.
 	unknownRuns map[runKey]*unknownRun
@@ -97,15 +101,56 @@
 	return free
 }
 
-// attemptsToCommand returns all runs on the worker if any of them may have to be started or stopped, or else nil, which
-// is the usual case.
-func (w *worker) attemptsToCommand() []*attempt {
+// workersByFreeCores returns the workers with the least free cores first, and equal ones by ID.
+func (s *Shard) workersByFreeCores() []*worker {
+	if s.membersChanged {
+		s.byFreeCores = slices.Clone(s.workersByID)
+	}
+	if !s.membersChanged && !s.freeCoresChanged {
+		return s.byFreeCores
+	}
+	for _, w := range s.byFreeCores {
+		w.freeCores = w.entry.Capacity.Cores - w.used.Cores
+	}
+	if s.membersChanged {
+		slices.SortFunc(s.byFreeCores, compareByFreeCores)
+	} else {
+		insertionSort(s.byFreeCores)
+	}
+	s.membersChanged, s.freeCoresChanged = false, false
+	return s.byFreeCores
+}
+
+// insertionSort sorts workers of which only a few are out of order, because runs were added or ended there, in little time.
+func insertionSort(workers []*worker) {
+	for i, w := range workers {
+		at := i
+		for at > 0 && compareByFreeCores(w, workers[at-1]) < 0 {
+			workers[at] = workers[at-1]
+			at--
+		}
+		workers[at] = w
+	}
+}
+
+func compareByFreeCores(a, b *worker) int {
+	return cmp.Or(cmp.Compare(a.freeCores, b.freeCores), cmp.Compare(a.id, b.id))
+}
+
+// hasAttemptToCommand reports whether a run on the worker may have to be started or stopped.
+func (w *worker) hasAttemptToCommand() bool {
 	for _, a := range w.attempts {
 		if a.phase != phaseStarted {
-			return sortedAttempts(w)
+			return true
 		}
 	}
-	return nil
+	return false
+}
+
+// addUnknownRun adds a run that has to be stopped.
+func (s *Shard) addUnknownRun(w *worker, key runKey, run unknownRun) {
+	w.unknownRuns[key] = &run
+	s.toCommand[w] = true
 }
 
 // reservedForOther reports whether capacity on the worker is reserved for another stage.
