perf(owner): let workers of a large fleet delay their reports longer

Change: a worker with runs may delay its answer by 1/600 s for each worker of the fleet, between 0.9 and 1.8 s. Fleets of up to 540 workers are not affected.

--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// busyWait is how long a worker with runs may delay its answer to a heartbeat while no run ends.
-	busyWait = 900 * time.Millisecond
+	// busyWait is how long a worker with runs may delay its answer to a heartbeat while no run ends. In a large fleet it is
+	// busyWaitPerWorker for each worker, up to idleWait, so that the owner gets at most 600 such answers a second.
+	busyWait          = 900 * time.Millisecond
+	busyWaitPerWorker = time.Second / 600
 	// idleWait is the same for a worker without runs.
 	idleWait = 1800 * time.Millisecond
 	// heartbeatPause is the time between heartbeats, so that one answer covers runs that end shortly after each other.
@@ -63,12 +65,17 @@
 	return time.Since(ow.lastStoreAnswer) < ow.cfg.Shard.RenewLimit
 }
 
+// busyWaitFor returns how long a worker with runs may delay its answer in a fleet of the given size.
+func busyWaitFor(workers int) time.Duration {
+	return min(max(busyWait, time.Duration(workers)*busyWaitPerWorker), idleWait)
+}
+
 func (s *workerSession) run(ctx context.Context) {
 	ow := s.ownership
 	for ctx.Err() == nil {
 		ow.mu.Lock()
 		heartbeat, ok := ow.shard.HeartbeatFor(s.target.ID, ow.now(), ow.mayRenewLeases())
-		busy := ow.shard.Busy(s.target.ID)
+		busy, workers := ow.shard.Busy(s.target.ID), len(ow.sessions)
 		ow.mu.Unlock()
 		if !ok {
 			return
@@ -77,7 +84,7 @@
 		case heartbeat.LeaseEnd == 0:
 			// The first report is needed at once.
 		case busy:
-			heartbeat.Wait = busyWait
+			heartbeat.Wait = busyWaitFor(workers)
 		default:
 			heartbeat.Wait = idleWait
 		}
