perf(shard): keep the effort of a plan independent of how much waits

So the more waits, the later everything is decided, tickets lapse, and more waits. Change: a worker knows the stages that it is permitted to run, and marks those when it gains capacity; a gang pauses the longer, the more gangs are ahead of it; eligible workers are looked up in the advice; only runs that need a command are sorted; a final job's advice is dropped.

--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -178,6 +178,9 @@
 func (s *Shard) ApplyAdvice(call AdviceCall, advice agent.Advice, err error, now time.Duration) {
 	st := call.stage
 	st.advicePending = false
+	if !st.job.open() {
+		return
+	}
 	st.nextAdviceAt = 0
 	if !st.spec.Gang {
 		st.nextAdviceAt = now + advicePauseFactor*call.ServiceTime
@@ -196,6 +199,9 @@
 		ticket, ok := advice.Tickets[id]
 		if ok {
 			permitted++
+			if w := s.workers[id]; w != nil {
+				w.permittedFor[st] = true
+			}
 		}
 		st.answers[id] = workerAdvice{permitted: ok, ticket: ticket, expires: now + advice.Valid.Std()}
 	}
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -37,7 +37,7 @@
 			continue
 		}
 		target := agent.Target{ID: w.id, Address: w.entry.Address}
-		for _, a := range sortedAttempts(w) {
+		for _, a := range sortedAttempts(w, (*attempt).mayNeedCommand) {
 			if a.commandPending || now < a.notBefore || now-w.lastReportAt > suspectAfter {
 				continue
 			}
--- a/internal/shard/config.go
+++ b/internal/shard/config.go
@@ -40,6 +40,8 @@
 	// capacity is considered again after lateRetryDelay even if none has become free.
 	gangRetryDelay = 50 * time.Millisecond
 	lateRetryDelay = 250 * time.Millisecond
+	// gangsPerRetryDelay is how many waiting gangs add another gangRetryDelay to the pause of those behind them.
+	gangsPerRetryDelay = 2
 	// preemptRetryDelay is the minimum pause between a stage's searches for runs to preempt.
 	preemptRetryDelay = 250 * time.Millisecond
 	// minRunTimeShare is the share of the estimated run time that a stage is assumed to need at least. Estimates are
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -53,8 +53,9 @@
 	reserved      map[*worker]model.Resources
 	reservedUntil time.Duration
 	// retry makes the next plan consider the stage; otherwise it is considered when an eligible worker has free
-	// capacity again. It was last considered at triedAt, and last searched for runs to preempt at preemptTriedAt.
+	// capacity again, which capacityFreed tells. It was last considered at triedAt, and last searched for runs to preempt at preemptTriedAt.
 	retry          bool
+	capacityFreed  bool
 	triedAt        time.Duration
 	preemptTriedAt time.Duration
 	// unconfirmed holds runs that are presumed to have ended but whose outcome is unknown.
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -24,37 +23,59 @@
 		return
 	}
 	s.replan = false
-	freed := slices.Collect(maps.Keys(s.freedWorkers))
-	clear(s.freedWorkers)
+	s.noteFreedCapacity(waiting)
+	gangsAhead := 0
 	for i, st := range waiting {
 		if i == maxStagesPerPlan {
 			break
 		}
-		if st.retry || s.shouldRetry(st, freed, now) {
-			st.retry, st.triedAt = false, now
+		if st.retry || st.shouldRetry(gangsAhead, now) {
+			st.retry, st.capacityFreed, st.triedAt = false, false, now
 			s.placeStage(st, now)
 		}
+		if st.spec.Gang {
+			gangsAhead++
+		}
+	}
+}
+
+// noteFreedCapacity marks the stages that might start on a worker that has gained free capacity. Each worker knows the
+// stages that it is permitted to run, so that the effort doesn't grow with the number of stages that wait.
+func (s *Shard) noteFreedCapacity(waiting []*stage) {
+	for w := range s.freedWorkers {
+		for st := range w.permittedFor {
+			switch {
+			case st.left == 0 || !st.job.open() || !st.answers[w.id].permitted:
+				delete(w.permittedFor, st)
+			case !st.capacityFreed:
+				st.capacityFreed = s.hasCapacity(st, w)
+			}
+		}
+	}
+	for _, st := range waiting {
+		if st.job.queue.Advice != nil {
+			continue
+		}
+		for w := range s.freedWorkers {
+			st.capacityFreed = st.capacityFreed || s.hasCapacity(st, w)
+		}
 	}
+	clear(s.freedWorkers)
 }
 
 // shouldRetry reports whether a stage should be considered again: a worker that the advice permits has gained free
 // capacity, or the stage has waited for capacity for lateRetryDelay. Without this check each plan would consider hundreds
-// of stages in vain.
-func (s *Shard) shouldRetry(st *stage, freed []*worker, now time.Duration) bool {
+// of stages in vain. A gang waits the longer, the more gangs are ahead of it, because an attempt to place one looks at all
+// its eligible workers.
+func (st *stage) shouldRetry(gangsAhead int, now time.Duration) bool {
 	sinceTried := now - st.triedAt
-	if (st.spec.Gang && sinceTried < gangRetryDelay) || (st.missesObjective(now) && sinceTried < lateRetryDelay) {
-		// Keep the workers for the next plan, so that the stage is considered then even if nothing else becomes free.
-		for _, w := range freed {
-			s.freedWorkers[w] = true
-		}
+	if st.spec.Gang && sinceTried < gangRetryDelay+time.Duration(gangsAhead)*gangRetryDelay/gangsPerRetryDelay {
 		return false
 	}
-	for _, w := range freed {
-		if (st.job.queue.Advice == nil || st.answers[w.id].permitted) && s.hasCapacity(st, w) {
-			return true
-		}
+	if st.missesObjective(now) && sinceTried < lateRetryDelay {
+		return false
 	}
-	return !st.advicePending && st.waitsFor == waitCapacity && sinceTried >= lateRetryDelay
+	return st.capacityFreed || (!st.advicePending && st.waitsFor == waitCapacity && sinceTried >= lateRetryDelay)
 }
 
 func (s *Shard) hasCapacity(st *stage, w *worker) bool {
@@ -330,11 +351,20 @@
 // or without free capacity.
 func (s *Shard) eligibleWorkers(st *stage, now time.Duration) []*worker {
 	var list []*worker
-	for _, w := range s.workersByID {
-		if (st.job.queue.Advice == nil || st.answers[w.id].permitted) && s.meetsConstraints(st, w, now) {
+	if st.job.queue.Advice == nil {
+		for _, w := range s.workersByID {
+			if s.meetsConstraints(st, w, now) {
+				list = append(list, w)
+			}
+		}
+		return list
+	}
+	for id, advice := range st.answers {
+		if w := s.workers[id]; advice.permitted && w != nil && s.meetsConstraints(st, w, now) {
 			list = append(list, w)
 		}
 	}
+	slices.SortFunc(list, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
 	return list
 }
 
--- a/internal/shard/preempt.go
+++ b/internal/shard/preempt.go
@@ -91,7 +91,7 @@
 // preemptibleRuns returns the runs on a worker that may be preempted for the stage, those that lose the least work
 // first.
 func (s *Shard) preemptibleRuns(st *stage, w *worker, now time.Duration) []*attempt {
-	list := slices.DeleteFunc(sortedAttempts(w), func(a *attempt) bool { return !preemptible(st, a) })
+	list := sortedAttempts(w, func(a *attempt) bool { return preemptible(st, a) })
 	slices.SortStableFunc(list, func(a, b *attempt) int { return cmp.Compare(s.lostWork(a, now), s.lostWork(b, now)) })
 	return list
 }
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -73,8 +73,12 @@
 		return
 	}
 	s.clearUnconfirmed(w)
-	for _, a := range sortedAttempts(w) {
-		if !listed[a.key()] && a.visibleSince >= 0 && r.Clock > a.visibleSince && !a.commandPending {
+	gone := func(a *attempt) bool {
+		return a.visibleSince >= 0 && r.Clock > a.visibleSince && !a.commandPending && !listed[a.key()]
+	}
+	for _, a := range sortedAttempts(w, gone) {
+		// The end of one member of a gang changes what the others wait for.
+		if gone(a) {
 			s.endRun(a, agent.OutcomeLeaseExpired, "", now)
 		}
 	}
@@ -104,7 +108,7 @@
 	for _, end := range r.Ended {
 		reported[runKey{end.Task, end.Run}] = true
 	}
-	for _, a := range sortedAttempts(w) {
+	for _, a := range sortedAttempts(w, anyAttempt) {
 		if reported[a.key()] {
 			continue
 		}
--- a/internal/shard/restore.go
+++ b/internal/shard/restore.go
@@ -118,7 +118,7 @@
 		return
 	}
 	if b.Incarnation > w.incarnation {
-		for _, a := range sortedAttempts(w) {
+		for _, a := range sortedAttempts(w, anyAttempt) {
 			s.endRun(a, agent.OutcomeLeaseExpired, "", now)
 		}
 		w.incarnation = b.Incarnation
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -186,6 +186,8 @@
 	j.eachAttempt(func(a *attempt) { s.stopRun(a, now) })
 	for _, st := range j.stages {
 		s.releaseReservation(st)
+		// Final jobs are kept for long, and the answers are by far their largest part.
+		st.answers = nil
 	}
 	s.activeStages = slices.DeleteFunc(s.activeStages, func(st *stage) bool { return st.job == j })
 	s.replan = true
@@ -331,7 +333,7 @@
 		if len(w.attempts) == 0 || now-w.lastReportAt < suspectAfter {
 			continue
 		}
-		for _, a := range sortedAttempts(w) {
+		for _, a := range sortedAttempts(w, anyAttempt) {
 			if a.endedBy > 0 && now > a.endedBy {
 				s.presumeEnded(a, agent.OutcomeGangBroken, now)
 			}
@@ -340,7 +342,7 @@
 			continue
 		}
 		s.emit("worker-lapsed", "", "", w, "", (now - w.lastReportAt).Milliseconds())
-		for _, a := range sortedAttempts(w) {
+		for _, a := range sortedAttempts(w, anyAttempt) {
 			s.presumeEnded(a, agent.OutcomeLeaseExpired, now)
 		}
 	}
@@ -356,10 +358,7 @@
 		if now-w.lastReportAt > suspectAfter {
 			continue
 		}
-		for _, a := range sortedAttempts(w) {
-			if a.phase != phaseStarted || a.stage.spec.Service || now-a.progressAt < stallTimeout || a.stage.spec.Gang {
-				continue
-			}
+		for _, a := range sortedAttempts(w, func(a *attempt) bool { return a.stalled(now) }) {
 			a.stage.job.avoid[w.id] = true
 			w.quarantinedUntil = now + quarantineTime
 			s.emit("run-stalled", string(a.stage.job.spec.ID), a.ref().String(), w, "", int64(a.percent))
@@ -368,10 +367,21 @@
 	}
 }
 
-func sortedAttempts(w *worker) []*attempt {
-	list := make([]*attempt, 0, len(w.attempts))
+// stalled reports whether a run has started and shows no progress. Services have none, and the members of a gang wait for
+// each other.
+func (a *attempt) stalled(now time.Duration) bool {
+	return a.phase == phaseStarted && !a.stage.spec.Service && !a.stage.spec.Gang && now-a.progressAt >= stallTimeout
+}
+
+func anyAttempt(*attempt) bool { return true }
+
+// sortedAttempts returns the runs on a worker that meet the condition, in a fixed order.
+func sortedAttempts(w *worker, condition func(*attempt) bool) []*attempt {
+	var list []*attempt
 	for _, a := range w.attempts {
-		list = append(list, a)
+		if condition(a) {
+			list = append(list, a)
+		}
 	}
 	slices.SortFunc(list, func(a, b *attempt) int {
 		x, y := a.ref(), b.ref()
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -242,7 +242,7 @@
 
 func (w *worker) describe() string {
 	text := fmt.Sprintf("(incarnation %d, used %+v)", w.incarnation, w.used)
-	for _, a := range sortedAttempts(w) {
+	for _, a := range sortedAttempts(w, anyAttempt) {
 		text += fmt.Sprintf(" %v run %d phase %d visible since %v command pending %v",
 			a.ref(), a.run, a.phase, a.visibleSince, a.commandPending)
 	}
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -51,6 +51,8 @@
 	lastFailedJob       model.JobID
 	quarantinedUntil    time.Duration
 	reservations        map[*stage]model.Resources
+	// permittedFor holds at least the stages with tasks to start that the advice service permits here.
+	permittedFor map[*stage]bool
 }
 
 // pendingAck is an ended run that is acknowledged to the worker once the commit is recorded.
@@ -71,6 +73,7 @@
 	return &worker{
 		id: id, attempts: make(map[runKey]*attempt), unknownRuns: make(map[runKey]*unknownRun),
 		inFlightStarts: make(map[runKey]time.Duration), reservations: make(map[*stage]model.Resources),
+		permittedFor: make(map[*stage]bool),
 	}
 }
 
@@ -140,13 +143,16 @@
 // hasAttemptToCommand reports whether a run on the worker may have to be started or stopped.
 func (w *worker) hasAttemptToCommand() bool {
 	for _, a := range w.attempts {
-		if a.phase != phaseStarted {
+		if a.mayNeedCommand() {
 			return true
 		}
 	}
 	return false
 }
 
+// mayNeedCommand reports whether the run may have to be started or stopped.
+func (a *attempt) mayNeedCommand() bool { return a.phase != phaseStarted }
+
 // addUnknownRun adds a run that has to be stopped.
 func (s *Shard) addUnknownRun(w *worker, key runKey, run unknownRun) {
 	w.unknownRuns[key] = &run
