--- a/internal/shard/harness_test.go
+++ b/internal/shard/harness_test.go
@@ -20,7 +20,7 @@
 
 // harness drives one shard step by step: commits, command results and reports happen only when a test calls for them.
 type harness struct {
-	t           *testing.T
+	t           testing.TB
 	shard       *Shard
 	now         time.Duration
 	wall        time.Time
@@ -44,7 +44,7 @@
 	})
 }
 
-func newHarness(t *testing.T, workers ...model.WorkerID) *harness {
+func newHarness(t testing.TB, workers ...model.WorkerID) *harness {
 	t.Helper()
 	h := &harness{
 		t: t, now: time.Minute, wall: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC), token: 1, workers: workers,
