fix(platform): keep a read of the newest records alive on a slow link

Cause: a page of newest records has up to 1 MB, which takes over 4 s at 2 Mbit/s; each call ended after 1.2 s, and one failed page threw away all that had been read.

--- a/internal/httpc/conn.go
+++ b/internal/httpc/conn.go
@@ -24,6 +24,7 @@
 	conn net.Conn
 	// unreadBytes is set if bytes follow the answer: they would be read as a part of the next answer.
 	unreadBytes bool
+	progress    progress
 	release     func()
 	close       func()
 }
@@ -130,7 +131,7 @@
 	if err != nil {
 		return counting.written > 0, err
 	}
-	reader := c.pool.host.AcquireReader(c.conn)
+	reader := c.pool.host.AcquireReader(&progressConn{Conn: c.conn, ctx: ctx, deadline: deadline, progress: c.progress})
 	defer c.pool.host.ReleaseReader(reader)
 	resp.Reset()
 	if err := resp.ReadLimitBody(reader, c.pool.cfg.MaxBody); err != nil {
@@ -140,6 +141,41 @@
 	return true, nil
 }
 
+// progress tells how long a read may go on while bytes arrive: until the limit, with at most timeout between them. A limit
+// before the call's deadline has no effect.
+type progress struct {
+	timeout time.Duration
+	limit   time.Time
+}
+
+// progressConn extends the deadline of its connection whenever bytes arrive.
+type progressConn struct {
+	net.Conn
+	ctx      context.Context
+	deadline time.Time
+	progress progress
+}
+
+func (c *progressConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil || !c.progress.limit.After(c.deadline) {
+		return n, err
+	}
+	next := time.Now().Add(c.progress.timeout)
+	if next.After(c.progress.limit) {
+		next = c.progress.limit
+	}
+	if next.After(c.deadline) {
+		c.deadline = next
+		if err := c.SetDeadline(next); err != nil {
+			return n, err
+		}
+		// The extension may have undone an interruption.
+		return n, c.ctx.Err()
+	}
+	return n, nil
+}
+
 func writeRequest(req *fasthttp.Request, writer *bufio.Writer) error {
 	if err := req.Write(writer); err != nil {
 		return err
--- a/internal/httpc/pool.go
+++ b/internal/httpc/pool.go
@@ -138,6 +138,9 @@
 	Response *fasthttp.Response
 	// Timeout bounds the call, in addition to the deadline of the context.
 	Timeout time.Duration
+	// MaxTime, if set, lets the call go on beyond Timeout for as long as bytes of the answer arrive at least each Timeout, but
+	// not longer than MaxTime: a slow link is not a lost host.
+	MaxTime time.Duration
 	// Probe requests a check of the connection if it was idle for Config.ProbeAfter.
 	Probe bool
 	// CheckResponse returns an error if the answer doesn't belong to this request. The connection is closed then, since
@@ -157,6 +160,7 @@
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	stopInterrupt := context.AfterFunc(ctx, conn.interrupt)
+	conn.progress = progress{timeout: call.Timeout, limit: time.Now().Add(call.MaxTime)}
 	sent, err := conn.exchange(ctx, call.Request, call.Response, deadline)
 	// Once started, the interruption may set the deadline of the connection at any later time, so the connection can't
 	// be reused.
--- a/internal/httpc/pool_test.go
+++ b/internal/httpc/pool_test.go
@@ -324,3 +324,50 @@
 	_, err := do(t.Context(), pool, fasthttp.MethodPost, Call{})
 	assert.NilError(t, err)
 }
+
+// TestSlowAnswer guards against an answer on a slow link that counts as lost although it keeps arriving, and against one
+// that has stopped arriving but is waited for.
+func TestSlowAnswer(t *testing.T) {
+	const chunks, pause = 8, 40 * time.Millisecond
+	tests := []struct {
+		name    string
+		stallAt int
+		maxTime time.Duration
+		want    error
+	}{
+		{"keeps arriving", chunks, time.Minute, nil},
+		{"keeps arriving for too long", chunks, 200 * time.Millisecond, ErrNoAnswer},
+		{"stops arriving", 3, time.Minute, ErrNoAnswer},
+		{"without an extension", chunks, 0, ErrNoAnswer},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			host := newFakeHost(t, func(conn net.Conn, _, _ int) bool {
+				if !send(conn, "HTTP/1.1 200 OK\r\nContent-Length: "+strconv.Itoa(chunks)+"\r\n\r\n") {
+					return false
+				}
+				for i := range chunks {
+					if i == tt.stallAt {
+						return holdOpen(conn)
+					}
+					time.Sleep(pause)
+					if !send(conn, "x") {
+						return false
+					}
+				}
+				return true
+			})
+			pool, err := New(Config{Address: host.Addr().String()})
+			assert.NilError(t, err)
+			req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+			req.SetRequestURI("http://" + host.Addr().String() + "/")
+			begun := time.Now()
+			err = pool.Do(t.Context(), Call{Request: req, Response: resp, Timeout: 4 * pause, MaxTime: tt.maxTime})
+			assert.ErrorIs(t, err, tt.want)
+			assert.Assert(t, time.Since(begun) < 5*time.Second)
+			if tt.want == nil {
+				assert.Equal(t, len(resp.Body()), chunks)
+			}
+		})
+	}
+}
