--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -18,8 +18,12 @@
 	busyWaitPerWorker = time.Second / 600
 	// idleWait is the same for a worker without runs.
 	idleWait = 1800 * time.Millisecond
-	// heartbeatPause is the time between heartbeats, so that one answer covers runs that end shortly after each other.
-	heartbeatPause = 80 * time.Millisecond
+	// heartbeatPause is the time between heartbeats, so that one answer covers runs that end shortly after each other. While
+	// the processor is too busy to wake goroutines in time, it is heartbeatPausePerLateness times their delay, up to
+	// maxHeartbeatPause: fewer reports then cover more ends each.
+	heartbeatPause            = 80 * time.Millisecond
+	heartbeatPausePerLateness = 20
+	maxHeartbeatPause         = 500 * time.Millisecond
 	// heartbeatRetryDelay is the pause after a heartbeat without an answer.
 	heartbeatRetryDelay = 250 * time.Millisecond
 )
@@ -70,6 +74,11 @@
 	return min(max(busyWait, time.Duration(workers)*busyWaitPerWorker), idleWait)
 }
 
+// heartbeatPauseFor returns the time between heartbeats while goroutines are woken this late.
+func heartbeatPauseFor(lateness time.Duration) time.Duration {
+	return min(max(heartbeatPause, heartbeatPausePerLateness*lateness), maxHeartbeatPause)
+}
+
 func (s *workerSession) run(ctx context.Context) {
 	ow := s.ownership
 	for ctx.Err() == nil {
@@ -100,9 +109,10 @@
 		default:
 			ow.mu.Lock()
 			ow.shard.ApplyReport(s.target.ID, report, ow.now())
+			delay := heartbeatPauseFor(ow.lateness)
 			ow.mu.Unlock()
 			ow.signalDecide()
-			pause.For(ctx, heartbeatPause)
+			pause.For(ctx, delay)
 		}
 	}
 }
