perf(owner): ask a worker again only when its ends are recorded

Cause: a worker with ends that aren't acknowledged answers each heartbeat at once. Change: the next heartbeat waits until the ends of the last report are recorded, 0.5 s at most.

--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -24,6 +24,9 @@
 	heartbeatPause            = 80 * time.Millisecond
 	heartbeatPausePerLateness = 20
 	maxHeartbeatPause         = 500 * time.Millisecond
+	// maxCommitWait bounds how long the next heartbeat waits for the commit of ends that the last one brought. A worker with
+	// ends that aren't acknowledged answers at once, again and again.
+	maxCommitWait = 500 * time.Millisecond
 	// heartbeatRetryDelay is the pause after a heartbeat without an answer.
 	heartbeatRetryDelay = 250 * time.Millisecond
 )
@@ -74,6 +77,13 @@
 	return min(max(busyWait, time.Duration(workers)*busyWaitPerWorker), idleWait)
 }
 
+// endsRecorded reports whether the ends that the worker has reported are recorded.
+func (s *workerSession) endsRecorded() bool {
+	s.ownership.mu.Lock()
+	defer s.ownership.mu.Unlock()
+	return s.ownership.shard.EndsRecorded(s.target.ID)
+}
+
 // heartbeatPauseFor returns the time between heartbeats while goroutines are woken this late.
 func heartbeatPauseFor(lateness time.Duration) time.Duration {
 	return min(max(heartbeatPause, heartbeatPausePerLateness*lateness), maxHeartbeatPause)
@@ -113,6 +123,9 @@
 			ow.mu.Unlock()
 			ow.signalDecide()
 			pause.For(ctx, delay)
+			for waited := delay; waited < maxCommitWait && !s.endsRecorded() && ctx.Err() == nil; waited += heartbeatPause {
+				pause.For(ctx, heartbeatPause)
+			}
 		}
 	}
 }
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -29,6 +29,12 @@
 	return ok && (len(w.attempts) > 0 || len(w.pendingAcks) > 0 || !w.tokenSeen)
 }
 
+// EndsRecorded reports whether all ended runs that a worker has reported are recorded, so that they can be acknowledged.
+func (s *Shard) EndsRecorded(id model.WorkerID) bool {
+	w, ok := s.workers[id]
+	return !ok || len(w.pendingAcks) == 0 || w.pendingAcks[len(w.pendingAcks)-1].commitNumber <= s.lastCommitted
+}
+
 // ApplyReport applies a worker's report.
 func (s *Shard) ApplyReport(id model.WorkerID, r agent.Report, now time.Duration) {
 	w, ok := s.workers[id]
