--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -50,11 +50,12 @@
 	cfg   Config
 	epoch int64
 	start time.Time
-	// decideSignal wakes loop, and commitSignal wakes runCommits.
-	decideSignal chan struct{}
-	commitSignal chan struct{}
-	done         chan struct{}
-	once         sync.Once
+	// decideSignal wakes loop, commitSignal wakes runCommits, and recordedSignal tells loop that a commit is recorded.
+	decideSignal   chan struct{}
+	commitSignal   chan struct{}
+	recordedSignal chan struct{}
+	done           chan struct{}
+	once           sync.Once
 
 	mu sync.Mutex
 	// restored is set once the former owner's records have been applied; until then the node can't answer calls about jobs.
@@ -86,7 +87,7 @@
 func newOwnership(cfg Config, epoch int64, members []Member) *ownership {
 	ow := &ownership{
 		cfg: cfg, epoch: epoch, start: time.Now(), decideSignal: make(chan struct{}, 1), commitSignal: make(chan struct{}, 1),
-		done:     make(chan struct{}),
+		recordedSignal: make(chan struct{}, 1), done: make(chan struct{}),
 		sessions: make(map[model.WorkerID]*workerSession), lastStoreAnswer: time.Now(), sequence: make(map[ledger.Topic]int64),
 		deletions: make(chan []string, deletionQueueSize), nodes: newNodeTable(cfg.Self, members, time.Now()),
 	}
@@ -112,16 +113,14 @@
 
 func (ow *ownership) now() time.Duration { return time.Since(ow.start) }
 
-func (ow *ownership) signalDecide() {
-	select {
-	case ow.decideSignal <- struct{}{}:
-	default:
-	}
-}
+func (ow *ownership) signalDecide() { signal(ow.decideSignal) }
 
-func (ow *ownership) signalCommit() {
+func (ow *ownership) signalCommit() { signal(ow.commitSignal) }
+
+// signal wakes the reader of the channel, now or when it reads next.
+func signal(c chan struct{}) {
 	select {
-	case ow.commitSignal <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -320,10 +319,29 @@
 			return
 		case <-ticker.C:
 		case <-ow.decideSignal:
-			delay := max(batchDelay, pausePerDecision*took)
-			begun := time.Now()
-			pause.For(ctx, delay)
+			ow.waitToDecide(ctx, max(batchDelay, pausePerDecision*took))
+		}
+	}
+}
+
+// waitToDecide waits before the next decision, and meanwhile sends the commands that are due. A start needs no decision once
+// its commit is recorded, and its ticket may lapse soon.
+func (ow *ownership) waitToDecide(ctx context.Context, delay time.Duration) {
+	begun := time.Now()
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
 			ow.noteLateness(time.Since(begun) - delay)
+			return
+		case <-ow.recordedSignal:
+			ow.mu.Lock()
+			commands := ow.shard.TakeCommands(ow.now())
+			ow.mu.Unlock()
+			ow.sendCommands(ctx, commands)
 		}
 	}
 }
