--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -36,7 +36,6 @@
 		ow.shard.MarkCommitted(commit.Number)
 		ow.lastStoreAnswer = time.Now()
 		ow.mu.Unlock()
-		signal(ow.recordedSignal)
 		ow.signalDecide()
 	}
 }
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -50,12 +50,11 @@
 	cfg   Config
 	epoch int64
 	start time.Time
-	// decideSignal wakes loop, commitSignal wakes runCommits, and recordedSignal tells loop that a commit is recorded.
-	decideSignal   chan struct{}
-	commitSignal   chan struct{}
-	recordedSignal chan struct{}
-	done           chan struct{}
-	once           sync.Once
+	// decideSignal wakes loop, and commitSignal wakes runCommits.
+	decideSignal chan struct{}
+	commitSignal chan struct{}
+	done         chan struct{}
+	once         sync.Once
 
 	mu sync.Mutex
 	// restored is set once the former owner's records have been applied; until then the node can't answer calls about jobs.
@@ -87,7 +86,7 @@
 func newOwnership(cfg Config, epoch int64, members []Member) *ownership {
 	ow := &ownership{
 		cfg: cfg, epoch: epoch, start: time.Now(), decideSignal: make(chan struct{}, 1), commitSignal: make(chan struct{}, 1),
-		recordedSignal: make(chan struct{}, 1), done: make(chan struct{}),
+		done:     make(chan struct{}),
 		sessions: make(map[model.WorkerID]*workerSession), lastStoreAnswer: time.Now(), sequence: make(map[ledger.Topic]int64),
 		deletions: make(chan []string, deletionQueueSize), nodes: newNodeTable(cfg.Self, members, time.Now()),
 	}
@@ -113,14 +112,16 @@
 
 func (ow *ownership) now() time.Duration { return time.Since(ow.start) }
 
-func (ow *ownership) signalDecide() { signal(ow.decideSignal) }
-
-func (ow *ownership) signalCommit() { signal(ow.commitSignal) }
+func (ow *ownership) signalDecide() {
+	select {
+	case ow.decideSignal <- struct{}{}:
+	default:
+	}
+}
 
-// signal wakes the reader of the channel, now or when it reads next.
-func signal(c chan struct{}) {
+func (ow *ownership) signalCommit() {
 	select {
-	case c <- struct{}{}:
+	case ow.commitSignal <- struct{}{}:
 	default:
 	}
 }
@@ -319,29 +320,10 @@
 			return
 		case <-ticker.C:
 		case <-ow.decideSignal:
-			ow.waitToDecide(ctx, max(batchDelay, pausePerDecision*took))
-		}
-	}
-}
-
-// waitToDecide waits before the next decision, and meanwhile sends the commands that are due. A start needs no decision once
-// its commit is recorded, and its ticket may lapse soon.
-func (ow *ownership) waitToDecide(ctx context.Context, delay time.Duration) {
-	begun := time.Now()
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
+			delay := max(batchDelay, pausePerDecision*took)
+			begun := time.Now()
+			pause.For(ctx, delay)
 			ow.noteLateness(time.Since(begun) - delay)
-			return
-		case <-ow.recordedSignal:
-			ow.mu.Lock()
-			commands := ow.shard.TakeCommands(ow.now())
-			ow.mu.Unlock()
-			ow.sendCommands(ctx, commands)
 		}
 	}
 }
