refactor(owner): drop the heartbeats' pause by lateness

Goroutines were woken at most 8 ms late in all runs, also in those that ended in overload, so the pause stayed near its least: how late the loop is woken doesn't show that the processor is full.

--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -29,8 +29,6 @@
 	// quarter of the processor. When much waits, reports, starts and calls need the rest: without them there is nothing to
 	// decide, and tickets lapse.
 	pausePerDecision = 3
-	// latenessWindow is the number of pauses over which lateness is averaged.
-	latenessWindow = 8
 	// batchDelay is the pause before a decision or commit, so that events that arrive together are handled together.
 	batchDelay = 3 * time.Millisecond
 	// inboxReadWait is how long a read of the inbox waits for new records.
@@ -72,9 +70,6 @@
 	inboxRead       time.Time
 
 	// sequence holds the last sequence number of each topic; a topic has only one append under way at a time.
-	// lateness is a moving average of how late loop was woken after a pause; it shows how busy the processor is.
-	lateness time.Duration
-
 	sequenceMu sync.Mutex
 	sequence   map[ledger.Topic]int64
 	deletions  chan []string
@@ -273,13 +268,6 @@
 	}
 }
 
-// noteLateness adds to the average of how late loop was woken.
-func (ow *ownership) noteLateness(late time.Duration) {
-	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	ow.lateness += (late - ow.lateness) / latenessWindow
-}
-
 // logLoad logs the load and sets its metrics; the lock is held.
 func (ow *ownership) logLoad() {
 	l := ow.shard.Load(ow.now(), time.Now())
@@ -289,7 +277,7 @@
 		zap.Int("late-stages", l.LateStages), zap.Int("at-team-limit", l.AtTeamLimit),
 		zap.Int("for-advice", l.WaitingForAdvice), zap.Int("for-room", l.WaitingForCapacity),
 		zap.Int("advice-waiting", waiting), zap.Int("advice-under-way", underWay),
-		zap.Duration("woken-late", ow.lateness), zap.Int("runs", l.Runs), zap.Int("workers", l.Workers), zap.Int("usable-workers", l.UsableWorkers),
+		zap.Int("runs", l.Runs), zap.Int("workers", l.Workers), zap.Int("usable-workers", l.UsableWorkers),
 		zap.Int64("used-milli-cores", int64(l.Used.Cores)), zap.Int64("usable-milli-cores", int64(l.Capacity.Cores)))
 }
 
@@ -320,10 +308,7 @@
 			return
 		case <-ticker.C:
 		case <-ow.decideSignal:
-			delay := max(batchDelay, pausePerDecision*took)
-			begun := time.Now()
-			pause.For(ctx, delay)
-			ow.noteLateness(time.Since(begun) - delay)
+			pause.For(ctx, max(batchDelay, pausePerDecision*took))
 		}
 	}
 }
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -18,12 +18,8 @@
 	busyWaitPerWorker = time.Second / 600
 	// idleWait is the same for a worker without runs.
 	idleWait = 1800 * time.Millisecond
-	// heartbeatPause is the time between heartbeats, so that one answer covers runs that end shortly after each other. While
-	// the processor is too busy to wake goroutines in time, it is heartbeatPausePerLateness times their delay, up to
-	// maxHeartbeatPause: fewer reports then cover more ends each.
-	heartbeatPause            = 80 * time.Millisecond
-	heartbeatPausePerLateness = 20
-	maxHeartbeatPause         = 500 * time.Millisecond
+	// heartbeatPause is the time between heartbeats, so that one answer covers runs that end shortly after each other.
+	heartbeatPause = 80 * time.Millisecond
 	// maxCommitWait bounds how long the next heartbeat waits for the commit of ends that the last one brought. A worker with
 	// ends that aren't acknowledged answers at once, again and again.
 	maxCommitWait = 500 * time.Millisecond
@@ -84,11 +80,6 @@
 	return s.ownership.shard.EndsRecorded(s.target.ID)
 }
 
-// heartbeatPauseFor returns the time between heartbeats while goroutines are woken this late.
-func heartbeatPauseFor(lateness time.Duration) time.Duration {
-	return min(max(heartbeatPause, heartbeatPausePerLateness*lateness), maxHeartbeatPause)
-}
-
 func (s *workerSession) run(ctx context.Context) {
 	ow := s.ownership
 	for ctx.Err() == nil {
@@ -119,11 +110,10 @@
 		default:
 			ow.mu.Lock()
 			ow.shard.ApplyReport(s.target.ID, report, ow.now())
-			delay := heartbeatPauseFor(ow.lateness)
 			ow.mu.Unlock()
 			ow.signalDecide()
-			pause.For(ctx, delay)
-			for waited := delay; waited < maxCommitWait && !s.endsRecorded() && ctx.Err() == nil; waited += heartbeatPause {
+			pause.For(ctx, heartbeatPause)
+			for waited := heartbeatPause; waited < maxCommitWait && !s.endsRecorded() && ctx.Err() == nil; waited += heartbeatPause {
 				pause.For(ctx, heartbeatPause)
 			}
 		}
