--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -53,7 +53,8 @@
 	reserved      map[*worker]model.Resources
 	reservedUntil time.Duration
 	// retry makes the next plan consider the stage; otherwise it is considered when an eligible worker has free
-	// capacity again, which capacityFreed tells. It was last considered at triedAt, and last searched for runs to preempt at preemptTriedAt.
+	// capacity again, which capacityFreed tells. It was last considered at triedAt, and last searched for runs to
+	// preempt at preemptTriedAt.
 	retry          bool
 	capacityFreed  bool
 	triedAt        time.Duration
