--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -20,11 +20,9 @@
 	idleWait = 1800 * time.Millisecond
 	// heartbeatPause is the time between heartbeats, so that one answer covers runs that end shortly after each other.
 	heartbeatPause = 80 * time.Millisecond
-	// The next heartbeat waits for the commit of the ends that the last one brought, commitWaitPerWorker for each worker, but
-	// at most maxCommitWait. A worker with ends that aren't acknowledged answers at once, again and again, which is too much
-	// for the owner of a large fleet; in a small one, ends that follow are recorded sooner without the wait.
-	commitWaitPerWorker = time.Millisecond
-	maxCommitWait       = 500 * time.Millisecond
+	// maxCommitWait bounds how long the next heartbeat waits for the commit of ends that the last one brought. A worker with
+	// ends that aren't acknowledged answers at once, again and again.
+	maxCommitWait = 500 * time.Millisecond
 	// heartbeatRetryDelay is the pause after a heartbeat without an answer.
 	heartbeatRetryDelay = 250 * time.Millisecond
 )
@@ -75,18 +73,6 @@
 	return min(max(busyWait, time.Duration(workers)*busyWaitPerWorker), idleWait)
 }
 
-// commitWaitFor returns how long the next heartbeat waits for a commit in a fleet of the given size.
-func commitWaitFor(workers int) time.Duration {
-	return min(time.Duration(workers)*commitWaitPerWorker, maxCommitWait)
-}
-
-// waitForCommit waits until the ends that the worker has reported are recorded, but not longer than the limit.
-func (s *workerSession) waitForCommit(ctx context.Context, limit time.Duration) {
-	for waited := time.Duration(0); waited < limit && !s.endsRecorded() && ctx.Err() == nil; waited += heartbeatPause {
-		pause.For(ctx, heartbeatPause)
-	}
-}
-
 // endsRecorded reports whether the ends that the worker has reported are recorded.
 func (s *workerSession) endsRecorded() bool {
 	s.ownership.mu.Lock()
@@ -127,7 +113,9 @@
 			ow.mu.Unlock()
 			ow.signalDecide()
 			pause.For(ctx, heartbeatPause)
-			s.waitForCommit(ctx, commitWaitFor(workers)-heartbeatPause)
+			for waited := heartbeatPause; waited < maxCommitWait && !s.endsRecorded() && ctx.Err() == nil; waited += heartbeatPause {
+				pause.For(ctx, heartbeatPause)
+			}
 		}
 	}
 }
