--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -319,10 +319,12 @@
 			out.serving, _ = parseMember(string(r.Value))
 		case strengthKey:
 			// An owner of unknown strength doesn't keep others from becoming candidates.
-			if out.strength, err = strconv.ParseFloat(string(r.Value), 64); err != nil || !(out.strength >= 0 && out.strength <= maxStrength) {
+			strength, err := strconv.ParseFloat(string(r.Value), 64)
+			if err != nil || !(strength >= 0 && strength <= maxStrength) {
 				unreadableRecords.Inc()
-				out.strength = 0
+				strength = 0
 			}
+			out.strength = strength
 		}
 	}
 	return out, nil
