--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -112,7 +112,7 @@
 	return broken
 }
 
-// doneTasks returns a function that tells how many tasks of a submission have ended done.
+// doneCounter returns a function that tells how many tasks of a submission have ended done, and one that notes such an end.
 func doneCounter(f *fleet) (func(id string) int, func(task string)) {
 	var mu sync.Mutex
 	done := map[string]map[string]bool{}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -11,15 +11,7 @@
 	"time"
 )
 
-// setup is what a case starts with.
-type setup struct {
-	rec     *recorder
-	store   *store
-	fleet   *fleet
-	sys     *system
-	trouble bool
-}
-
+// scenario plays a case, with or without its disruption, and returns the broken rules.
 type scenario func(rec *recorder, trouble bool) (broken []string, err error)
 
 var scenarios = map[string]scenario{
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -21,8 +21,8 @@
 	service   = "kilan-desk"
 )
 
-// plan tells how a run goes on: how long it works and how it ends ("done" or "failed"); for a task that lasts, work is zero
-// and it goes on until it is stopped, or fails after failAfter.
+// runPlan tells how a run goes on: how long it works and how it ends, "done" or "failed". Without an end it goes on until it
+// is stopped.
 type runPlan struct {
 	work time.Duration
 	how  string
@@ -63,7 +63,6 @@
 	endCount  int64
 	highest   map[string]int
 	sequence  int64
-	sizeOf    func(task string) (cpu, mem int64)
 	lastWrite time.Time
 	// down is set while the executor is down. boot counts its lives; a connection of an earlier one is dead.
 	down atomic.Bool
