fix(shard): delete the submissions of final jobs that a former owner left

Cause: a new owner that found a final job scheduled the deletion of its progress record but not of its submission. The owner after it found a submission without progress and took it for a new job.

A new owner now deletes the submissions of all final jobs that it finds, readable or not, and a progress record is deleted only once the deletion of its submission is recorded. A submission can therefore no longer outlive its progress.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -93,6 +93,9 @@
 				ow.cfg.Log.Info("deleting submissions failed", zap.Int("jobs", len(ids)), zap.Error(err))
 				return
 			}
+			ow.mu.Lock()
+			ow.shard.MarkDropped(ids)
+			ow.mu.Unlock()
 		}
 	}
 }
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -1,6 +1,10 @@
 package shard
 
-import "time"
+import (
+	"time"
+
+	"arbutuswing.example/internal/model"
+)
 
 // MarkCommitted marks the commit with this number and all earlier ones as recorded.
 func (s *Shard) MarkCommitted(number uint64) {
@@ -36,7 +40,7 @@
 		c.Progress = append(c.Progress, JobProgress{ID: string(j.spec.ID), Progress: j.progress()})
 	}
 	s.takeDroppable(&c, now)
-	for len(s.finalJobs) > 0 && now-s.finalJobs[0].finalAt > s.cfg.Retention {
+	for len(s.finalJobs) > 0 && now-s.finalJobs[0].finalAt > s.cfg.Retention && s.finalJobs[0].pendingDrops == 0 {
 		id := s.finalJobs[0].spec.ID
 		c.Expired = append(c.Expired, string(id))
 		delete(s.jobs, id)
@@ -51,6 +55,21 @@
 	return c
 }
 
+// dropSubmission requests the deletion of a final job's submission.
+func (s *Shard) dropSubmission(j *job) {
+	j.pendingDrops++
+	s.droppable = append(s.droppable, j.spec.ID)
+}
+
+// MarkDropped marks the deletion of submissions that a commit returned as recorded.
+func (s *Shard) MarkDropped(ids []string) {
+	for _, id := range ids {
+		if j := s.jobs[model.JobID(id)]; j != nil {
+			j.pendingDrops--
+		}
+	}
+}
+
 // takeDroppable adds to the commit the final jobs whose submissions can be deleted, at most once per dropDelay.
 func (s *Shard) takeDroppable(c *Commit, now time.Duration) {
 	if now-s.lastDropAt < dropDelay {
--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -44,7 +44,7 @@
 		}
 		job.Stages = append(job.Stages, stage)
 	}
-	cl.jobs[job.ID] = job
+	cl.jobs[job.ID], cl.submissions[job.ID] = job, true
 	cl.shard.Submit(job, cl.now)
 }
 
@@ -116,7 +116,8 @@
 	}
 }
 
-// recoverAndFinish clears all faults and requires that every job reaches a final state.
+// recoverAndFinish clears all faults and requires that every job reaches a final state. New owners take over soon after the
+// first jobs have ended, and again once the records of these jobs are no longer kept.
 func (cl *cluster) recoverAndFinish(t *rapid.T) {
 	cl.storeDown = false
 	for _, w := range cl.workers {
@@ -127,7 +128,10 @@
 		}
 	}
 	cl.register()
-	for range 1200 {
+	for step := range 1200 {
+		if step%60 == 5 && step < 180 {
+			cl.takeOver()
+		}
 		for _, w := range cl.workers {
 			cl.exchangeHeartbeat(w)
 			for _, run := range w.sortedRuns() {
@@ -142,6 +146,9 @@
 	}
 	for id := range cl.jobs {
 		state, known := cl.shard.JobState(id)
+		if !known && cl.expired[id] {
+			continue
+		}
 		if !known || !state.Final() {
 			t.Fatalf("%s is %q (known %v) long after all faults were cleared: %+v, %s",
 				id, state, known, cl.jobs[id], cl.describe(id))
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -25,6 +25,9 @@
 	// that.
 	finalCommit uint64
 	finalAt     time.Duration
+	// pendingDrops counts the deletions of the job's submission that are not recorded yet. The progress record has to
+	// outlive the submission, because a submission without progress is a new job to the next owner.
+	pendingDrops int
 	stages      []*stage
 	dirty       bool
 	// avoid holds the workers on which a task of the job has failed or stalled.
--- a/internal/shard/record_test.go
+++ b/internal/shard/record_test.go
@@ -125,3 +125,38 @@
 	h.shard.Tick(h.now, h.wall)
 	assert.Equal(t, h.shard.workers["w1"].used, gang.Size.Times(2))
 }
+
+// TestRestoredFinalJobIsNotRunAgain guards against a completed job that runs again after two changes of owner: the first new
+// owner deletes the job's progress record but not its submission, so that the second one takes the job for a new one.
+func TestRestoredFinalJobIsNotRunAgain(t *testing.T) {
+	tests := []struct {
+		name     string
+		restored func(spec work.Job, progress map[model.JobID]work.Progress) RecordedState
+	}{
+		{"submission", func(spec work.Job, progress map[model.JobID]work.Progress) RecordedState {
+			return RecordedState{Jobs: []work.Job{spec}, Progress: progress}
+		}},
+		{"unreadable submission", func(_ work.Job, progress map[model.JobID]work.Progress) RecordedState {
+			return RecordedState{Unreadable: []model.JobID{"j"}, Progress: progress}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, "w1")
+			h.submitJob(tasks(1))
+			starts := h.confirmStarts()
+			h.report("w1", agent.Report{Ended: []agent.EndedRun{firstEnd(starts[0], agent.OutcomeDone)}})
+			progress := h.commit()
+			assert.Equal(t, len(progress), 1)
+			h.takeOver(tt.restored(h.shard.jobs["j"].spec, map[model.JobID]work.Progress{"j": progress[0].Progress}))
+			h.advance(dropDelay)
+			c := h.shard.TakeCommit(h.now)
+			assert.DeepEqual(t, c.Dropped, []string{"j"})
+			h.shard.MarkCommitted(c.Number)
+			h.advance(2 * time.Minute)
+			assert.Equal(t, len(h.shard.TakeCommit(h.now).Expired), 0, "the submission may still be in the store")
+			h.shard.MarkDropped(c.Dropped)
+			assert.DeepEqual(t, h.shard.TakeCommit(h.now).Expired, []string{"j"})
+		})
+	}
+}
--- a/internal/shard/restore.go
+++ b/internal/shard/restore.go
@@ -47,6 +47,7 @@
 			s.restoreProgress(s.addFinal(id), p, now)
 		}
 	}
+	s.dropFinalSubmissions(r)
 	for _, st := range s.activeStages {
 		s.stopIncompleteGang(st, now)
 	}
@@ -71,6 +72,19 @@
 	}
 }
 
+// dropFinalSubmissions requests the deletion of the submissions that a former owner had yet to delete.
+func (s *Shard) dropFinalSubmissions(r RecordedState) {
+	stored := slices.Clone(r.Unreadable)
+	for _, spec := range r.Jobs {
+		stored = append(stored, spec.ID)
+	}
+	for _, id := range stored {
+		if j := s.jobs[id]; j != nil && j.final != "" {
+			s.dropSubmission(j)
+		}
+	}
+}
+
 // addFinal adds a final job whose submission is no longer known.
 func (s *Shard) addFinal(id model.JobID) *job {
 	j := newJob(work.Job{ID: id}, terms.Queue{}, 0)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -119,7 +119,7 @@
 func (s *Shard) Submit(spec work.Job, now time.Duration) {
 	if known, ok := s.jobs[spec.ID]; ok {
 		if known.final != "" && known.finalCommit <= s.lastCommitted {
-			s.droppable = append(s.droppable, spec.ID)
+			s.dropSubmission(known)
 		}
 		return
 	}
@@ -183,7 +183,7 @@
 	s.commitUrgent = true
 	s.markDirty(j)
 	s.finalJobs = append(s.finalJobs, j)
-	s.droppable = append(s.droppable, j.spec.ID)
+	s.dropSubmission(j)
 	j.eachAttempt(func(a *attempt) { s.stopRun(a, now) })
 	for _, st := range j.stages {
 		s.releaseReservation(st)
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -17,6 +17,7 @@
 	simMaxLease    = 10 * time.Second
 	simKillGrace   = 400 * time.Millisecond
 	simGangTimeout = 3 * time.Second
+	simRetention   = 4 * time.Second
 )
 
 // simRun is a run on a simulated worker; it uses the worker's capacity until it has ended.
@@ -73,8 +74,13 @@
 	shard     *Shard
 	token     int64
 	jobs      map[model.JobID]work.Job
-	progress  map[model.JobID]work.Progress
-	cancelled map[model.JobID]bool
+	// submissions, cancelled and progress are the store's records. drops holds the submissions of which the deletion is in
+	// progress, and expired the jobs of which the progress record was deleted.
+	submissions map[model.JobID]bool
+	cancelled   map[model.JobID]bool
+	progress    map[model.JobID]work.Progress
+	drops       []string
+	expired     map[model.JobID]bool
 	// acknowledgedDone holds the tasks with an acknowledged success, succeeded those with any success.
 	acknowledgedDone     map[work.TaskRef]bool
 	succeeded            map[work.TaskRef]bool
@@ -89,7 +95,8 @@
 func newCluster(t *rapid.T) *cluster {
 	cl := &cluster{
 		t: t, now: time.Minute, wall: time.Unix(1_700_000_000, 0), jobs: make(map[model.JobID]work.Job),
-		progress: make(map[model.JobID]work.Progress), cancelled: make(map[model.JobID]bool),
+		submissions: make(map[model.JobID]bool), cancelled: make(map[model.JobID]bool),
+		progress: make(map[model.JobID]work.Progress), expired: make(map[model.JobID]bool),
 		acknowledgedDone: make(map[work.TaskRef]bool),
 		succeeded:        make(map[work.TaskRef]bool), acknowledgedFailures: make(map[work.TaskRef]map[int]bool),
 		shownCompleted: make(map[model.JobID]bool),
@@ -110,11 +117,12 @@
 	cl.shard = New(Config{
 		Token: cl.token, Lease: testLease, MaxLease: simMaxLease, RenewLimit: 3 * time.Second,
 		KillGrace: simKillGrace, GangTimeout: simGangTimeout,
-		Retention: time.Hour,
+		Retention: simRetention,
 	})
+	cl.drops = nil
 	cl.shard.SetConfiguration(testConfiguration())
 	r := RecordedState{Progress: maps.Clone(cl.progress)}
-	for _, id := range slices.Sorted(maps.Keys(cl.jobs)) {
+	for _, id := range slices.Sorted(maps.Keys(cl.submissions)) {
 		r.Jobs = append(r.Jobs, cl.jobs[id])
 	}
 	r.Cancelled = slices.Sorted(maps.Keys(cl.cancelled))
@@ -390,16 +398,32 @@
 	if cl.storeDown {
 		return
 	}
+	cl.deleteSubmissions()
 	c := cl.shard.TakeCommit(cl.now)
 	if c.Empty() {
 		return
 	}
+	cl.drops = append(cl.drops, c.Dropped...)
+	for _, id := range c.Expired {
+		delete(cl.progress, model.JobID(id))
+		cl.expired[model.JobID(id)] = true
+	}
 	for _, p := range c.Progress {
 		cl.progress[model.JobID(p.ID)] = p.Progress
 	}
 	cl.shard.MarkCommitted(c.Number)
 }
 
+// deleteSubmissions carries out the deletions of submissions that an earlier commit asked for.
+func (cl *cluster) deleteSubmissions() {
+	for _, id := range cl.drops {
+		delete(cl.submissions, model.JobID(id))
+		delete(cl.cancelled, model.JobID(id))
+	}
+	cl.shard.MarkDropped(cl.drops)
+	cl.drops = nil
+}
+
 // sendCommands carries out the owner's commands; nextDelivery returns how the next one is delivered.
 func (cl *cluster) sendCommands(nextDelivery func() string) {
 	cl.shard.Tick(cl.now, cl.wall)
