fix(shard): stages that can't start don't hide those that can

Cause: a pass of the planner looked at the 400 most urgent waiting stages, whether these could start or not. 400 late stages that require a label or a size that nobody has, or that are over their team's limit, hid all later ones. Each waiting gang also lengthened the pause of the gangs behind it without an end.

A stage is now blocked if it couldn't start whatever capacity were free. Blocked stages count neither towards the 400 nor towards the gangs' pause; of them, and of those behind the 400, each pass considers up to 100 in turn. A gang's pause ends after 2 s. The load line, the dump and the metrics tell how many stages no worker can run.

Evidence: TestBlockedStagesDoNotHideOthers failed on its five cases before (label, size, gang, team limit, capacity) and passes.

--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -19,7 +19,7 @@
 
 // loadGauges show the load of a node that owns jobs; without ownership they keep their last values.
 type loadGauges struct {
-	owned, jobs, waiting, late, teamLimit, advice, room, runs, workers, usable, used, capacity *metrics.Gauge
+	owned, jobs, waiting, late, teamLimit, advice, room, worker, runs, workers, usable, used, capacity *metrics.Gauge
 }
 
 func newLoadGauges() loadGauges {
@@ -32,6 +32,7 @@
 		teamLimit: gauge(`aw_owner_blocked_stages{by="team-limit"}`),
 		advice:    gauge(`aw_owner_blocked_stages{by="advice"}`),
 		room:      gauge(`aw_owner_blocked_stages{by="room"}`),
+		worker:    gauge(`aw_owner_blocked_stages{by="worker"}`),
 		runs:      gauge(`aw_owner_runs`),
 		workers:   gauge(`aw_owner_workers`),
 		usable:    gauge(`aw_owner_usable_workers`),
@@ -47,6 +48,7 @@
 	g.teamLimit.Set(float64(l.AtTeamLimit))
 	g.advice.Set(float64(l.WaitingForAdvice))
 	g.room.Set(float64(l.WaitingForCapacity))
+	g.worker.Set(float64(l.WaitingForWorker))
 	g.runs.Set(float64(l.Runs))
 	g.workers.Set(float64(l.Workers))
 	g.usable.Set(float64(l.UsableWorkers))
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -276,6 +276,7 @@
 	ow.cfg.Log.Info("load", zap.Int64("epoch", ow.epoch), zap.Int("jobs", l.Jobs), zap.Int("waiting-stages", l.WaitingStages),
 		zap.Int("late-stages", l.LateStages), zap.Int("at-team-limit", l.AtTeamLimit),
 		zap.Int("for-advice", l.WaitingForAdvice), zap.Int("for-room", l.WaitingForCapacity),
+		zap.Int("for-worker", l.WaitingForWorker),
 		zap.Int("advice-waiting", waiting), zap.Int("advice-under-way", underWay),
 		zap.Int("runs", l.Runs), zap.Int("workers", l.Workers), zap.Int("usable-workers", l.UsableWorkers),
 		zap.Int64("used-milli-cores", int64(l.Used.Cores)), zap.Int64("usable-milli-cores", int64(l.Capacity.Cores)))
--- a/internal/shard/config.go
+++ b/internal/shard/config.go
@@ -42,6 +42,10 @@
 	// capacity is considered again after lateRetryDelay even if none has become free.
 	gangRetryDelay = 50 * time.Millisecond
 	lateRetryDelay = 250 * time.Millisecond
+	// noWorkerRetryDelay is the pause between attempts to place a stage that no worker can run, until one gains capacity.
+	noWorkerRetryDelay = 500 * time.Millisecond
+	// maxGangRetryDelay bounds the pause between attempts to place a gang, however many gangs are ahead of it.
+	maxGangRetryDelay = 2 * time.Second
 	// gangsPerRetryDelay is how many waiting gangs add another gangRetryDelay to the pause of those behind them.
 	gangsPerRetryDelay = 2
 	// preemptRetryDelay is the minimum pause between a stage's searches for runs to preempt.
@@ -55,8 +59,10 @@
 	dropDelay = time.Second
 	// minShareBurst is the minimum burst, in jobs, of the token bucket for a team's share.
 	minShareBurst = 2
-	// maxStagesPerPlan bounds how many waiting stages are considered in one pass.
+	// maxStagesPerPlan bounds how many waiting stages are considered in one pass in the order of their urgency, and
+	// maxInTurnPerPlan how many of the blocked stages, and of those that come after, are considered in turn.
 	maxStagesPerPlan = 400
+	maxInTurnPerPlan = 100
 	// maxRestoredAge bounds the age of a job restored from a former owner's records, because the clocks of instances
 	// differ.
 	maxRestoredAge = 30 * time.Second
--- a/internal/shard/dump.go
+++ b/internal/shard/dump.go
@@ -15,11 +15,12 @@
 	Jobs          int `json:"jobs"`
 	WaitingStages int `json:"waiting-stages"`
 	LateStages    int `json:"late-stages"`
-	// AtTeamLimit, WaitingForAdvice and WaitingForCapacity count the waiting stages by what they lacked when they were
-	// last considered.
+	// AtTeamLimit, WaitingForAdvice, WaitingForCapacity and WaitingForWorker count the waiting stages by what they lacked
+	// when they were last considered.
 	AtTeamLimit        int `json:"at-team-limit"`
 	WaitingForAdvice   int `json:"for-advice"`
 	WaitingForCapacity int `json:"for-room"`
+	WaitingForWorker   int `json:"for-worker"`
 	// Runs counts the runs that may be on workers. UsableWorkers counts the workers that may get new tasks; Used and
 	// Capacity are sums over these.
 	Runs          int             `json:"runs"`
@@ -50,6 +51,8 @@
 				l.WaitingForAdvice++
 			case waitCapacity:
 				l.WaitingForCapacity++
+			case waitWorker:
+				l.WaitingForWorker++
 			}
 		}
 	}
@@ -86,7 +89,7 @@
 	TasksLeft     int            `json:"tasks-left"`
 	Runs          int            `json:"runs"`
 	AdvicePending bool           `json:"asking"`
-	// WaitsFor is what the job's first waiting stage lacks: team-limit, advice, room or outcome.
+	// WaitsFor is what the job's first waiting stage lacks: team-limit, advice, room, worker or outcome.
 	WaitsFor string `json:"waits-for,omitempty"`
 }
 
--- a/internal/shard/gang.go
+++ b/internal/shard/gang.go
@@ -33,18 +33,23 @@
 		return
 	}
 	st.nextAdviceAt = 0
+	eligibleSlots := s.eligibleSlots(st, n, now)
 	if advised {
 		if workers := s.ticketsToRenew(st, n, now); len(workers) > 0 {
 			s.addAdviceCall(st, workers, now)
 			return
 		}
-		if s.eligibleSlots(st, n, now) < gangCapacityFactor*n || now-st.advisedAt > moreAdviceDelay {
+		if eligibleSlots < gangCapacityFactor*n || now-st.advisedAt > moreAdviceDelay {
 			if workers := s.unadvisedWorkers(st, n, now); len(workers) > 0 {
 				s.addAdviceCall(st, workers, now)
 				return
 			}
 		}
 	}
+	if eligibleSlots < n {
+		st.waitsFor = waitWorker
+		return
+	}
 	st.waitsFor = waitCapacity
 	s.preempt(st, n, now)
 	s.reserveForGang(st, n, now)
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -28,8 +28,8 @@
 	// pendingDrops counts the deletions of the job's submission that are not recorded yet. The progress record has to
 	// outlive the submission, because a submission without progress is a new job to the next owner.
 	pendingDrops int
-	stages      []*stage
-	dirty       bool
+	stages       []*stage
+	dirty        bool
 	// avoid holds the workers on which a task of the job has failed or stalled.
 	avoid map[model.WorkerID]bool
 }
@@ -75,6 +75,8 @@
 	waitTeamLimit waitReason = "team-limit"
 	waitAdvice    waitReason = "advice"
 	waitCapacity  waitReason = "room"
+	// waitWorker means that the stage wouldn't fit on its eligible workers if these were empty.
+	waitWorker waitReason = "worker"
 	// waitOutcome means that a failure not yet reported might be the last one that the queue allows.
 	waitOutcome waitReason = "outcome"
 )
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -16,7 +16,9 @@
 	ticket       string
 }
 
-// plan places the waiting stages, the most urgent first.
+// plan places the waiting stages, the most urgent first. It considers the maxStagesPerPlan most urgent of those that are not
+// blocked. Of the blocked stages, and of those that come after, each pass considers a few in turn, so that a stage that can
+// start does so whatever the number of stages that can't.
 func (s *Shard) plan(now time.Duration, wall time.Time) {
 	waiting := s.waitingStages(now, wall)
 	if !s.replan {
@@ -24,21 +26,47 @@
 	}
 	s.replan = false
 	s.noteFreedCapacity(waiting)
-	gangsAhead := 0
-	for i, st := range waiting {
-		if i == maxStagesPerPlan {
-			break
+	var blocked, later []*stage
+	placeable, tried, gangsAhead := 0, 0, 0
+	for _, st := range waiting {
+		switch due := st.retry || st.shouldRetry(gangsAhead, now); {
+		case !due:
+		case st.blocked() && !st.retry:
+			blocked = append(blocked, st)
+		case max(placeable, tried) >= maxStagesPerPlan:
+			later = append(later, st)
+		default:
+			tried++
+			s.tryStage(st, now)
 		}
-		if st.retry || st.shouldRetry(gangsAhead, now) {
-			st.retry, st.capacityFreed, st.triedAt = false, false, now
-			s.placeStage(st, now)
+		if st.blocked() {
+			continue
 		}
+		placeable++
 		if st.spec.Gang {
 			gangsAhead++
 		}
 	}
+	s.tryInTurn(later, now)
+	s.tryInTurn(blocked, now)
+}
+
+// tryInTurn considers the stages that were last considered longest ago, at most maxInTurnPerPlan of them.
+func (s *Shard) tryInTurn(list []*stage, now time.Duration) {
+	slices.SortStableFunc(list, func(a, b *stage) int { return cmp.Compare(a.triedAt, b.triedAt) })
+	for _, st := range list[:min(len(list), maxInTurnPerPlan)] {
+		s.tryStage(st, now)
+	}
+}
+
+func (s *Shard) tryStage(st *stage, now time.Duration) {
+	st.retry, st.capacityFreed, st.triedAt = false, false, now
+	s.placeStage(st, now)
 }
 
+// blocked reports whether the stage could not start when it was last considered, whatever capacity had been free.
+func (st *stage) blocked() bool { return st.waitsFor == waitTeamLimit || st.waitsFor == waitWorker }
+
 // noteFreedCapacity marks the stages that might start on a worker that has gained free capacity. Each worker knows the
 // stages that it is permitted to run, so that the effort doesn't grow with the number of stages that wait.
 func (s *Shard) noteFreedCapacity(waiting []*stage) {
@@ -66,20 +94,55 @@
 // shouldRetry reports whether a stage should be considered again: a worker that the advice permits has gained free
 // capacity, or the stage has waited for capacity for lateRetryDelay. Without this check each plan would consider hundreds
 // of stages in vain. A gang waits the longer, the more gangs are ahead of it, because an attempt to place one looks at all
-// its eligible workers.
+// its eligible workers, but at most maxGangRetryDelay.
 func (st *stage) shouldRetry(gangsAhead int, now time.Duration) bool {
 	sinceTried := now - st.triedAt
-	if st.spec.Gang && sinceTried < gangRetryDelay+time.Duration(gangsAhead)*gangRetryDelay/gangsPerRetryDelay {
+	gangPause := gangRetryDelay + time.Duration(gangsAhead)*gangRetryDelay/gangsPerRetryDelay
+	if st.spec.Gang && sinceTried < min(gangPause, maxGangRetryDelay) {
 		return false
 	}
 	if st.missesObjective(now) && sinceTried < lateRetryDelay {
 		return false
 	}
-	return st.capacityFreed || (!st.advicePending && st.waitsFor == waitCapacity && sinceTried >= lateRetryDelay)
+	switch {
+	case st.capacityFreed:
+		return true
+	case st.advicePending:
+		return false
+	case st.waitsFor == waitCapacity:
+		return sinceTried >= lateRetryDelay
+	case st.waitsFor == waitWorker:
+		return sinceTried >= noWorkerRetryDelay
+	default:
+		return false
+	}
 }
 
+// hasCapacity reports whether a task of the stage fits into the worker's free capacity.
 func (s *Shard) hasCapacity(st *stage, w *worker) bool {
-	return st.spec.Scavenger || slots(w.freeFor(st), st.spec.Size, 1) > 0
+	return w.suits(st) && (st.spec.Scavenger || slots(w.freeFor(st), st.spec.Size, 1) > 0)
+}
+
+// suits reports whether the worker is in the pool that the stage's queue names and has the label that the stage requires.
+func (w *worker) suits(st *stage) bool {
+	return w.entry.Pool == st.job.queue.Pool && (st.spec.Label == "" || slices.Contains(w.entry.Labels, st.spec.Label))
+}
+
+// fitsEmptyWorker reports whether a task of the stage fits on an eligible worker without runs. For a stage that needs advice,
+// these are the workers that are permitted so far.
+func (s *Shard) fitsEmptyWorker(st *stage, now time.Duration) bool {
+	fits := func(w *worker) bool {
+		return s.meetsConstraints(st, w, now) && (st.spec.Scavenger || slots(w.entry.Capacity, st.spec.Size, 1) > 0)
+	}
+	if st.job.queue.Advice == nil {
+		return slices.ContainsFunc(s.workersByID, fits)
+	}
+	for id, advice := range st.answers {
+		if w := s.workers[id]; advice.permitted && w != nil && fits(w) {
+			return true
+		}
+	}
+	return false
 }
 
 // waitingStages returns the stages with tasks to start, the most urgent first.
@@ -170,6 +233,10 @@
 		st.waitsFor = waitAdvice
 		return
 	}
+	if !s.fitsEmptyWorker(st, now) {
+		st.waitsFor = waitWorker
+		return
+	}
 	st.waitsFor = waitCapacity
 	s.preempt(st, len(waiting), now)
 }
@@ -215,14 +282,8 @@
 // meetsConstraints reports whether the worker is usable and meets the stage's placement constraints, regardless of free
 // capacity and advice.
 func (s *Shard) meetsConstraints(st *stage, w *worker, now time.Duration) bool {
-	if !w.usable(now) || w.entry.Pool != st.job.queue.Pool || s.configuration.OutOfService(w.entry.DataCentre) ||
-		s.configuration.Standby(w.entry.Pool) {
-		return false
-	}
-	if now < w.quarantinedUntil || st.job.avoid[w.id] {
-		return false
-	}
-	return st.spec.Label == "" || slices.Contains(w.entry.Labels, st.spec.Label)
+	return w.usable(now) && w.suits(st) && !s.configuration.OutOfService(w.entry.DataCentre) &&
+		!s.configuration.Standby(w.entry.Pool) && now >= w.quarantinedUntil && !st.job.avoid[w.id]
 }
 
 // candidates returns the workers that meet the constraints, have free capacity and are permitted by the advice service.
--- a/internal/shard/plan_test.go
+++ b/internal/shard/plan_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -67,3 +68,51 @@
 	assert.Assert(t, !h.shard.jobs["b"].stages[0].capacityFreed)
 	assert.Equal(t, len(h.shard.freedWorkers), 0)
 }
+
+// TestBlockedStagesDoNotHideOthers guards against a job that never starts although there is capacity for it, because more
+// stages than a pass considers are more urgent and can't start.
+func TestBlockedStagesDoNotHideOthers(t *testing.T) {
+	labelled := sized(1, 500, time.Second)
+	labelled.Label = "no-such-label"
+	gang := sized(9, 1000, time.Second)
+	gang.Gang = true
+	tests := []struct {
+		name   string
+		team   model.TeamID
+		stages []work.Stage
+	}{
+		{"label that no worker has", "north", []work.Stage{labelled}},
+		{"size that no worker has", "north", []work.Stage{sized(1, 5000, time.Second)}},
+		{"gang larger than the pool", "north", []work.Stage{gang}},
+		{"limit of their team", "capped", []work.Stage{sized(1, 2500, time.Second)}},
+		{"more capacity than is free", "north", []work.Stage{sized(1, 3000, time.Second)}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, "w1", "w2")
+			running := sized(2, 2500, time.Hour)
+			running.Service = true
+			h.submitAs("running", testQueue, running)
+			assert.Equal(t, len(h.confirmStarts()), 2)
+			for i := range 3 * maxStagesPerPlan {
+				id := model.JobID(fmt.Sprintf("blocked-%d", i))
+				h.shard.Submit(work.Job{ID: id, Queue: "urgent", Team: tt.team, Stages: tt.stages, Accepted: h.wall}, h.now)
+			}
+			h.advance(time.Minute)
+			h.submitAs("startable", testQueue, sized(1, 500, time.Millisecond))
+			// The job has missed its objective by then, so the blocked ones are more urgent.
+			h.advance(time.Minute)
+			started := false
+			for begun := h.now; !started && h.now-begun < 3*time.Second; h.advance(50 * time.Millisecond) {
+				for _, id := range h.workers {
+					h.report(id, agent.Report{Incomplete: true})
+				}
+				for _, cmd := range h.confirmStarts() {
+					assert.Equal(t, cmd.Start.Task.Job, model.JobID("startable"))
+					started = true
+				}
+			}
+			assert.Assert(t, started)
+		})
+	}
+}
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -66,14 +66,14 @@
 // cluster simulates the workers and a store that loses nothing for the property test, and checks the invariants at each
 // step.
 type cluster struct {
-	t         *rapid.T
-	now       time.Duration
-	wall      time.Time
-	workers   []*simWorker
-	delayed   []delayedCommand
-	shard     *Shard
-	token     int64
-	jobs      map[model.JobID]work.Job
+	t       *rapid.T
+	now     time.Duration
+	wall    time.Time
+	workers []*simWorker
+	delayed []delayedCommand
+	shard   *Shard
+	token   int64
+	jobs    map[model.JobID]work.Job
 	// submissions, cancelled and progress are the store's records. drops holds the submissions of which the deletion is in
 	// progress, and expired the jobs of which the progress record was deleted.
 	submissions map[model.JobID]bool
