fix(shard): record the tasks of large jobs in parts

Cause: the progress of a job was one record with each task that ever ran. Over 256 KiB the store refuses it; the owner gave up its ownership for that, and each next owner came to the same record.

The tasks of a job with more than 64 are now recorded in fixed parts of 64, of which only the changed ones are written. Failed runs of services, which nothing counts, are not recorded. A record that is too large all the same loses its checkpoints.

--- a/internal/inbox/inbox.go
+++ b/internal/inbox/inbox.go
@@ -15,6 +15,8 @@
 var (
 	// ErrRefused reports that the record is not stored and will not be.
 	ErrRefused = errors.New("not stored")
+	// ErrTooLarge reports that the record is not stored because it is larger than the store accepts.
+	ErrTooLarge = errors.New("record larger than the store accepts")
 	// ErrUnknown reports that the record may have been stored or may still be stored.
 	ErrUnknown = errors.New("unknown whether stored")
 )
@@ -63,8 +65,11 @@
 	return &Inbox{cfg: cfg, queue: make(chan *pendingRecord, queueSize), start: time.Now(), sequence: 1}
 }
 
-// Put stores a record and returns nil once the store has confirmed it, or else ErrRefused or ErrUnknown.
+// Put stores a record and returns nil once the store has confirmed it, or else ErrRefused, ErrTooLarge or ErrUnknown.
 func (b *Inbox) Put(ctx context.Context, record ledger.Record) error {
+	if record.Size() > ledger.MaxRecordBytes {
+		return ErrTooLarge
+	}
 	if since := b.unansweredSince.Load(); since != 0 && time.Since(b.start)-time.Duration(since) > unansweredLimit {
 		return ErrRefused
 	}
--- a/internal/inbox/inbox_test.go
+++ b/internal/inbox/inbox_test.go
@@ -109,3 +109,24 @@
 		assert.Equal(t, time.Since(begun), time.Duration(0))
 	})
 }
+
+// TestTooLargeRecordIsRefused guards against a record that makes the append of all records of its batch fail.
+func TestTooLargeRecordIsRefused(t *testing.T) {
+	tests := []struct {
+		name  string
+		bytes int
+		want  error
+	}{
+		{"largest", ledger.MaxRecordBytes - 1 - len("job/a"), nil},
+		{"too large", ledger.MaxRecordBytes - len("job/a"), ErrTooLarge},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			run(t, nil, func(b *Inbox, f *fakeStore) {
+				err := b.Put(context.Background(), ledger.Record{Key: "job/a", Value: make([]byte, tt.bytes)})
+				assert.Assert(t, errors.Is(err, tt.want), "got %v", err)
+				assert.Equal(t, len(f.batches) == 0, tt.want != nil)
+			})
+		})
+	}
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -44,7 +44,8 @@
 
 // RecordWriter stores records durably.
 type RecordWriter interface {
-	// Put returns inbox.ErrRefused if the record is certain not to be stored, and another error if that is unknown.
+	// Put returns inbox.ErrRefused or inbox.ErrTooLarge if the record is certain not to be stored, and another error if that is
+	// unknown.
 	Put(ctx context.Context, record ledger.Record) error
 }
 
@@ -202,6 +203,8 @@
 	switch {
 	case err == nil:
 		return Accepted{}
+	case errors.Is(err, inbox.ErrTooLarge):
+		return TooLarge{}
 	case errors.Is(err, inbox.ErrRefused):
 		return RetryLater{"store unavailable", retryAfter}
 	default:
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -29,6 +29,13 @@
 	Offset int64
 }
 
+// MaxRecordBytes is the largest size of a record that stores accept. An append with a larger one fails as a whole, and fails
+// again whenever it is repeated.
+const MaxRecordBytes = 256 << 10
+
+// Size returns the bytes of the record that count towards MaxRecordBytes.
+func (r Record) Size() int { return 1 + len(r.Key) + len(r.Value) }
+
 // Batch is a set of records that is appended atomically. Appending it again with the same producer, epoch and sequence
 // has no further effect.
 type Batch struct {
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -9,8 +9,10 @@
 
 	"arbutuswing.example/internal/intake"
 	"arbutuswing.example/internal/ledger"
+	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/pause"
 	"arbutuswing.example/internal/shard"
+	"arbutuswing.example/internal/work"
 )
 
 // runCommits records decisions, one append at a time.
@@ -44,18 +46,18 @@
 	var records []ledger.Record
 	size := 0
 	for _, p := range c.Progress {
-		value, err := p.Progress.Encode()
+		record, err := ow.progressRecord(p)
 		if err != nil {
 			ow.cfg.Log.Error("encoding progress failed", zap.String("job", p.ID), zap.Error(err))
 			return err
 		}
-		if size += len(value); size > maxCommitBytes {
+		if size += record.Size(); size > maxCommitBytes {
 			if err := ow.append(ctx, TopicProgress, records); err != nil {
 				return err
 			}
-			records, size = nil, len(value)
+			records, size = nil, record.Size()
 		}
-		records = append(records, ledger.Record{Key: p.ID, Value: value})
+		records = append(records, record)
 	}
 	for _, id := range c.Expired {
 		records = append(records, ledger.Record{Key: id})
@@ -75,6 +77,23 @@
 	return nil
 }
 
+// progressRecord returns the stored form of a progress record, without a value if it is to be deleted. A record over the
+// store's limit loses its checkpoints: its tasks may run again from their beginning, but the store accepts it.
+func (ow *ownership) progressRecord(p shard.JobProgress) (ledger.Record, error) {
+	record := ledger.Record{Key: work.ProgressKey(model.JobID(p.ID), p.Part)}
+	if p.Deleted() {
+		return record, nil
+	}
+	var err error
+	if record.Value, err = p.Progress.Encode(); err != nil || record.Size() <= ledger.MaxRecordBytes {
+		return record, err
+	}
+	ow.cfg.Log.Warn("progress over the store's limit, checkpoints left out", zap.String("job", p.ID), zap.Int("part", p.Part),
+		zap.Int("bytes", record.Size()))
+	record.Value, err = p.Progress.WithoutCheckpoints().Encode()
+	return record, err
+}
+
 // runDeletions deletes submissions that are no longer needed, without delaying the commits.
 func (ow *ownership) runDeletions(ctx context.Context) {
 	defer ow.group.Done()
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -56,14 +56,20 @@
 	}
 	restored := shard.RecordedState{Progress: make(map[model.JobID]work.Progress, len(progress.Records))}
 	for _, r := range progress.Records {
+		id, _, err := work.ParseProgressKey(r.Key)
+		if err != nil {
+			ow.cfg.Log.Warn("progress record with unknown key", zap.Error(err))
+			unreadableRecords.Inc()
+			continue
+		}
 		p, err := work.DecodeProgress(r.Value)
 		if err != nil {
 			ow.cfg.Log.Error("decoding progress failed, job is held", zap.String("job", r.Key), zap.Error(err))
 			unreadableRecords.Inc()
-			restored.Unreadable = append(restored.Unreadable, model.JobID(r.Key))
+			restored.Unreadable = append(restored.Unreadable, id)
 			continue
 		}
-		restored.Progress[model.JobID(r.Key)] = p
+		restored.Progress[id] = restored.Progress[id].Join(p)
 	}
 	for _, r := range inbox.Records {
 		ow.dispatchRecord(r, inboxHandler{
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -37,7 +37,7 @@
 	s.commitUrgent = false
 	for _, j := range s.dirtyJobs {
 		j.dirty = false
-		c.Progress = append(c.Progress, JobProgress{ID: string(j.spec.ID), Progress: j.progress()})
+		c.Progress = append(c.Progress, s.progressRecords(j)...)
 	}
 	s.takeDroppable(&c, now)
 	for len(s.finalJobs) > 0 && now-s.finalJobs[0].finalAt > s.cfg.Retention && s.finalJobs[0].pendingDrops == 0 {
--- a/internal/shard/config.go
+++ b/internal/shard/config.go
@@ -63,6 +63,8 @@
 	// maxInTurnPerPlan how many of the blocked stages, and of those that come after, are considered in turn.
 	maxStagesPerPlan = 400
 	maxInTurnPerPlan = 100
+	// defaultTasksPerRecord is the default of Config.TasksPerRecord.
+	defaultTasksPerRecord = 64
 	// maxRestoredAge bounds the age of a job restored from a former owner's records, because the clocks of instances
 	// differ.
 	maxRestoredAge = 30 * time.Second
@@ -86,6 +88,9 @@
 	GangTimeout time.Duration
 	// Retention is how long a final job is kept.
 	Retention time.Duration
+	// TasksPerRecord is how many tasks of a job one progress record holds at most; zero means 64. The records of running jobs
+	// were written with it, so it must not change while there are any.
+	TasksPerRecord int
 	// Events receives an event for each decision; it may be nil.
 	Events func(Event)
 }
@@ -115,7 +120,7 @@
 	AdviceCalls []AdviceCall
 }
 
-// Commit holds what has to be recorded: the full progress of each changed job, and the jobs to delete.
+// Commit holds what has to be recorded: the progress records that have changed, and the jobs to delete.
 type Commit struct {
 	Number   uint64
 	Progress []JobProgress
@@ -125,11 +130,16 @@
 	Expired []string
 }
 
-// JobProgress is the progress of one job.
+// JobProgress is a progress record of a job. Part is the part of the tasks that it holds, counted from 1, or 0 for the main
+// record; a part without tasks is deleted.
 type JobProgress struct {
 	ID       string
+	Part     int
 	Progress work.Progress
 }
 
+// Deleted reports whether the record is to be deleted.
+func (p JobProgress) Deleted() bool { return p.Part > 0 && len(p.Progress.Tasks) == 0 }
+
 // Empty reports whether there is nothing to record.
 func (c Commit) Empty() bool { return len(c.Progress)+len(c.Dropped)+len(c.Expired) == 0 }
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -30,6 +30,10 @@
 	pendingDrops int
 	stages       []*stage
 	dirty        bool
+	// dirtyParts holds the parts of the tasks whose records have to be written, recordedParts those that have a record. Both
+	// are empty for a job whose main record holds its tasks.
+	dirtyParts    map[int]bool
+	recordedParts map[int]bool
 	// avoid holds the workers on which a task of the job has failed or stalled.
 	avoid map[model.WorkerID]bool
 }
@@ -41,6 +45,8 @@
 	occurrence int
 	index      int
 	tasks      []task
+	// firstTask is the number of tasks in the job's earlier stages.
+	firstTask int
 	// left is the number of tasks that have not succeeded.
 	left int
 	// criticalPath is the estimated run time from the start of the stage to the end of the job.
@@ -163,13 +169,18 @@
 }
 
 func newJob(spec work.Job, queue terms.Queue, now time.Duration) *job {
-	j := &job{spec: spec, queue: queue, received: now, avoid: make(map[model.WorkerID]bool)}
+	j := &job{
+		spec: spec, queue: queue, received: now, avoid: make(map[model.WorkerID]bool),
+		dirtyParts: make(map[int]bool), recordedParts: make(map[int]bool),
+	}
+	firstTask := 0
 	for k := range spec.OccurrenceCount() {
 		for i := range spec.Stages {
 			j.stages = append(j.stages, &stage{
 				job: j, spec: &j.spec.Stages[i], occurrence: k, index: i, tasks: make([]task, spec.Stages[i].Count),
-				left: spec.Stages[i].Count, answers: make(map[model.WorkerID]workerAdvice), retry: true,
+				firstTask: firstTask, left: spec.Stages[i].Count, answers: make(map[model.WorkerID]workerAdvice), retry: true,
 			})
+			firstTask += spec.Stages[i].Count
 		}
 	}
 	j.setCriticalPaths()
@@ -341,32 +352,3 @@
 	}
 	return false
 }
-
-// progress returns the job's progress record.
-func (j *job) progress() work.Progress {
-	p := work.Progress{Final: j.final, Begun: j.started}
-	for _, st := range j.stages {
-		for i := range st.tasks {
-			t := &st.tasks[i]
-			if t.lastRun == 0 && !t.done {
-				continue
-			}
-			tp := work.TaskProgress{
-				Occurrence: st.occurrence, Stage: st.index, Index: i, Done: t.done, LastRun: t.lastRun,
-				FailedRuns: slices.Clone(t.failedRuns),
-			}
-			if !t.done && j.open() {
-				tp.Checkpoint = t.checkpoint
-			}
-			for _, a := range t.attempts {
-				tp.Bindings = append(tp.Bindings,
-					work.Binding{Run: a.run, Worker: a.worker.id, Incarnation: a.worker.incarnation})
-			}
-			if j.final != "" && len(tp.Bindings) == 0 {
-				continue
-			}
-			p.Tasks = append(p.Tasks, tp)
-		}
-	}
-	return p
-}
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -393,7 +393,7 @@
 	}
 	s.attach(a)
 	s.commitUrgent = true
-	s.markDirty(st.job)
+	s.markTaskDirty(st, index)
 	s.emit("run-bound", string(st.job.spec.ID), a.ref().String(), w, "", int64(run))
 }
 
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -180,7 +180,7 @@
 	if st == nil || end.Task.Index < 0 || end.Task.Index >= len(st.tasks) || st.spec.Service {
 		return
 	}
-	s.markDirty(j)
+	s.markTaskDirty(st, end.Task.Index)
 	failures := st.countFailure(end.Task.Index, end.Run)
 	s.emit("late-failure", string(j.spec.ID), end.Task.String(), nil, "", int64(failures))
 	if st.left > 0 && failures >= max(j.queue.Attempts, 1) && !st.tasks[end.Task.Index].done {
@@ -238,7 +238,7 @@
 			break
 		}
 	}
-	s.markDirty(j)
+	s.markRunDirty(a)
 	s.replan = true
 	s.emit("run-ended", string(j.spec.ID), a.ref().String(), w, string(outcome), int64(a.run))
 	if checkpoint == "" {
@@ -311,8 +311,8 @@
 		w.quarantinedUntil = now + quarantineTime
 		s.emit("worker-quarantined", "", "", w, "", int64(w.consecutiveFailures))
 	}
-	failures := st.countFailure(a.index, a.run)
-	if !st.spec.Service && failures >= max(j.queue.Attempts, 1) {
+	// The failures of a service have no limit, and its record must not grow with them.
+	if !st.spec.Service && st.countFailure(a.index, a.run) >= max(j.queue.Attempts, 1) {
 		s.finishJob(j, work.StateFailed, now)
 		return
 	}
--- a/internal/shard/restore.go
+++ b/internal/shard/restore.go
@@ -101,8 +101,12 @@
 			continue
 		}
 		t := &st.tasks[tp.Index]
-		t.lastRun, t.failedRuns, t.checkpoint = tp.LastRun, tp.FailedRuns, tp.Checkpoint
-		if tp.Done {
+		t.lastRun, t.checkpoint = tp.LastRun, tp.Checkpoint
+		if !st.spec.Service {
+			t.failedRuns = tp.FailedRuns
+		}
+		s.restorePart(st, tp.Index, p.Split)
+		if tp.Done && !t.done {
 			t.done = true
 			st.left--
 		}
@@ -124,6 +128,19 @@
 	}
 }
 
+// restorePart notes the part that a task with recorded progress belongs to. If the job is split but its record isn't, an
+// earlier version wrote it, and the part has yet to get a record.
+func (s *Shard) restorePart(st *stage, index int, recorded bool) {
+	part := s.partOf(st, index)
+	switch {
+	case part == 0:
+	case recorded:
+		st.job.recordedParts[part] = true
+	default:
+		s.markTaskDirty(st, index)
+	}
+}
+
 // restoreBinding restores a run that may be on its worker.
 func (s *Shard) restoreBinding(st *stage, index int, b work.Binding, now time.Duration) {
 	w := s.ensureWorker(b.Worker)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -76,6 +76,7 @@
 
 // New returns a shard without jobs or workers.
 func New(cfg Config) *Shard {
+	cfg.TasksPerRecord = cmp.Or(cfg.TasksPerRecord, defaultTasksPerRecord)
 	return &Shard{
 		cfg: cfg, jobs: make(map[model.JobID]*job), workers: make(map[model.WorkerID]*worker),
 		teamUsage: make(map[model.TeamID]model.Resources), teamRates: make(map[model.TeamID]*tokenBucket),
@@ -182,6 +183,10 @@
 	j.final, j.finalCommit, j.finalAt = state, s.nextCommit, now
 	s.commitUrgent = true
 	s.markDirty(j)
+	// Of a final job only the runs that may be on workers are recorded.
+	for part := range j.recordedParts {
+		j.dirtyParts[part] = true
+	}
 	s.finalJobs = append(s.finalJobs, j)
 	s.dropSubmission(j)
 	j.eachAttempt(func(a *attempt) { s.stopRun(a, now) })
@@ -204,7 +209,7 @@
 	st.reserved = nil
 }
 
-// markDirty adds a job to the next commit.
+// markDirty adds a job's main record to the next commit.
 func (s *Shard) markDirty(j *job) {
 	if len(s.dirtyJobs) == 0 {
 		s.dirtySince = s.lastTick
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -18,6 +18,8 @@
 	simKillGrace   = 400 * time.Millisecond
 	simGangTimeout = 3 * time.Second
 	simRetention   = 4 * time.Second
+	// simTasksPerRecord lets most jobs be recorded in parts.
+	simTasksPerRecord = 2
 )
 
 // simRun is a run on a simulated worker; it uses the worker's capacity until it has ended.
@@ -78,7 +80,7 @@
 	// progress, and expired the jobs of which the progress record was deleted.
 	submissions map[model.JobID]bool
 	cancelled   map[model.JobID]bool
-	progress    map[model.JobID]work.Progress
+	progress    map[string]work.Progress
 	drops       []string
 	expired     map[model.JobID]bool
 	// acknowledgedDone holds the tasks with an acknowledged success, succeeded those with any success.
@@ -96,7 +98,7 @@
 	cl := &cluster{
 		t: t, now: time.Minute, wall: time.Unix(1_700_000_000, 0), jobs: make(map[model.JobID]work.Job),
 		submissions: make(map[model.JobID]bool), cancelled: make(map[model.JobID]bool),
-		progress: make(map[model.JobID]work.Progress), expired: make(map[model.JobID]bool),
+		progress: make(map[string]work.Progress), expired: make(map[model.JobID]bool),
 		acknowledgedDone: make(map[work.TaskRef]bool),
 		succeeded:        make(map[work.TaskRef]bool), acknowledgedFailures: make(map[work.TaskRef]map[int]bool),
 		shownCompleted: make(map[model.JobID]bool),
@@ -117,11 +119,11 @@
 	cl.shard = New(Config{
 		Token: cl.token, Lease: testLease, MaxLease: simMaxLease, RenewLimit: 3 * time.Second,
 		KillGrace: simKillGrace, GangTimeout: simGangTimeout,
-		Retention: simRetention,
+		Retention: simRetention, TasksPerRecord: simTasksPerRecord,
 	})
 	cl.drops = nil
 	cl.shard.SetConfiguration(testConfiguration())
-	r := RecordedState{Progress: maps.Clone(cl.progress)}
+	r := RecordedState{Progress: joinRecords(cl.t, cl.progress)}
 	for _, id := range slices.Sorted(maps.Keys(cl.submissions)) {
 		r.Jobs = append(r.Jobs, cl.jobs[id])
 	}
@@ -405,11 +407,15 @@
 	}
 	cl.drops = append(cl.drops, c.Dropped...)
 	for _, id := range c.Expired {
-		delete(cl.progress, model.JobID(id))
+		delete(cl.progress, id)
 		cl.expired[model.JobID(id)] = true
 	}
 	for _, p := range c.Progress {
-		cl.progress[model.JobID(p.ID)] = p.Progress
+		key := work.ProgressKey(model.JobID(p.ID), p.Part)
+		cl.progress[key] = p.Progress
+		if p.Deleted() {
+			delete(cl.progress, key)
+		}
 	}
 	cl.shard.MarkCommitted(c.Number)
 }
--- a/internal/work/decode_test.go
+++ b/internal/work/decode_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -119,3 +120,41 @@
 		assert.NilError(b, err)
 	}
 }
+
+// TestSplitProgress guards against a version that knows only whole records and takes a split job for one without progress.
+func TestSplitProgress(t *testing.T) {
+	data, err := Progress{Begun: true, Split: true}.Encode()
+	assert.NilError(t, err)
+	p, err := DecodeProgress(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, p, Progress{Begun: true, Split: true})
+	assert.Assert(t, json.Unmarshal(data, &Progress{}) != nil)
+}
+
+func TestProgressKeys(t *testing.T) {
+	tests := []struct {
+		key  string
+		id   model.JobID
+		part int
+		ok   bool
+	}{
+		{"5c0e7a21d94b36f8", "5c0e7a21d94b36f8", 0, true},
+		{"5c0e7a21d94b36f8/12", "5c0e7a21d94b36f8", 12, true},
+		{"a/0", "", 0, false},
+		{"a/-1", "", 0, false},
+		{"a/01", "", 0, false},
+		{"a/x", "", 0, false},
+		{"a/1/2", "", 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.key, func(t *testing.T) {
+			id, part, err := ParseProgressKey(tt.key)
+			assert.Equal(t, errors.Is(err, ErrInvalidProgress), !tt.ok)
+			assert.Equal(t, id, tt.id)
+			assert.Equal(t, part, tt.part)
+			if tt.ok {
+				assert.Equal(t, ProgressKey(id, part), tt.key)
+			}
+		})
+	}
+}
--- a/internal/work/progress.go
+++ b/internal/work/progress.go
@@ -1,10 +1,13 @@
 package work
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
+	"strings"
 
 	"arbutuswing.example/internal/model"
 )
@@ -47,13 +50,61 @@
 	Checkpoint string `json:"checkpoint,omitempty"`
 }
 
-// Progress is the complete recorded progress of a job; each record replaces the previous one.
+// Progress is the recorded progress of a job; each record replaces the previous one with the same key. A large job has a
+// record for each part of its tasks, so that no record grows beyond what the store accepts, and a main record without tasks.
 type Progress struct {
 	// Final is the final state, or empty while the job has none.
 	Final State `json:"final,omitempty"`
 	// Begun tells whether a task of the job has been started.
 	Begun bool           `json:"begun,omitempty"`
 	Tasks []TaskProgress `json:"tasks,omitempty"`
+	// Split tells that the tasks are in records of their own. It is stored in place of the tasks, so that a version that
+	// knows only whole records doesn't take the job for one without progress.
+	Split bool `json:"-"`
+}
+
+// splitTasks stands for the tasks in a main record whose tasks are in records of their own.
+const splitTasks = `"split"`
+
+// Join returns the progress with that of another record of the same job added.
+func (p Progress) Join(other Progress) Progress {
+	p.Final, p.Begun, p.Split = cmp.Or(p.Final, other.Final), p.Begun || other.Begun, p.Split || other.Split
+	p.Tasks = slices.Concat(p.Tasks, other.Tasks)
+	return p
+}
+
+// WithoutCheckpoints returns the progress without the tasks' checkpoints.
+func (p Progress) WithoutCheckpoints() Progress {
+	p.Tasks = slices.Clone(p.Tasks)
+	for i := range p.Tasks {
+		p.Tasks[i].Checkpoint = ""
+	}
+	return p
+}
+
+// ProgressKey returns the key of the record that holds a part of a job's tasks, counted from 1, or of the main record for 0.
+func ProgressKey(id model.JobID, part int) string {
+	if part == 0 {
+		return string(id)
+	}
+	return string(id) + partSeparator + strconv.Itoa(part)
+}
+
+// partSeparator separates a job's ID from the number of a part in a record's key; IDs don't contain it.
+const partSeparator = "/"
+
+// ParseProgressKey returns the job and the part that the key of a progress record names. It returns ErrInvalidProgress for a
+// key that ProgressKey doesn't return.
+func ParseProgressKey(key string) (model.JobID, int, error) {
+	id, number, found := strings.Cut(key, partSeparator)
+	if !found {
+		return model.JobID(id), 0, nil
+	}
+	part, err := strconv.Atoi(number)
+	if err != nil || part < 1 || ProgressKey(model.JobID(id), part) != key {
+		return "", 0, fmt.Errorf("%w: key %.100q", ErrInvalidProgress, key)
+	}
+	return model.JobID(id), part, nil
 }
 
 // Encode returns the stored form of the progress: the same JSON as that of encoding/json, whose reflection takes several
@@ -62,7 +113,10 @@
 	o := object{append(make([]byte, 0, 64+64*len(p.Tasks)), '{')}
 	o.text("final", string(p.Final))
 	o.flag("begun", p.Begun)
-	if len(p.Tasks) > 0 {
+	if p.Split {
+		o.key("tasks")
+		o.data = append(o.data, splitTasks...)
+	} else if len(p.Tasks) > 0 {
 		o.key("tasks")
 		o.data = append(o.data, '[')
 		for i := range p.Tasks {
@@ -165,10 +219,20 @@
 // DecodeProgress parses the stored form of a job's progress. It returns ErrInvalidProgress for progress that is malformed or
 // names an impossible task, run or state.
 func DecodeProgress(data []byte) (Progress, error) {
-	var p Progress
-	if err := json.Unmarshal(data, &p); err != nil {
+	var stored struct {
+		Final State           `json:"final"`
+		Begun bool            `json:"begun"`
+		Tasks json.RawMessage `json:"tasks"`
+	}
+	if err := json.Unmarshal(data, &stored); err != nil {
 		return Progress{}, fmt.Errorf("%w: %w", ErrInvalidProgress, err)
 	}
+	p := Progress{Final: stored.Final, Begun: stored.Begun, Split: string(stored.Tasks) == splitTasks}
+	if len(stored.Tasks) > 0 && !p.Split {
+		if err := json.Unmarshal(stored.Tasks, &p.Tasks); err != nil {
+			return Progress{}, fmt.Errorf("%w: %w", ErrInvalidProgress, err)
+		}
+	}
 	if p.Final != "" && !p.Final.Final() {
 		return Progress{}, fmt.Errorf("%w: final state %.100q", ErrInvalidProgress, p.Final)
 	}
