fix(shard): a job uses workers again on which it has failed

Services that fail now and then were lost the same way.

Cause: the workers that a job avoids after a failure, a stall or a refusal were never cleared.

A job now avoids a worker for 10 s. If no other worker could run the stage, with or without free capacity, it waits 2 s after its last failure and uses the avoided ones.

Evidence: TestAvoidedWorkersAreUsedAgain failed on both cases before (no second start within 3 s). TestFailedTaskMovesToAnotherWorker keeps what avoiding is for; it passed before too.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -128,7 +128,7 @@
 	case errors.Is(err, agent.ErrTicket):
 		st.expireTicket(w.id)
 	case errors.Is(err, agent.ErrUnhealthy):
-		st.job.avoid[w.id] = true
+		st.job.avoidWorker(w, now)
 		w.quarantinedUntil = now + quarantineTime
 	}
 	if a.startUnanswered || errors.Is(err, agent.ErrRunSuperseded) {
--- a/internal/shard/failures_test.go
+++ b/internal/shard/failures_test.go
@@ -151,3 +151,68 @@
 		})
 	}
 }
+
+// TestAvoidedWorkersAreUsedAgain guards against a job that never runs again, though it has attempts left, because a task has
+// failed once on each worker that may run it. Such a start is paced: a worker that fails everything must not use up the
+// attempts at once.
+func TestAvoidedWorkersAreUsedAgain(t *testing.T) {
+	service := tasks(1)
+	service.Service = true
+	tests := []struct {
+		name     string
+		stage    work.Stage
+		failures int
+	}{
+		{"task with an attempt left", tasks(1), 1},
+		{"service", service, 12},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, "w1")
+			h.submitJob(tt.stage)
+			for i := range tt.failures + 1 {
+				var starts []StartCommand
+				waited := time.Duration(0)
+				for ; len(starts) == 0 && waited < 3*time.Second; waited += 50 * time.Millisecond {
+					h.advance(50 * time.Millisecond)
+					h.report("w1", agent.Report{Incomplete: true})
+					starts = h.confirmStarts()
+				}
+				assert.Equal(t, len(starts), 1, "start %d", i+1)
+				assert.Assert(t, i == 0 || waited >= time.Second, "start %d came %v after the failure", i+1, waited)
+				failed := agent.EndedRun{Number: int64(i + 1), Task: starts[0].Start.Task, Run: i + 1, Outcome: agent.OutcomeFailed}
+				h.report("w1", agent.Report{Ended: []agent.EndedRun{failed}})
+			}
+		})
+	}
+}
+
+// TestFailedTaskMovesToAnotherWorker guards against a second start on a worker that has just failed the task, while another
+// worker may run it but is full.
+func TestFailedTaskMovesToAnotherWorker(t *testing.T) {
+	h := newHarness(t, "w1", "w2")
+	service := sized(1, 4000, time.Hour)
+	service.Service = true
+	h.submitAs("other", testQueue, service)
+	other := h.confirmStarts()
+	assert.Equal(t, len(other), 1)
+	h.submitJob(tasks(1))
+	first := h.confirmStarts()
+	assert.Equal(t, len(first), 1)
+	h.report(first[0].Target.ID, agent.Report{Ended: []agent.EndedRun{firstEnd(first[0], agent.OutcomeFailed)}})
+	for range 3 {
+		h.advance(time.Second)
+		h.report("w1", agent.Report{Incomplete: true})
+		h.report("w2", agent.Report{Incomplete: true})
+		assert.Equal(t, len(h.confirmStarts()), 0)
+	}
+	h.report(other[0].Target.ID, agent.Report{Ended: []agent.EndedRun{firstEnd(other[0], agent.OutcomeFailed)}})
+	started := false
+	for _, cmd := range h.confirmStarts() {
+		if cmd.Start.Task.Job == "j" {
+			started = true
+			assert.Equal(t, cmd.Target.ID, other[0].Target.ID)
+		}
+	}
+	assert.Assert(t, started)
+}
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -34,8 +34,10 @@
 	// are empty for a job whose main record holds its tasks.
 	dirtyParts    map[int]bool
 	recordedParts map[int]bool
-	// avoid holds the workers on which a task of the job has failed or stalled.
-	avoid map[model.WorkerID]bool
+	// avoided holds the workers on which a task of the job has failed or stalled lately, with the time of the last such event;
+	// lastAvoidedAt is the latest of these.
+	avoided       map[model.WorkerID]time.Duration
+	lastAvoidedAt time.Duration
 }
 
 // stage is the state of one occurrence of a stage.
@@ -68,6 +70,8 @@
 	capacityFreed  bool
 	triedAt        time.Duration
 	preemptTriedAt time.Duration
+	// onlyAvoidedLeft tells that every worker that could run the stage is avoided by its job.
+	onlyAvoidedLeft bool
 	// unconfirmed holds runs that are presumed to have ended but whose outcome is unknown.
 	unconfirmed []unconfirmedRun
 	// waitsFor is what the stage lacked when it was last considered.
@@ -170,7 +174,7 @@
 
 func newJob(spec work.Job, queue terms.Queue, now time.Duration) *job {
 	j := &job{
-		spec: spec, queue: queue, received: now, avoid: make(map[model.WorkerID]bool),
+		spec: spec, queue: queue, received: now, avoided: make(map[model.WorkerID]time.Duration),
 		dirtyParts: make(map[int]bool), recordedParts: make(map[int]bool),
 	}
 	firstTask := 0
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -128,12 +128,15 @@
 	return w.entry.Pool == st.job.queue.Pool && (st.spec.Label == "" || slices.Contains(w.entry.Labels, st.spec.Label))
 }
 
+// fitsEmpty reports whether a task of the stage fits on the worker without its runs.
+func (st *stage) fitsEmpty(w *worker) bool {
+	return st.spec.Scavenger || slots(w.entry.Capacity, st.spec.Size, 1) > 0
+}
+
 // fitsEmptyWorker reports whether a task of the stage fits on an eligible worker without runs. For a stage that needs advice,
 // these are the workers that are permitted so far.
 func (s *Shard) fitsEmptyWorker(st *stage, now time.Duration) bool {
-	fits := func(w *worker) bool {
-		return s.meetsConstraints(st, w, now) && (st.spec.Scavenger || slots(w.entry.Capacity, st.spec.Size, 1) > 0)
-	}
+	fits := func(w *worker) bool { return s.meetsConstraints(st, w, now) && st.fitsEmpty(w) }
 	if st.job.queue.Advice == nil {
 		return slices.ContainsFunc(s.workersByID, fits)
 	}
@@ -199,6 +202,7 @@
 		st.waitsFor, st.retry = waitOutcome, true
 		return
 	}
+	st.onlyAvoidedLeft = s.hasOnlyAvoidedLeft(st, now)
 	allowedByLimit := s.teamLimitSlots(st, len(waiting))
 	if allowedByLimit == 0 || (st.spec.Gang && allowedByLimit < len(waiting)) {
 		st.waitsFor = waitTeamLimit
@@ -283,7 +287,7 @@
 // capacity and advice.
 func (s *Shard) meetsConstraints(st *stage, w *worker, now time.Duration) bool {
 	return w.usable(now) && w.suits(st) && !s.configuration.OutOfService(w.entry.DataCentre) &&
-		!s.configuration.Standby(w.entry.Pool) && now >= w.quarantinedUntil && !st.job.avoid[w.id]
+		!s.configuration.Standby(w.entry.Pool) && now >= w.quarantinedUntil && !st.avoids(w, now)
 }
 
 // candidates returns the workers that meet the constraints, have free capacity and are permitted by the advice service.
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -302,7 +302,7 @@
 // recordFailure counts a failure against the worker and against the task, or once against the whole gang.
 func (s *Shard) recordFailure(a *attempt, now time.Duration) {
 	st, j, w := a.stage, a.stage.job, a.worker
-	j.avoid[w.id] = true
+	j.avoidWorker(w, now)
 	if w.lastFailedJob != j.spec.ID {
 		w.consecutiveFailures++
 		w.lastFailedJob = j.spec.ID
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -369,7 +369,7 @@
 			continue
 		}
 		for _, a := range sortedAttempts(w, func(a *attempt) bool { return a.stalled(now) }) {
-			a.stage.job.avoid[w.id] = true
+			a.stage.job.avoidWorker(w, now)
 			w.quarantinedUntil = now + quarantineTime
 			s.emit("run-stalled", string(a.stage.job.spec.ID), a.ref().String(), w, "", int64(a.percent))
 			s.stopRun(a, now)
