test(soak): ended and cancelled jobs stay so after their records are gone

The soak kept each record for longer than it ran, never repeated a submission, and didn't look at checkpoints or at what still runs after a cancellation.

Change: TestSoakForgetsEndedJobs kills all nodes twice with the retention time between, and clients repeat submissions. Every soak now checks that checkpoints go to their own tasks and that runs of cancelled jobs end. A submission that is repeated after the cancellation is a case of TestRestoredFinalJobIsNotRunAgain.

--- a/internal/shard/record_test.go
+++ b/internal/shard/record_test.go
@@ -126,17 +126,23 @@
 	assert.Equal(t, h.shard.workers["w1"].used, gang.Size.Times(2))
 }
 
-// TestRestoredFinalJobIsNotRunAgain guards against a completed job that runs again after two changes of owner: the first new
-// owner deletes the job's progress record but not its submission, so that the second one takes the job for a new one.
+// TestRestoredFinalJobIsNotRunAgain guards against an ended or cancelled job that runs again after two changes of owner: the
+// first new owner deletes the job's progress record but not its submission, so that the second one takes the job for a new one.
 func TestRestoredFinalJobIsNotRunAgain(t *testing.T) {
 	tests := []struct {
-		name     string
+		name string
+		// cancel cancels the job. Its cancellation is no longer recorded when it is restored: the submission is a repeat that
+		// came after the former owner had deleted the records of both.
+		cancel   bool
 		restored func(spec work.Job, progress map[model.JobID]work.Progress) RecordedState
 	}{
-		{"submission", func(spec work.Job, progress map[model.JobID]work.Progress) RecordedState {
+		{"cancelled, submitted again", true, func(spec work.Job, progress map[model.JobID]work.Progress) RecordedState {
+			return RecordedState{Jobs: []work.Job{spec}, Progress: progress}
+		}},
+		{"submission", false, func(spec work.Job, progress map[model.JobID]work.Progress) RecordedState {
 			return RecordedState{Jobs: []work.Job{spec}, Progress: progress}
 		}},
-		{"unreadable submission", func(_ work.Job, progress map[model.JobID]work.Progress) RecordedState {
+		{"unreadable submission", false, func(_ work.Job, progress map[model.JobID]work.Progress) RecordedState {
 			return RecordedState{Unreadable: []model.JobID{"j"}, Progress: progress}
 		}},
 	}
@@ -145,7 +151,12 @@
 			h := newHarness(t, "w1")
 			h.submitJob(tasks(1))
 			starts := h.confirmStarts()
-			h.report("w1", agent.Report{Ended: []agent.EndedRun{firstEnd(starts[0], agent.OutcomeDone)}})
+			outcome := agent.OutcomeDone
+			if tt.cancel {
+				h.shard.Cancel("j", h.now)
+				outcome = agent.OutcomeStopped
+			}
+			h.report("w1", agent.Report{Ended: []agent.EndedRun{firstEnd(starts[0], outcome)}})
 			progress := h.commit()
 			assert.Equal(t, len(progress), 1)
 			h.takeOver(tt.restored(h.shard.jobs["j"].spec, map[model.JobID]work.Progress{"j": progress[0].Progress}))
--- a/soak/node_test.go
+++ b/soak/node_test.go
@@ -37,8 +37,11 @@
 	done      chan struct{}
 }
 
-// newNode starts a node, which reaches the store through a proxy of its own.
-func newNode(t *testing.T, dir string, index int, dataCentre string, store *fakes.Store, fleet *fakes.Fleet) *node {
+// newNode starts a node, which reaches the store through a proxy of its own. It answers calls about an ended job for at least
+// the retention time.
+func newNode(
+	t *testing.T, dir string, index int, dataCentre string, retention time.Duration, store *fakes.Store, fleet *fakes.Fleet,
+) *node {
 	t.Helper()
 	link, err := newProxy(store.Address())
 	assert.NilError(t, err)
@@ -48,8 +51,8 @@
 		settings: filepath.Join(dir, fmt.Sprintf("node-%d.json", index)), logPath: filepath.Join(dir, fmt.Sprintf("node-%d.log", index)),
 	}
 	text := fmt.Sprintf(`{"node":%q,"data-centre":%q,"client-address":%q,"readiness-address":%q,"peer-address":%q,
-		"store-address":%q,"advice-address":%q,"worker-lease-max":"6s","kill-grace":"300ms","gang-timeout":"3s","stop-grace":"4s"}`,
-		n.name, dataCentre, ports[0], ports[1], ports[2], link.address(), fleet.AdviceAddress())
+		"store-address":%q,"advice-address":%q,"worker-lease-max":"6s","kill-grace":"300ms","gang-timeout":"3s","stop-grace":"4s","retention":%q}`,
+		n.name, dataCentre, ports[0], ports[1], ports[2], link.address(), fleet.AdviceAddress(), retention)
 	assert.NilError(t, os.WriteFile(n.settings, []byte(text), 0o600))
 	go n.run()
 	t.Cleanup(n.close)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,12 +35,31 @@
 	// runs expire within 6 s, a new owner waits for that time and the renewal limit before it starts them again, and then
 	// they run.
 	completionTimeout = 40 * time.Second
+	// longRetention outlasts each run, and shortRetention is as short as repeated submissions allow.
+	longRetention  = 2 * time.Minute
+	shortRetention = 8 * time.Second
+	// jobsPerRepeat is the number of jobs that a client submits for each one that it submits again, within maxRepeatDelay. It
+	// submits each cancelled job again.
+	jobsPerRepeat  = 3
+	maxRepeatDelay = 2 * time.Second
+	// cancelTimeout is the time after the last fault within which the runs of cancelled jobs must have ended.
+	cancelTimeout = 12 * time.Second
 	// startTimeout bounds the time until a node serves clients.
 	startTimeout = 20 * time.Second
 )
 
 var dataCentres = []string{"dc1", "dc2", "dc3"}
 
+// scenario configures a run of the soak.
+type scenario struct {
+	seed   uint64
+	length time.Duration
+	nodes  int
+	// retention is how long nodes answer calls about ended jobs.
+	retention time.Duration
+	plan      []fault
+}
+
 // deployment is a set of nodes and fakes of the platform, with proxies that inject faults, and the results of its clients.
 type deployment struct {
 	store   *fakes.Store
@@ -49,6 +68,8 @@
 	links   []*proxy
 	version int64
 	client  *fakes.Client
+	// retention is that of the scenario.
+	retention time.Duration
 
 	mu          sync.Mutex
 	accepted    []string
@@ -59,9 +80,9 @@
 	violations  []string
 }
 
-func newDeployment(t *testing.T, dir string, nodes int) *deployment {
+func newDeployment(t *testing.T, dir string, s scenario) *deployment {
 	t.Helper()
-	d := &deployment{version: 1, client: fakes.NewClient(queueHost, queuePath, teamKey)}
+	d := &deployment{version: 1, client: fakes.NewClient(queueHost, queuePath, teamKey), retention: s.retention}
 	var err error
 	d.store, err = fakes.NewStore()
 	assert.NilError(t, err)
@@ -78,8 +99,8 @@
 	t.Cleanup(d.fleet.Close)
 	d.store.PutConfig(fakes.Config(d.version, queueHost, queuePath, teamKey))
 	d.putOddEntries()
-	for i := range nodes {
-		d.nodes = append(d.nodes, newNode(t, dir, i, dataCentres[i%len(dataCentres)], d.store, d.fleet))
+	for i := range s.nodes {
+		d.nodes = append(d.nodes, newNode(t, dir, i, dataCentres[i%len(dataCentres)], s.retention, d.store, d.fleet))
 	}
 	return d
 }
@@ -96,7 +117,7 @@
 	for i := range 1 + random.IntN(2) {
 		stage := fakes.Stage{
 			Count: 1 + random.IntN(4), CPU: int64(500 + random.IntN(2500)), Memory: int64(256 + random.IntN(2048)),
-			Estimate: int64(200 + random.IntN(1500)), Gang: random.IntN(4) == 0,
+			Estimate: int64(200 + random.IntN(1500)), Gang: random.IntN(4) == 0, Checkpoints: random.IntN(2) == 0,
 		}
 		if i > 0 {
 			stage.After = []int{0}
@@ -114,8 +135,18 @@
 		id := fmt.Sprintf("%04x%04x%08x", number, count, random.Uint32())
 		job := randomJob(random, id)
 		d.fleet.RegisterJob(id, job)
-		d.submit(random, id, job)
-		if count%jobsPerCancel == jobsPerCancel-1 {
+		accepted := d.submit(random, id, job)
+		cancels := count%jobsPerCancel == jobsPerCancel-1
+		if accepted && (cancels || count%jobsPerRepeat == 0) {
+			address := d.anyAddr(random)
+			done.Add(1)
+			time.AfterFunc(time.Duration(random.Int64N(int64(maxRepeatDelay))), func() {
+				defer done.Done()
+				// The repeat may fail; it must not have an effect in any case.
+				_, _ = d.client.Submit(address, id, job)
+			})
+		}
+		if cancels {
 			d.cancel(random, id)
 		}
 		time.Sleep(clientPause)
@@ -125,20 +156,21 @@
 // anyAddr returns the address of a random node.
 func (d *deployment) anyAddr(r *rand.Rand) string { return d.nodes[r.IntN(len(d.nodes))].address }
 
-func (d *deployment) submit(random *rand.Rand, id string, job fakes.Job) {
+// submit submits a job and reports whether it was accepted.
+func (d *deployment) submit(random *rand.Rand, id string, job fakes.Job) bool {
 	inDoubt := false
 	for range maxAttempts {
 		outcome, err := d.client.Submit(d.anyAddr(random), id, job)
 		if err != nil {
 			d.addViolation("%s: %v", id, err)
-			return
+			return false
 		}
 		switch outcome {
 		case fakes.Accepted:
 			d.mu.Lock()
 			d.accepted = append(d.accepted, id)
 			d.mu.Unlock()
-			return
+			return true
 		case fakes.NoAnswer:
 			inDoubt = true
 		case fakes.Refused, fakes.NotFound:
@@ -149,10 +181,11 @@
 	defer d.mu.Unlock()
 	if inDoubt {
 		d.jobsInDoubt++
-		return
+		return false
 	}
 	d.refused++
 	d.fleet.MarkRefused(id)
+	return false
 }
 
 // cancel tries to cancel a job. Whether that succeeds or not, the job need not be completed.
@@ -309,10 +342,14 @@
 		var left []string
 		for _, id := range pending {
 			state, outcome := d.client.State(d.anyAddr(random), id)
-			if outcome == fakes.NotFound {
+			switch {
+			case outcome == fakes.Accepted && state == "completed":
+			case outcome == fakes.NotFound && d.retention < longRetention && d.fleet.Succeeded(id):
+				// The job's retention time is over.
+			case outcome == fakes.NotFound:
 				d.addViolation("accepted job %s was reported as not found", id)
-			}
-			if outcome != fakes.Accepted || state != "completed" {
+				left = append(left, id)
+			default:
 				left = append(left, id)
 			}
 		}
@@ -325,34 +362,47 @@
 	}
 }
 
+// awaitCancelled waits until no run of a cancelled job is left and records a violation for each that isn't stopped in time.
+func (d *deployment) awaitCancelled() {
+	for end := time.Now().Add(cancelTimeout); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if len(d.fleet.CancelledRuns(0)) == 0 {
+			return
+		}
+	}
+	for _, run := range d.fleet.CancelledRuns(cancelTimeout) {
+		d.addViolation("cancelled run is not stopped: %s", run)
+	}
+}
+
 // soak runs a deployment under the faults of a plan and fails the test if a guarantee was violated.
-func soak(t *testing.T, seed uint64, length time.Duration, nodes int, plan []fault) {
-	dir := filepath.Join(os.TempDir(), fmt.Sprintf("arbutuswing-soak-%d-%d", seed, os.Getpid()))
+func soak(t *testing.T, s scenario) {
+	dir := filepath.Join(os.TempDir(), fmt.Sprintf("arbutuswing-soak-%d-%d", s.seed, os.Getpid()))
 	assert.NilError(t, os.MkdirAll(dir, 0o700))
-	d := newDeployment(t, dir, nodes)
+	d := newDeployment(t, dir, s)
 	d.awaitStart(t)
 	started := time.Now()
 	var clients sync.WaitGroup
 	for i := range clientCount {
 		clients.Add(1)
-		go d.runClient(i, seed, started.Add(length), &clients)
+		go d.runClient(i, s.seed, started.Add(s.length), &clients)
 	}
-	for _, e := range faultEvents(plan) {
+	for _, e := range faultEvents(s.plan) {
 		time.Sleep(time.Until(started.Add(e.at)))
 		d.apply(e)
 	}
 	clients.Wait()
 	d.clearFaults()
 	d.awaitCompletion()
+	d.awaitCancelled()
 	violations := append(d.fleet.Violations(), d.violations...)
 	for _, n := range d.nodes {
 		violations = append(violations, n.ownEnds()...)
 	}
-	t.Logf("seed %d, %d nodes: %d faults, %d jobs accepted, %d refused, %d in doubt, %d starts", seed, nodes, len(plan),
+	t.Logf("seed %d, %d nodes: %d faults, %d jobs accepted, %d refused, %d in doubt, %d starts", s.seed, s.nodes, len(s.plan),
 		len(d.accepted), d.refused, d.jobsInDoubt, d.fleet.Starts())
 	assert.Assert(t, len(d.accepted) > 0, "no job was accepted")
 	if len(violations) > 0 {
-		printed, err := json.Marshal(plan)
+		printed, err := json.Marshal(s.plan)
 		assert.NilError(t, err)
 		t.Fatalf("%d guarantees violated; logs in %s\n%s\nplan (replay it with -soak.plan=FILE):\n%s", len(violations), dir,
 			strings.Join(violations[:min(len(violations), 20)], "\n"), printed)
@@ -369,5 +419,20 @@
 		plan, err = readPlan(*soakPlan)
 		assert.NilError(t, err)
 	}
-	soak(t, *soakSeed, *soakLength, *soakNodes, plan)
+	soak(t, scenario{seed: *soakSeed, length: *soakLength, nodes: *soakNodes, retention: longRetention, plan: plan})
+}
+
+// TestSoakForgetsEndedJobs guards against ended or cancelled jobs that run again once their records are no longer kept: owners
+// change before and after the retention time is over, and clients repeat submissions.
+func TestSoakForgetsEndedJobs(t *testing.T) {
+	const (
+		firstChange    = 5 * time.Second
+		changeInterval = shortRetention + 4*time.Second
+	)
+	length := max(*soakLength, firstChange+changeInterval+4*time.Second)
+	plan := newPlan(*soakSeed, length)
+	for at := firstChange; at < length; at += changeInterval {
+		plan = append(plan, fault{At: at, Kind: faultKillAllNodes})
+	}
+	soak(t, scenario{seed: *soakSeed, length: length, nodes: *soakNodes, retention: shortRetention, plan: plan})
 }
