fix(platform): acknowledge ended runs only over the connection of the report

Cause: a heartbeat carries the number of the last recorded end. The first one to a new incarnation carried that of the incarnation before, so the worker forgot ends that it had not listed yet, and their tasks were started again.

The acknowledgement is now left out unless the heartbeat goes over the connection that brought the last report; that connection can't outlive the process.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -80,8 +80,11 @@
 	Token int64
 	// LeaseEnd is the new end of the lease on the worker's clock; zero leaves the lease unchanged.
 	LeaseEnd time.Duration
-	// Acked is the highest EndedRun.Number that the worker may stop reporting.
+	// Acked is the highest EndedRun.Number that the worker may stop reporting. It is left out unless the heartbeat is sent over
+	// AckConnection, because the numbers of another incarnation mean other runs.
 	Acked int64
+	// AckConnection is the Report.Connection of the report that the numbers come from.
+	AckConnection uint64
 	// Wait is how long the worker may delay its answer while no run ends.
 	Wait time.Duration
 }
@@ -129,6 +132,9 @@
 	Ended       []EndedRun
 	// Incomplete tells that the report may not list all runs, so that a run that it doesn't list may exist.
 	Incomplete bool
+	// Connection identifies the connection that brought the report, which ends with the worker's process. No two connections
+	// to a worker have the same value.
+	Connection uint64
 }
 
 // Workers sends commands to workers. Start and Stop return the worker's clock if the worker answered.
--- a/internal/httpc/conn.go
+++ b/internal/httpc/conn.go
@@ -64,6 +64,14 @@
 	}
 }
 
+// number returns the number of the connection in its pool, or 0 if it has none.
+func (c *pooledConn) number() uint64 {
+	if numbered, ok := c.conn.(numberedConn); ok {
+		return numbered.number
+	}
+	return 0
+}
+
 // checkIdle detects, without waiting, that the host closed the connection or sent bytes that belong to no request.
 func (c *pooledConn) checkIdle() error {
 	raw, ok := c.conn.(syscall.Conn)
--- a/internal/httpc/pool.go
+++ b/internal/httpc/pool.go
@@ -89,6 +89,8 @@
 	host           *fasthttp.HostClient
 	timeouts       atomic.Int32
 	maxConnections atomic.Int32
+	// connections counts the connections opened so far.
+	connections atomic.Uint64
 }
 
 // New returns a pool without open connections. It returns ErrConfig for an unusable configuration.
@@ -97,26 +99,40 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	host := &fasthttp.HostClient{
+	p := &Pool{cfg: cfg}
+	p.host = &fasthttp.HostClient{
 		Addr: cfg.Address, MaxConns: cfg.MaxConnections, MaxIdleConnDuration: cfg.IdleTimeout,
-		ConnPoolStrategy: fasthttp.LIFO, ReadBufferSize: cfg.ReadBuffer, DialTimeout: dial,
+		ConnPoolStrategy: fasthttp.LIFO, ReadBufferSize: cfg.ReadBuffer, DialTimeout: p.dial,
 	}
 	if cfg.WaitForConnection {
 		// The timeout of a call is shorter and ends its wait.
-		host.MaxConnWaitTimeout = maxConnectionWait
+		p.host.MaxConnWaitTimeout = maxConnectionWait
 	}
-	p := &Pool{cfg: cfg, host: host}
 	p.maxConnections.Store(int32(cfg.MaxConnections))
 	return p, nil
 }
 
 // dial also limits the time of connections that the pool opens on behalf of waiting calls, for which it passes no
 // timeout.
-func dial(address string, timeout time.Duration) (net.Conn, error) {
+func (p *Pool) dial(address string, timeout time.Duration) (net.Conn, error) {
 	if timeout <= 0 {
 		timeout = maxDialTimeout
 	}
-	return net.DialTimeout("tcp", address, timeout)
+	conn, err := net.DialTimeout("tcp", address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return conn, nil
+	}
+	return numberedConn{tcp, p.connections.Add(1)}, nil
+}
+
+// numberedConn is a connection with its number in the pool.
+type numberedConn struct {
+	*net.TCPConn
+	number uint64
 }
 
 // SetMaxConnections changes the largest number of open connections; values below 1 count as 1.
@@ -146,6 +162,9 @@
 	MaxTime time.Duration
 	// Probe requests a check of the connection if it was idle for Config.ProbeAfter.
 	Probe bool
+	// Prepare, if set, is called before the request is written, with the number of the connection that will carry it. No two
+	// connections of a pool have the same number. It may change the request; if it returns an error, nothing is sent.
+	Prepare func(connection uint64) error
 	// CheckResponse returns an error if the answer doesn't belong to this request. The connection is closed then, since
 	// later answers on it can't be trusted either.
 	CheckResponse func(resp *fasthttp.Response) error
@@ -162,6 +181,12 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if call.Prepare != nil {
+		if err := call.Prepare(conn.number()); err != nil {
+			conn.release()
+			return fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+	}
 	stopInterrupt := context.AfterFunc(ctx, conn.interrupt)
 	conn.progress = progress{timeout: call.Timeout, limit: time.Now().Add(call.MaxTime)}
 	sent, err := conn.exchange(ctx, call.Request, call.Response, deadline)
--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -69,10 +69,27 @@
 			}
 		}
 	}
-	w.up, w.unreachable, w.clock, w.token, w.leaseEnd, w.lastEnd = false, false, 0, 0, 0, 0
+	w.up, w.unreachable, w.clock, w.token, w.leaseEnd, w.lastEnd, w.lastUncountedEnd = false, false, 0, 0, 0, 0, 0
+	w.connection++
 	w.ends, w.superseded = nil, make(map[work.TaskRef]int)
 }
 
+// restartWorker starts the worker's next incarnation under the same ID and address, so that its entry doesn't change.
+func (cl *cluster) restartWorker(w *simWorker) {
+	cl.crashWorker(w)
+	w.up = true
+	w.incarnation++
+}
+
+// finishRuns ends all runs of a worker that can end with a success.
+func (cl *cluster) finishRuns(w *simWorker) {
+	for _, run := range w.sortedRuns() {
+		if w.runs[run.key] == run {
+			cl.finishRun(w, run, agent.OutcomeDone)
+		}
+	}
+}
+
 // actions returns the actions of the property test by name. rapid sorts the names, so renaming an action changes the
 // sequence that a seed gives.
 func (cl *cluster) actions() map[string]func(*rapid.T) {
@@ -87,7 +104,7 @@
 			}
 		},
 		"send": func(t *rapid.T) { cl.sendCommands(func() string { return drawDelivery.Draw(t, "answer") }) },
-		"hold": func(t *rapid.T) { cl.exchangeHeartbeat(pick(t)) },
+		"hold": func(t *rapid.T) { cl.exchangeHeartbeat(pick(t), drawDelivery.Draw(t, "answer")) },
 		"pass": func(t *rapid.T) {
 			cl.advance(time.Duration(rapid.IntRange(1, 40).Draw(t, "tenths")) * 100 * time.Millisecond)
 		},
@@ -106,6 +123,11 @@
 				cl.register()
 			}
 		},
+		"restart": func(t *rapid.T) {
+			if w := pick(t); w.up {
+				cl.restartWorker(w)
+			}
+		},
 		"commit": func(*rapid.T) { cl.commit() },
 		"store":  func(*rapid.T) { cl.storeDown = !cl.storeDown },
 		"owner": func(*rapid.T) {
@@ -117,7 +139,8 @@
 }
 
 // recoverAndFinish clears all faults and requires that every job reaches a final state. New owners take over soon after the
-// first jobs have ended, and again once the records of these jobs are no longer kept.
+// first jobs have ended, and again once the records of these jobs are no longer kept. Workers restart, and runs end there
+// before the owner has learnt of it.
 func (cl *cluster) recoverAndFinish(t *rapid.T) {
 	cl.storeDown = false
 	for _, w := range cl.workers {
@@ -132,14 +155,15 @@
 		if step%60 == 5 && step < 180 {
 			cl.takeOver()
 		}
+		if w := cl.workers[step%len(cl.workers)]; step%5 == 0 && step < 180 {
+			cl.restartWorker(w)
+			cl.sendCommands(func() string { return "answered" })
+			cl.finishRuns(w)
+		}
 		for _, w := range cl.workers {
-			cl.exchangeHeartbeat(w)
-			for _, run := range w.sortedRuns() {
-				if w.runs[run.key] == run {
-					cl.finishRun(w, run, agent.OutcomeDone)
-				}
-			}
-			cl.exchangeHeartbeat(w)
+			cl.exchangeHeartbeat(w, "answered")
+			cl.finishRuns(w)
+			cl.exchangeHeartbeat(w, "answered")
 		}
 		cl.sendCommands(func() string { return "answered" })
 		cl.advance(100 * time.Millisecond)
--- a/internal/shard/record_test.go
+++ b/internal/shard/record_test.go
@@ -171,3 +171,16 @@
 		})
 	}
 }
+
+// TestAcknowledgementNamesConnectionOfReport guards against an acknowledgement that reaches an incarnation of the worker that
+// the acknowledged ends don't come from.
+func TestAcknowledgementNamesConnectionOfReport(t *testing.T) {
+	h := newHarness(t, "w1")
+	h.submitJob(tasks(1))
+	first := h.confirmStarts()
+	h.report("w1", agent.Report{Connection: 7, Ended: []agent.EndedRun{firstEnd(first[0], agent.OutcomeDone)}})
+	h.commit()
+	heartbeat, _ := h.shard.HeartbeatFor("w1", h.now, true)
+	assert.Equal(t, heartbeat.Acked, int64(1))
+	assert.Equal(t, heartbeat.AckConnection, uint64(7))
+}
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -15,7 +15,9 @@
 	if !ok || s.stopped {
 		return agent.Heartbeat{}, false
 	}
-	heartbeat := agent.Heartbeat{Token: s.cfg.Token, Acked: w.ackableEnd(s.lastCommitted)}
+	heartbeat := agent.Heartbeat{
+		Token: s.cfg.Token, Acked: w.ackableEnd(s.lastCommitted), AckConnection: w.reportConnection,
+	}
 	// The lease of a silent worker is not extended, so that its runs expire at a known time.
 	if renew && now-w.lastReportAt < suspectAfter {
 		heartbeat.LeaseEnd = w.newLeaseEnd(now, s.cfg.Lease)
@@ -59,6 +61,7 @@
 		w.leaseEnd = now + time.Duration(float64(s.cfg.MaxLease)/(1-clockDrift)) + leaseExpiryMargin
 	}
 	w.tokenSeen, w.clock, w.clockReadAt, w.lastReportAt = true, r.Clock, now, now
+	w.reportConnection = r.Connection
 	listed := make(map[runKey]bool, len(r.Running)+len(r.Ended))
 	for _, end := range r.Ended {
 		listed[runKey{end.Task, end.Run}] = true
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -41,11 +41,14 @@
 	unreachable bool
 	draining    bool
 	incarnation int64
-	clockRate   float64
-	clock       time.Duration
-	token       int64
-	leaseEnd    time.Duration
-	runs        map[runKey]*simRun
+	// connection identifies the owner's connection for heartbeats. It ends with the incarnation, and with a heartbeat that
+	// gets no answer.
+	connection uint64
+	clockRate  float64
+	clock      time.Duration
+	token      int64
+	leaseEnd   time.Duration
+	runs       map[runKey]*simRun
 	// superseded holds, for each task, the highest run that has ended or was stopped on the worker. The worker refuses starts
 	// of this and earlier runs.
 	superseded map[work.TaskRef]int
@@ -63,6 +66,7 @@
 	incarnation int64
 	start       *StartCommand
 	stop        *StopCommand
+	heartbeat   *agent.Heartbeat
 }
 
 // cluster simulates the workers and a store that loses nothing for the property test, and checks the invariants at each
@@ -184,6 +188,8 @@
 		case d.incarnation != d.worker.incarnation:
 		case d.start != nil:
 			_, _ = cl.applyStart(*d.start)
+		case d.heartbeat != nil:
+			_, _ = cl.applyHeartbeat(d.worker, *d.heartbeat)
 		default:
 			_, _ = cl.applyStop(*d.stop)
 		}
@@ -355,15 +361,42 @@
 	return w.clock, nil
 }
 
-// exchangeHeartbeat sends a heartbeat and applies the worker's report.
-func (cl *cluster) exchangeHeartbeat(w *simWorker) {
+// exchangeHeartbeat sends a heartbeat and applies the worker's report, unless, as the delivery says, the heartbeat is lost, the
+// report is lost ("unanswered"), or the heartbeat takes effect later ("late").
+func (cl *cluster) exchangeHeartbeat(w *simWorker, delivery string) {
 	heartbeat, ok := cl.shard.HeartbeatFor(w.id, cl.now, true)
 	if !ok || !w.up || w.unreachable {
 		return
 	}
-	if !w.acceptToken(heartbeat.Token) {
+	if heartbeat.AckConnection != w.connection {
+		heartbeat.Acked = 0
+	}
+	if delivery == "lost" || delivery == "late" {
+		w.connection++
+		if delivery == "late" {
+			cl.delayed = append(cl.delayed, delayedCommand{
+				deliverAt: cl.now + 3*time.Second, worker: w, incarnation: w.incarnation, heartbeat: &heartbeat,
+			})
+		}
+		return
+	}
+	report, ok := cl.applyHeartbeat(w, heartbeat)
+	if !ok {
 		cl.t.Fatalf("%s has seen a higher token than the owner's", w.id)
 	}
+	if delivery == "unanswered" {
+		w.connection++
+		return
+	}
+	report.Connection = w.connection
+	cl.shard.ApplyReport(w.id, report, cl.now)
+}
+
+// applyHeartbeat carries out a heartbeat and returns the worker's report, or false if the worker has seen a higher token.
+func (cl *cluster) applyHeartbeat(w *simWorker, heartbeat agent.Heartbeat) (agent.Report, bool) {
+	if !w.acceptToken(heartbeat.Token) {
+		return agent.Report{}, false
+	}
 	w.extendLease(heartbeat.LeaseEnd)
 	w.ends = slices.DeleteFunc(w.ends, func(e agent.EndedRun) bool {
 		if e.Number > heartbeat.Acked {
@@ -380,7 +413,7 @@
 		report.Running = append(report.Running,
 			agent.ActiveRun{Task: run.key.task, Run: run.key.run, Percent: int(cl.now / time.Second)})
 	}
-	cl.shard.ApplyReport(w.id, report, cl.now)
+	return report, true
 }
 
 func (cl *cluster) recordAcknowledged(e agent.EndedRun) {
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -38,6 +38,9 @@
 	lastEndSeen int64
 	ackedEnd    int64
 	pendingAcks []pendingAck
+	// reportConnection identifies the connection of the last report. Over another one, the worker's next incarnation may
+	// answer, in which the numbers of ended runs mean others.
+	reportConnection uint64
 
 	// firstHeldEnd is the number of the first ended run of a held job, or zero; no end from it on is acknowledged. heldRunAt
 	// is when the worker last reported a run of a held job.
