fix(shard): unreported failures count until the worker's lease has expired

Cause: a run that only time has proved gone counted for 15 s as a failure that may yet be reported, though its worker was gone for good.

It now counts until its worker's lease has expired.

--- a/internal/shard/unconfirmed.go
+++ b/internal/shard/unconfirmed.go
@@ -5,24 +5,19 @@
 	"time"
 
 	"arbutuswing.example/internal/agent"
-	"arbutuswing.example/internal/model"
 )
 
-// outcomeTimeout is how long to wait for an unreachable worker to report a run's outcome. Network partitions are
-// usually shorter.
-const outcomeTimeout = 15 * time.Second
-
-// unconfirmedRun is a run that must have ended because of elapsed time; its worker may still report that it failed.
+// unconfirmedRun is a run that must have ended because of elapsed time; its worker may still report that it failed. Once the
+// worker's lease has expired, such a report no longer counts as an attempt for the platform, even if it is acknowledged.
 type unconfirmedRun struct {
 	index  int
 	run    int
-	worker model.WorkerID
-	until  time.Duration
+	worker *worker
 }
 
 // presumeEnded ends a run that must have ended although no worker has reported it.
 func (s *Shard) presumeEnded(a *attempt, outcome agent.RunOutcome, now time.Duration) {
-	a.stage.unconfirmed = append(a.stage.unconfirmed, unconfirmedRun{a.index, a.run, a.worker.id, now + outcomeTimeout})
+	a.stage.unconfirmed = append(a.stage.unconfirmed, unconfirmedRun{a.index, a.run, a.worker})
 	a.worker.hasUnconfirmed = true
 	s.endRun(a, outcome, "", now)
 }
@@ -35,7 +30,7 @@
 	w.hasUnconfirmed = false
 	for _, st := range s.activeStages {
 		if len(st.unconfirmed) > 0 {
-			st.unconfirmed = slices.DeleteFunc(st.unconfirmed, func(r unconfirmedRun) bool { return r.worker == w.id })
+			st.unconfirmed = slices.DeleteFunc(st.unconfirmed, func(r unconfirmedRun) bool { return r.worker == w })
 			st.retry = true
 		}
 	}
@@ -44,7 +39,7 @@
 // mayStart reports whether a task may be started. It may not if its failures, together with those that unreachable workers
 // may yet report, could reach the number that the queue allows.
 func (st *stage) mayStart(index int, now time.Duration) bool {
-	st.unconfirmed = slices.DeleteFunc(st.unconfirmed, func(r unconfirmedRun) bool { return now > r.until })
+	st.unconfirmed = slices.DeleteFunc(st.unconfirmed, func(r unconfirmedRun) bool { return now > r.worker.leaseEnd })
 	if len(st.unconfirmed) == 0 || st.spec.Service || st.spec.Speculative {
 		return true
 	}
