feat(owner): the load line tells where decided starts wait

Change: starts-to-record, starts-to-send, starts-in-flight, commit-time and decision-time in the load line; the state dump has them too, but for the last.

--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -62,6 +62,8 @@
 	sessions map[model.WorkerID]*workerSession
 	// sessionsVersion is the version of the shard's targets that the sessions match.
 	sessionsVersion uint64
+	// longestDecision is the longest time that a decision took since the load was last logged.
+	longestDecision time.Duration
 	// entries are the workers' registry entries, valid once entriesKnown is set.
 	entries      []agent.Entry
 	entriesKnown bool
@@ -278,7 +280,9 @@
 		zap.Int("for-advice", l.WaitingForAdvice), zap.Int("for-room", l.WaitingForCapacity),
 		zap.Int("for-worker", l.WaitingForWorker),
 		zap.Int("advice-waiting", waiting), zap.Int("advice-under-way", underWay),
-		zap.Int("runs", l.Runs), zap.Int("workers", l.Workers), zap.Int("usable-workers", l.UsableWorkers),
+		zap.Int("runs", l.Runs), zap.Int("starts-to-record", l.StartsToRecord), zap.Int("starts-to-send", l.StartsToSend),
+		zap.Int("starts-in-flight", l.StartsInFlight), zap.Duration("commit-time", l.CommitTime.Std()),
+		zap.Duration("decision-time", ow.longestDecision), zap.Int("workers", l.Workers), zap.Int("usable-workers", l.UsableWorkers),
 		zap.Int64("used-milli-cores", int64(l.Used.Cores)), zap.Int64("usable-milli-cores", int64(l.Capacity.Cores)))
 }
 
@@ -292,10 +296,12 @@
 		if time.Since(lastLogged) > loadLogInterval {
 			lastLogged = time.Now()
 			ow.logLoad()
+			ow.longestDecision = 0
 		}
 		begun := time.Now()
 		ow.shard.Tick(ow.now(), time.Now())
 		took := time.Since(begun)
+		ow.longestDecision = max(ow.longestDecision, took)
 		commands := ow.shard.TakeCommands(ow.now())
 		ow.syncSessions(ctx)
 		decided := ow.shard.CommitDue(ow.now())
--- a/internal/shard/dump.go
+++ b/internal/shard/dump.go
@@ -23,7 +23,14 @@
 	WaitingForWorker   int `json:"for-worker"`
 	// Runs counts the runs that may be on workers. UsableWorkers counts the workers that may get new tasks; Used and
 	// Capacity are sums over these.
-	Runs          int             `json:"runs"`
+	Runs int `json:"runs"`
+	// StartsToRecord counts the runs whose binding is not recorded yet, StartsToSend those whose start waits for the next
+	// decision, and StartsInFlight those whose start has not been answered.
+	StartsToRecord int `json:"starts-to-record"`
+	StartsToSend   int `json:"starts-to-send"`
+	StartsInFlight int `json:"starts-in-flight"`
+	// CommitTime is how long the last commit took to be recorded.
+	CommitTime    model.Duration  `json:"commit-time"`
 	UsableWorkers int             `json:"usable-workers"`
 	Workers       int             `json:"workers"`
 	Used          model.Resources `json:"used"`
@@ -32,7 +39,7 @@
 
 // Load returns the current load.
 func (s *Shard) Load(now time.Duration, wall time.Time) Load {
-	l := Load{Workers: len(s.workers)}
+	l := Load{Workers: len(s.workers), CommitTime: model.Duration(s.commitLatency)}
 	for _, j := range s.jobs {
 		if j.final == "" {
 			l.Jobs++
@@ -58,6 +65,17 @@
 	}
 	for _, w := range s.workersByID {
 		l.Runs += len(w.attempts)
+		for _, a := range w.attempts {
+			switch {
+			case a.phase != phaseBound || a.visibleSince >= 0:
+			case a.commitNumber > s.lastCommitted:
+				l.StartsToRecord++
+			case a.commandPending:
+				l.StartsInFlight++
+			default:
+				l.StartsToSend++
+			}
+		}
 		if w.usable(now) && !s.configuration.OutOfService(w.entry.DataCentre) {
 			l.UsableWorkers++
 			l.Capacity = l.Capacity.Plus(w.entry.Capacity)
