perf(shard): bound the starts that are under way

Cause: the owner's processor was full, and everything that had been decided waited for it in the order of decision: 250 to 2,100 starts for their commit, 100 to 1,650 for an answer. Urgent jobs were bound within 0.2 s and began 0.5 to 1.4 s later.

The rest waits undecided, in the order of urgency.

TestStartsUnderWayAreLimited replays the load and needs the limit.

--- a/internal/shard/dump.go
+++ b/internal/shard/dump.go
@@ -107,7 +107,7 @@
 	TasksLeft     int            `json:"tasks-left"`
 	Runs          int            `json:"runs"`
 	AdvicePending bool           `json:"asking"`
-	// WaitsFor is what the job's first waiting stage lacks: team-limit, advice, room, worker or outcome.
+	// WaitsFor is what the job's first waiting stage lacks: team-limit, advice, room, worker, starts or outcome.
 	WaitsFor string `json:"waits-for,omitempty"`
 }
 
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -87,6 +87,8 @@
 	waitCapacity  waitReason = "room"
 	// waitWorker means that the stage wouldn't fit on its eligible workers if these were empty.
 	waitWorker waitReason = "worker"
+	// waitStarts means that enough starts are under way, or that commits lag.
+	waitStarts waitReason = "starts"
 	// waitOutcome means that a failure not yet reported might be the last one that the queue allows.
 	waitOutcome waitReason = "outcome"
 )
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -26,6 +26,7 @@
 	}
 	s.replan = false
 	s.noteFreedCapacity(waiting)
+	s.startsUnderWay = s.countStartsUnderWay()
 	var blocked, later []*stage
 	placeable, tried, gangsAhead := 0, 0, 0
 	for _, st := range waiting {
@@ -189,12 +190,13 @@
 // placeStage binds as many waiting tasks of the stage as fit, or for a gang all or none. For the rest it requests
 // advice, preempts other runs or reserves capacity.
 func (s *Shard) placeStage(st *stage, now time.Duration) {
-	if s.lagging() {
+	allowedStarts := s.startsAllowed(st, now)
+	if s.lagging() || allowedStarts == 0 {
 		// Advice about workers obtained now is useful later, but tickets would expire before a start could be recorded.
 		if st.job.queue.Advice != nil && len(st.answers) == 0 {
 			s.requestAdvice(st, len(st.waitingTasks()), now)
 		}
-		st.retry = true
+		st.waitsFor, st.retry = waitStarts, true
 		return
 	}
 	waiting := slices.DeleteFunc(st.waitingTasks(), func(index int) bool { return !st.mayStart(index, now) })
@@ -211,6 +213,10 @@
 	}
 	limited := allowedByLimit < len(waiting)
 	waiting = waiting[:allowedByLimit]
+	if allowedStarts < len(waiting) {
+		waiting = waiting[:allowedStarts]
+		st.retry = true
+	}
 	chosen := s.chooseWorkers(st, s.candidates(st, now, true), len(waiting))
 	if len(chosen) == len(waiting) || !st.spec.Gang {
 		run := st.nextRun(waiting[0])
@@ -396,6 +402,7 @@
 		checkpoint: st.startCheckpoint(index), progressAt: now, savedAt: now,
 	}
 	s.attach(a)
+	s.startsUnderWay++
 	s.commitUrgent = true
 	s.markTaskDirty(st, index)
 	s.emit("run-bound", string(st.job.spec.ID), a.ref().String(), w, "", int64(run))
--- a/internal/shard/plan_test.go
+++ b/internal/shard/plan_test.go
@@ -116,3 +116,40 @@
 		})
 	}
 }
+
+// TestStartsUnderWayAreLimited guards against urgent tasks that wait in line behind hundreds of decided starts. The load pattern:
+// a burst of less urgent work on an empty fleet, from an owner whose starts take long to be recorded and answered.
+func TestStartsUnderWayAreLimited(t *testing.T) {
+	tests := []struct {
+		name  string
+		queue string
+		// want is the number of starts that are decided for the queue while the limit is reached.
+		want int
+	}{
+		{"most urgent queue", "urgent", maxStartsUnderWay},
+		{"other queue", testQueue, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			workers := make([]model.WorkerID, 100)
+			for i := range workers {
+				workers[i] = model.WorkerID(fmt.Sprintf("w%02d", i))
+			}
+			h := newHarness(t, workers...)
+			for i := range 2 * maxStartsUnderWay {
+				h.submitAs(model.JobID(fmt.Sprintf("burst-%d", i)), testQueue, sized(1, 100, time.Hour))
+			}
+			first := h.nextCommands().Starts
+			assert.Equal(t, len(first), maxStartsUnderWay)
+			for i := range 2 * maxStartsUnderWay {
+				h.submitAs(model.JobID(fmt.Sprintf("next-%d", i)), tt.queue, sized(1, 100, time.Hour))
+			}
+			assert.Equal(t, len(h.nextCommands().Starts), tt.want)
+			// Each answer makes room for another start.
+			for _, cmd := range first {
+				h.shard.ApplyStartResult(cmd, h.clock[cmd.Target.ID]+time.Millisecond, nil, h.now)
+			}
+			assert.Equal(t, len(h.nextCommands().Starts), maxStartsUnderWay)
+		})
+	}
+}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -26,6 +26,8 @@
 	freeCoresChanged bool
 	// targetsVersion counts the changes of the result of Targets.
 	targetsVersion uint64
+	// startsUnderWay is the number of starts under way, as of the last plan and with its decisions.
+	startsUnderWay int
 	// toCommand holds at least the workers with a run that may have to be started or stopped.
 	toCommand map[*worker]bool
 	teamUsage map[model.TeamID]model.Resources
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -66,6 +66,8 @@
 	outOfService map[model.DataCentreID]bool
 	// standby holds the pools whose workers are switched off.
 	standby map[string]bool
+	// topPriority is the lowest priority value of the queues.
+	topPriority int
 }
 
 // Params holds the parameters of New.
@@ -92,6 +94,11 @@
 	for _, pool := range params.Standby {
 		c.standby[pool] = true
 	}
+	for i, q := range params.Queues {
+		if i == 0 || q.Priority < c.topPriority {
+			c.topPriority = q.Priority
+		}
+	}
 	return c
 }
 
@@ -107,6 +114,9 @@
 // Standby reports whether the workers of the pool are switched off.
 func (c Configuration) Standby(pool string) bool { return c.standby[pool] }
 
+// TopPriority returns the priority of the most urgent queues, or 0 if there are no queues.
+func (c Configuration) TopPriority() int { return c.topPriority }
+
 // TeamOf returns the team that the key belongs to; it returns false for an unknown key.
 func (c Configuration) TeamOf(key string) (model.TeamID, bool) {
 	team, ok := c.keys[model.HashKey(key)]
