fix: a node outlasts the lack of file descriptors

Cause: the HTTP server takes every error of accept for a permanent one and returns, and a node ends when a component does.

Listeners now wait and try again while the process or the machine has no resources for another connection, and count that. All servers of nodes and entry instances use them.

--- a/entry/internal/daemon/components.go
+++ b/entry/internal/daemon/components.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/url"
 	"os"
 	"time"
@@ -14,6 +13,7 @@
 	"arbutuswing.example/entry/internal/admin"
 	"arbutuswing.example/entry/internal/front"
 	"arbutuswing.example/entry/internal/pulls"
+	"arbutuswing.example/internal/accept"
 	"arbutuswing.example/internal/config"
 	"arbutuswing.example/internal/ephttp"
 	"arbutuswing.example/internal/invar"
@@ -182,7 +182,7 @@
 func newPeerServer(
 	settings config.Entry, members *member.Service, recordStream *stream.Stream, claims *once.Service, log *zap.Logger,
 ) (*peer.Server, error) {
-	listener, err := net.Listen("tcp4", settings.PeerAddress)
+	listener, err := accept.Listen(settings.PeerAddress)
 	if err != nil {
 		return nil, fmt.Errorf("listening for peers: %w", err)
 	}
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"arbutuswing.example/internal/accept"
 	"arbutuswing.example/internal/decl"
 	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/ports"
@@ -158,7 +159,7 @@
 
 // Run listens on the configured address and serves clients until Shutdown is called.
 func (s *Server) Run() error {
-	listener, err := net.Listen("tcp4", s.cfg.Address)
+	listener, err := accept.Listen(s.cfg.Address)
 	if err != nil {
 		return fmt.Errorf("listening for callers: %w", err)
 	}
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -5,12 +5,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"arbutuswing.example/internal/accept"
 	"arbutuswing.example/internal/agent"
 	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/work"
@@ -55,7 +55,7 @@
 
 // Run serves calls until the context ends.
 func (s *Server) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp4", s.cfg.Address)
+	listener, err := accept.Listen(s.cfg.Address)
 	if err != nil {
 		return fmt.Errorf("listening for nodes: %w", err)
 	}
--- a/node/internal/daemon/metrics.go
+++ b/node/internal/daemon/metrics.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"net"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 
+	"arbutuswing.example/internal/accept"
 	"arbutuswing.example/internal/config"
 	"arbutuswing.example/internal/ledger"
 	"arbutuswing.example/internal/logs"
@@ -53,7 +53,7 @@
 		<-ctx.Done()
 		return nil
 	}
-	listener, err := net.Listen("tcp4", m.address)
+	listener, err := accept.Listen(m.address)
 	if err != nil {
 		return fmt.Errorf("listening for metrics: %w", err)
 	}
