fix(shard): record that a job is final before its parts are deleted

The records of a final job were written with its parts, which are deleted, before the main record. A commit of more than 1 MiB takes several appends; an owner that ended between two of them would leave a job that isn't final and whose done tasks are forgotten. Change: the main record of a final job comes first, and a new owner deletes the parts that a former one left. The model of TestInvariantsUnderFaults lets owners end after a part of a commit.

--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -134,6 +134,13 @@
 			cl.storeDown = false
 			cl.takeOver()
 		},
+		"part": func(t *rapid.T) {
+			// The owner ends after it has written a part of a commit.
+			records := cl.shard.TakeCommit(cl.now).Progress
+			cl.writeProgress(records[:rapid.IntRange(0, len(records)).Draw(t, "records")])
+			cl.storeDown = false
+			cl.takeOver()
+		},
 		"": func(*rapid.T) { cl.checkInvariants() },
 	}
 }
--- a/internal/shard/harness_test.go
+++ b/internal/shard/harness_test.go
@@ -20,14 +20,16 @@
 
 // harness drives one shard step by step: commits, command results and reports happen only when a test calls for them.
 type harness struct {
-	t           testing.TB
-	shard       *Shard
-	now         time.Duration
-	wall        time.Time
-	token       int64
-	workers     []model.WorkerID
-	incarnation map[model.WorkerID]int64
-	clock       map[model.WorkerID]time.Duration
+	t       testing.TB
+	shard   *Shard
+	now     time.Duration
+	wall    time.Time
+	token   int64
+	workers []model.WorkerID
+	// tasksPerRecord is that of the next ownership, or zero for the default.
+	tasksPerRecord int
+	incarnation    map[model.WorkerID]int64
+	clock          map[model.WorkerID]time.Duration
 }
 
 func testConfiguration() terms.Configuration {
@@ -65,6 +67,7 @@
 	h.shard = New(Config{
 		Token: h.token, Lease: testLease, MaxLease: 10 * time.Second, RenewLimit: 3 * time.Second,
 		KillGrace: simKillGrace, GangTimeout: simGangTimeout, Retention: time.Minute,
+		TasksPerRecord: h.tasksPerRecord,
 	})
 	h.token++
 	h.shard.SetConfiguration(testConfiguration())
--- a/internal/shard/progress.go
+++ b/internal/shard/progress.go
@@ -47,14 +47,26 @@
 	}
 }
 
-// progressRecords returns the records of a job that have to be written. The main record comes last, so that a part is never
-// missing from what a new owner reads.
+// markPartsDirty adds the main record and all recorded parts of a job to the next commit.
+func (s *Shard) markPartsDirty(j *job) {
+	s.markDirty(j)
+	for part := range j.recordedParts {
+		j.dirtyParts[part] = true
+	}
+}
+
+// progressRecords returns the records of a job that have to be written, in an order in which a new owner may find only the
+// first of them: the main record comes last, but before the parts that are deleted because the job is final.
 func (s *Shard) progressRecords(j *job) []JobProgress {
 	id := string(j.spec.ID)
 	if !s.split(j) {
 		return []JobProgress{{ID: id, Progress: j.progress()}}
 	}
+	main := JobProgress{ID: id, Progress: work.Progress{Final: j.final, Begun: j.started, Split: true}}
 	var records []JobProgress
+	if j.final != "" {
+		records = append(records, main)
+	}
 	for _, part := range slices.Sorted(maps.Keys(j.dirtyParts)) {
 		first := (part - 1) * s.cfg.TasksPerRecord
 		r := JobProgress{ID: id, Part: part, Progress: work.Progress{Tasks: j.taskProgress(first, first+s.cfg.TasksPerRecord)}}
@@ -68,7 +80,10 @@
 		records = append(records, r)
 	}
 	clear(j.dirtyParts)
-	return append(records, JobProgress{ID: id, Progress: work.Progress{Final: j.final, Begun: j.started, Split: true}})
+	if j.final == "" {
+		records = append(records, main)
+	}
+	return records
 }
 
 // progress returns the whole progress of the job.
--- a/internal/shard/progress_test.go
+++ b/internal/shard/progress_test.go
@@ -99,7 +99,8 @@
 	}
 }
 
-// TestPartsOfFinalJobAreDeleted guards against records that stay in the store for good.
+// TestPartsOfFinalJobAreDeleted guards against records that stay in the store for good, and against an owner that ends after it
+// has deleted parts of a job but before it has recorded that the job is final.
 func TestPartsOfFinalJobAreDeleted(t *testing.T) {
 	h := newHarness(t, "w1")
 	h.shard.cfg.TasksPerRecord = 2
@@ -108,13 +109,24 @@
 	h.shard.Tick(h.now, h.wall)
 	records.write(t, h.commit())
 	assert.Equal(t, len(records), 3)
-	var ended []agent.EndedRun
-	for i, cmd := range h.confirmStarts() {
+	starts := h.confirmStarts()
+	ended := make([]agent.EndedRun, 0, len(starts))
+	for i, cmd := range starts {
 		ended = append(ended, agent.EndedRun{Number: int64(i + 1), Task: cmd.Start.Task, Run: 1, Outcome: agent.OutcomeDone})
 	}
 	h.report("w1", agent.Report{Ended: ended})
+	last := h.commit()
+	assert.Equal(t, len(last), 3)
+	final := recordStore{"j": {Final: work.StateCompleted, Begun: true, Split: true}}
+	records.write(t, last[:1])
+	assert.DeepEqual(t, records["j"], final["j"])
+	// The next owner finds the main record and both parts.
+	spec := h.shard.jobs["j"].spec
+	h.tasksPerRecord = 2
+	h.takeOver(RecordedState{Jobs: []work.Job{spec}, Progress: joinRecords(t, records)})
+	h.report("w1", agent.Report{})
 	records.write(t, h.commit())
-	assert.DeepEqual(t, records, recordStore{"j": {Final: work.StateCompleted, Begun: true, Split: true}})
+	assert.DeepEqual(t, records, final)
 }
 
 // TestOnlyChangedPartsAreRecorded guards against writing all of a large job again at each change, and against an owner that
@@ -139,8 +151,9 @@
 			h.takeOver(RecordedState{Jobs: []work.Job{spec}, Progress: map[model.JobID]work.Progress{"j": progress}})
 			h.report("w1", agent.Report{})
 			h.shard.Tick(h.now, h.wall)
-			var parts []int
-			for _, p := range h.commit() {
+			committed := h.commit()
+			parts := make([]int, 0, len(committed))
+			for _, p := range committed {
 				parts = append(parts, p.Part)
 			}
 			assert.DeepEqual(t, parts, tt.want)
--- a/internal/shard/restore.go
+++ b/internal/shard/restore.go
@@ -116,6 +116,10 @@
 	}
 	if p.Final != "" {
 		j.final, j.finalAt = p.Final, now
+		if len(j.recordedParts) > 0 {
+			// The former owner had yet to delete them.
+			s.markPartsDirty(j)
+		}
 		s.finalJobs = append(s.finalJobs, j)
 		active := s.activeStages[:0]
 		for _, st := range s.activeStages {
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -184,11 +184,8 @@
 func (s *Shard) finishJob(j *job, state work.State, now time.Duration) {
 	j.final, j.finalCommit, j.finalAt = state, s.nextCommit, now
 	s.commitUrgent = true
-	s.markDirty(j)
 	// Of a final job only the runs that may be on workers are recorded.
-	for part := range j.recordedParts {
-		j.dirtyParts[part] = true
-	}
+	s.markPartsDirty(j)
 	s.finalJobs = append(s.finalJobs, j)
 	s.dropSubmission(j)
 	j.eachAttempt(func(a *attempt) { s.stopRun(a, now) })
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -443,14 +443,19 @@
 		delete(cl.progress, id)
 		cl.expired[model.JobID(id)] = true
 	}
-	for _, p := range c.Progress {
+	cl.writeProgress(c.Progress)
+	cl.shard.MarkCommitted(c.Number)
+}
+
+// writeProgress carries out an append of progress records.
+func (cl *cluster) writeProgress(records []JobProgress) {
+	for _, p := range records {
 		key := work.ProgressKey(model.JobID(p.ID), p.Part)
 		cl.progress[key] = p.Progress
 		if p.Deleted() {
 			delete(cl.progress, key)
 		}
 	}
-	cl.shard.MarkCommitted(c.Number)
 }
 
 // deleteSubmissions carries out the deletions of submissions that an earlier commit asked for.
