--- a/node/internal/daemon/metrics_test.go
+++ b/node/internal/daemon/metrics_test.go
@@ -26,7 +26,7 @@
 func TestMetricsPage(t *testing.T) {
 	const root = "../../.."
 	var sources strings.Builder
-	for _, folder := range []string{"internal/owner", "internal/agent", "internal/ledger", "internal/intake", "node", "platform"} {
+	for _, folder := range []string{"internal/accept", "internal/owner", "internal/agent", "internal/ledger", "internal/intake", "node", "platform"} {
 		assert.NilError(t, filepath.WalkDir(filepath.Join(root, folder), func(path string, _ fs.DirEntry, err error) error {
 			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
