--- /dev/null
+++ b/internal/shard/incarnation_test.go
@@ -0,0 +1,195 @@
+package shard
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"arbutuswing.example/internal/agent"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/work"
+)
+
+// workerUptime is how long the workers of a test have run before one of them restarts, so that a lease end on a clock from
+// before the restart is beyond the maximum of the next incarnation.
+const workerUptime = time.Minute
+
+// newAgedHarness returns a harness whose workers have run and reported for a while.
+func newAgedHarness(t testing.TB, workers ...model.WorkerID) *harness {
+	t.Helper()
+	h := newHarness(t, workers...)
+	for range int(workerUptime / time.Second) {
+		h.advance(time.Second)
+		for _, id := range workers {
+			h.clock[id] += time.Second
+			h.report(id, agent.Report{})
+		}
+	}
+	return h
+}
+
+// restart lets the worker's next incarnation begin under the same ID.
+func (h *harness) restart(id model.WorkerID) {
+	h.incarnation[id]++
+	h.clock[id] = 0
+}
+
+// startElsewhere returns how long after the call the shard starts a run on another worker than the silent one, at most limit.
+func (h *harness) startElsewhere(silent model.WorkerID, limit time.Duration) time.Duration {
+	h.t.Helper()
+	begun := h.now
+	for h.now-begun < limit {
+		h.advance(50 * time.Millisecond)
+		for _, id := range h.workers {
+			if id != silent {
+				h.clock[id] += 50 * time.Millisecond
+				h.report(id, agent.Report{})
+			}
+		}
+		if len(h.confirmStarts()) > 0 {
+			return h.now - begun
+		}
+	}
+	h.t.Fatalf("no start elsewhere within %v", limit)
+	return 0
+}
+
+// TestRestartedWorkersLeaseIsNotUnderestimated guards against two runs of a task at the same time: a worker restarts under its
+// ID, and a command that names a lease end on the clock from before the restart gives it the longest lease that it accepts.
+func TestRestartedWorkersLeaseIsNotUnderestimated(t *testing.T) {
+	// A clock may run 2% slow.
+	const maxLease = 10200 * time.Millisecond
+	tests := []struct {
+		name string
+		// startFirst tells that the start reaches the next incarnation before its first report.
+		startFirst bool
+		// reports tells that the next incarnation reports before it falls silent.
+		reports bool
+	}{
+		{"start after the first report", false, true},
+		{"start before the first report", true, true},
+		{"start and no report", true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newAgedHarness(t, "w1", "w2")
+			h.register("w2")
+			h.restart("w1")
+			start := func() StartCommand {
+				h.submitJob(tasks(1))
+				starts := h.confirmStarts()
+				assert.Equal(t, len(starts), 1)
+				assert.Equal(t, starts[0].Target.ID, model.WorkerID("w1"))
+				return starts[0]
+			}
+			var report agent.Report
+			if tt.startFirst {
+				cmd := start()
+				report.Running = []agent.ActiveRun{{Task: cmd.Start.Task, Run: cmd.Start.Run}}
+			}
+			granted := h.now
+			if tt.reports {
+				h.report("w1", report)
+				granted = h.now
+			}
+			if !tt.startFirst {
+				start()
+			}
+			h.register()
+			silentSince := h.now
+			waited := h.startElsewhere("w1", 20*time.Second)
+			lasts := maxLease - (silentSince - granted)
+			assert.Assert(t, waited > lasts, "started elsewhere after %v, the lease lasts %v", waited, lasts)
+		})
+	}
+}
+
+// TestRunOfUnknownIncarnationIsNotGivenUp guards against two runs of a task at the same time: a worker that has restarted answers
+// a start, and the answer overtakes the report that this incarnation had sent before, which doesn't list the run.
+func TestRunOfUnknownIncarnationIsNotGivenUp(t *testing.T) {
+	h := newAgedHarness(t, "w1", "w2")
+	h.register("w2")
+	h.submitJob(tasks(1))
+	starts := h.confirmStarts()
+	assert.Equal(t, len(starts), 1)
+	h.register()
+	h.restart("w1")
+	h.report("w1", agent.Report{})
+	commands := h.nextCommands()
+	assert.Equal(t, len(commands.Starts), 0, "the run may be on the next incarnation")
+	assert.Equal(t, len(commands.Stops), 1)
+	h.clock["w1"] += 50 * time.Millisecond
+	h.shard.ApplyStopResult(commands.Stops[0], h.clock["w1"], nil, h.now)
+	h.report("w1", agent.Report{})
+	assert.Equal(t, len(h.confirmStarts()), 1)
+}
+
+// TestReportFromBeforeRestartProvesNothing guards against two runs of a task at the same time: the report of an incarnation that
+// has ended is applied after the next incarnation has answered a start.
+func TestReportFromBeforeRestartProvesNothing(t *testing.T) {
+	h := newAgedHarness(t, "w1", "w2")
+	h.register("w2")
+	h.submitJob(tasks(1))
+	starts := h.nextCommands().Starts
+	assert.Equal(t, len(starts), 1)
+	// The heartbeat leaves before the start is answered by the next incarnation, whose clock has begun anew.
+	_, ok := h.shard.HeartbeatFor("w1", h.now, true)
+	assert.Assert(t, ok)
+	h.shard.ApplyStartResult(starts[0], time.Second, nil, h.now)
+	h.register()
+	h.clock["w1"] += time.Second
+	h.shard.ApplyReport("w1", agent.Report{Clock: h.clock["w1"], Incarnation: h.incarnation["w1"]}, h.now)
+	assert.Equal(t, len(h.confirmStarts()), 0, "the run is on the next incarnation")
+	// The next heartbeat leaves after the answer, and so does its report.
+	h.report("w1", agent.Report{})
+	assert.Equal(t, len(h.confirmStarts()), 1)
+}
+
+// TestRestartWithClockSetBackIsNoticed guards against ignoring a worker that has restarted while the time of day on its machine
+// had been set back, by which incarnations are identified.
+func TestRestartWithClockSetBackIsNoticed(t *testing.T) {
+	h := newAgedHarness(t, "w1")
+	h.submitJob(tasks(1))
+	first := h.confirmStarts()
+	assert.Equal(t, len(first), 1)
+	h.report("w1", agent.Report{Running: []agent.ActiveRun{{Task: first[0].Start.Task, Run: first[0].Start.Run}}})
+	h.incarnation["w1"], h.clock["w1"] = -1, 0
+	h.advance(time.Second)
+	h.report("w1", agent.Report{})
+	second := h.confirmStarts()
+	assert.Equal(t, len(second), 1)
+	assert.Equal(t, second[0].Start.Run, 2)
+}
+
+// TestRecordedIncarnationsProveNothing guards against two runs of a task at the same time: a start reached its worker's next
+// incarnation, but was recorded with the one before, and another run was recorded with the next one before the owner changed.
+func TestRecordedIncarnationsProveNothing(t *testing.T) {
+	h := newAgedHarness(t, "w1", "w2")
+	h.register("w2")
+	h.submitAs("first", testQueue, tasks(1))
+	first := h.confirmStarts()
+	assert.Equal(t, len(first), 1)
+	recorded := h.shard.jobs["first"].progress()
+	h.restart("w1")
+	running := agent.Report{Running: []agent.ActiveRun{{Task: first[0].Start.Task, Run: first[0].Start.Run}}}
+	h.report("w1", running)
+	h.submitAs("second", testQueue, tasks(1))
+	second := h.confirmStarts()
+	assert.Equal(t, len(second), 1)
+	j1, j2 := h.shard.jobs["first"], h.shard.jobs["second"]
+	restored := RecordedState{
+		Jobs: []work.Job{j1.spec, j2.spec}, Progress: map[model.JobID]work.Progress{"first": recorded, "second": j2.progress()},
+	}
+	h.takeOver(restored)
+	h.register()
+	h.report("w2", agent.Report{})
+	for _, cmd := range h.confirmStarts() {
+		t.Fatalf("%v is started again on %s while it runs on w1", cmd.Start.Task, cmd.Target.ID)
+	}
+	running.Running = append(running.Running, agent.ActiveRun{Task: second[0].Start.Task, Run: second[0].Start.Run})
+	h.report("w1", running)
+	assert.Equal(t, len(h.confirmStarts()), 0)
+	assert.Assert(t, !slices.ContainsFunc(h.shard.workersByID, func(w *worker) bool { return len(w.unknownRuns) > 0 }))
+}
