fix(shard): count the longest lease where a worker may have restarted

Callers would see a task run twice at the same time (TWICE). A worker may start again under its ID. Until its first report the owner names lease ends on the clock of the incarnation before; the next one, whose clock has just begun, shortens them to the longest lease that it accepts (10 s), and a lease never shortens again. The owner assumed the 7 s that it meant to grant. If the worker then fell silent, its runs were started elsewhere up to 2.7 s too early.

A heartbeat now renews the lease only over the connection of the last report, which can't outlive the worker's process, as it already was for acknowledgements. A start can't wait for that: a run that no report has listed counts as present for the longest lease from the start's answer, and so does all that runs on a worker that has just restarted. A new owner waits for the renewal limit and the longest lease, as docs/platform.md already said.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -78,13 +78,13 @@
 // Heartbeat renews the lease of all runs on a worker, acknowledges ended runs and requests a report.
 type Heartbeat struct {
 	Token int64
+	// ReportConnection is the Report.Connection of the last report. LeaseEnd, Acked and Wait are left out unless the heartbeat
+	// is sent over this connection: the clock and the numbers of another incarnation begin anew, and its report is needed at once.
+	ReportConnection uint64
 	// LeaseEnd is the new end of the lease on the worker's clock; zero leaves the lease unchanged.
 	LeaseEnd time.Duration
-	// Acked is the highest EndedRun.Number that the worker may stop reporting. It is left out unless the heartbeat is sent over
-	// AckConnection, because the numbers of another incarnation mean other runs.
+	// Acked is the highest EndedRun.Number that the worker may stop reporting.
 	Acked int64
-	// AckConnection is the Report.Connection of the report that the numbers come from.
-	AckConnection uint64
 	// Wait is how long the worker may delay its answer while no run ends.
 	Wait time.Duration
 }
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -14,6 +14,8 @@
 	Target  agent.Target
 	Start   agent.Start
 	attempt *attempt
+	// incarnation is the worker's incarnation that the owner knew when it sent the start.
+	incarnation int64
 }
 
 // StopCommand is a stop command that may be sent now. Its attempt is nil if it stops an unknown run.
@@ -44,7 +46,7 @@
 			switch {
 			case a.phase == phaseBound && a.commitNumber <= s.lastCommitted && w.tokenSeen && a.visibleSince < 0:
 				a.commandPending = true
-				commands.Starts = append(commands.Starts, StartCommand{target, s.startCommand(a, now), a})
+				commands.Starts = append(commands.Starts, StartCommand{target, s.startCommand(a, now), a, w.incarnation})
 			case a.phase == phaseStopping:
 				a.commandPending = true
 				stop := agent.Stop{Task: a.ref(), Run: a.run, Token: s.cfg.Token}
@@ -88,6 +90,9 @@
 func (s *Shard) ApplyStartResult(cmd StartCommand, clock time.Duration, err error, now time.Duration) {
 	a := cmd.attempt
 	a.commandPending = false
+	if mayHaveGranted(err) {
+		s.noteGrant(cmd, now)
+	}
 	if a.worker.attempts[a.key()] != a || s.stopped {
 		if errors.Is(err, agent.ErrNoAnswer) {
 			s.addUnknownRun(a.worker, a.key(), unknownRun{mayArrive: true})
@@ -119,6 +124,11 @@
 	}
 }
 
+// mayHaveGranted reports whether a start with this result may have extended the worker's lease.
+func mayHaveGranted(err error) bool {
+	return err == nil || errors.Is(err, agent.ErrNoAnswer) || errors.Is(err, agent.ErrRunSuperseded) || errors.Is(err, agent.ErrNoCapacity)
+}
+
 // startRefused handles a start that the worker refused: the task becomes startable again. If an earlier start went
 // unanswered, the run may still appear on the worker, so it is stopped first.
 func (s *Shard) startRefused(a *attempt, err error, now time.Duration) {
--- a/internal/shard/record_test.go
+++ b/internal/shard/record_test.go
@@ -182,5 +182,5 @@
 	h.commit()
 	heartbeat, _ := h.shard.HeartbeatFor("w1", h.now, true)
 	assert.Equal(t, heartbeat.Acked, int64(1))
-	assert.Equal(t, heartbeat.AckConnection, uint64(7))
+	assert.Equal(t, heartbeat.ReportConnection, uint64(7))
 }
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -16,7 +16,7 @@
 		return agent.Heartbeat{}, false
 	}
 	heartbeat := agent.Heartbeat{
-		Token: s.cfg.Token, Acked: w.ackableEnd(s.lastCommitted), AckConnection: w.reportConnection,
+		Token: s.cfg.Token, Acked: w.ackableEnd(s.lastCommitted), ReportConnection: w.reportConnection,
 	}
 	// The lease of a silent worker is not extended, so that its runs expire at a known time.
 	if renew && now-w.lastReportAt < suspectAfter {
@@ -58,7 +58,7 @@
 	if !w.tokenSeen {
 		// From its first report on, only this owner extends the worker's lease. Any lease granted earlier lasts at most
 		// MaxLease.
-		w.leaseEnd = now + time.Duration(float64(s.cfg.MaxLease)/(1-clockDrift)) + leaseExpiryMargin
+		w.leaseEnd = s.longestLeaseEnd(now)
 	}
 	w.tokenSeen, w.clock, w.clockReadAt, w.lastReportAt = true, r.Clock, now, now
 	w.reportConnection = r.Connection
@@ -109,6 +109,7 @@
 		return
 	}
 	s.emit("worker-reborn", "", "", w, "", incarnation)
+	w.leaseEnd = max(w.leaseEnd, s.longestLeaseEnd(now))
 	s.forgetAdvice(w.id)
 	reported := make(map[runKey]bool, len(r.Running))
 	for _, row := range r.Running {
@@ -118,6 +119,7 @@
 		reported[runKey{end.Task, end.Run}] = true
 	}
 	for _, a := range sortedAttempts(w, anyAttempt) {
+		a.listed = false
 		if reported[a.key()] {
 			continue
 		}
@@ -162,7 +164,7 @@
 		a.phase, a.progressAt = phaseStarted, now
 		s.markStarted(a, now)
 	}
-	a.startUnanswered = false
+	a.startUnanswered, a.listed = false, true
 	a.visibleSince = max(a.visibleSince, 0)
 	if row.Percent != a.percent {
 		a.percent, a.progressAt = row.Percent, now
--- a/internal/shard/restore.go
+++ b/internal/shard/restore.go
@@ -54,7 +54,7 @@
 	for _, id := range r.Cancelled {
 		s.Cancel(id, now)
 	}
-	limit := now + s.cfg.RenewLimit + time.Duration(float64(s.cfg.Lease)/(1-clockDrift)) + leaseExpiryMargin
+	limit := s.longestLeaseEnd(now + s.cfg.RenewLimit)
 	for _, w := range s.workersByID {
 		w.leaseEnd = limit
 	}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -347,11 +347,12 @@
 				s.presumeEnded(a, goneGang, agent.OutcomeGangBroken, now)
 			}
 		}
-		if now <= w.leaseEnd {
+		expired := sortedAttempts(w, func(a *attempt) bool { return now > w.leaseEndOf(a) })
+		if len(expired) == 0 {
 			continue
 		}
 		s.emit("worker-lapsed", "", "", w, "", (now - w.lastReportAt).Milliseconds())
-		for _, a := range sortedAttempts(w, anyAttempt) {
+		for _, a := range expired {
 			s.presumeEnded(a, goneLease, agent.OutcomeLeaseExpired, now)
 		}
 	}
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -368,8 +368,8 @@
 	if !ok || !w.up || w.unreachable {
 		return
 	}
-	if heartbeat.AckConnection != w.connection {
-		heartbeat.Acked = 0
+	if heartbeat.ReportConnection != w.connection {
+		heartbeat.Acked, heartbeat.LeaseEnd = 0, 0
 	}
 	if delivery == "lost" || delivery == "late" {
 		w.connection++
--- a/internal/shard/unconfirmed.go
+++ b/internal/shard/unconfirmed.go
@@ -57,7 +57,7 @@
 // mayStart reports whether a task may be started. It may not if its failures, together with those that unreachable workers
 // may yet report, could reach the number that the queue allows.
 func (st *stage) mayStart(index int, now time.Duration) bool {
-	st.unconfirmed = slices.DeleteFunc(st.unconfirmed, func(r unconfirmedRun) bool { return now > r.worker.leaseEnd })
+	st.unconfirmed = slices.DeleteFunc(st.unconfirmed, func(r unconfirmedRun) bool { return now > max(r.worker.leaseEnd, r.worker.unreportedLeaseEnd) })
 	if len(st.unconfirmed) == 0 || st.spec.Service || st.spec.Speculative {
 		return true
 	}
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -31,8 +31,10 @@
 	clock        time.Duration
 	clockReadAt  time.Duration
 	lastReportAt time.Duration
-	// leaseEnd is the time by which every lease granted so far has expired.
+	// leaseEnd is the time by which every lease granted to the incarnation that reported last has expired.
 	leaseEnd time.Duration
+	// unreportedLeaseEnd is the same for an incarnation that has not reported yet, but that a start may have reached.
+	unreportedLeaseEnd time.Duration
 	// lastEndSeen is the number of the last ended run that was processed, ackedEnd that of the last one that may be
 	// acknowledged. pendingAcks holds the ended runs to acknowledge later, with the commits that record them.
 	lastEndSeen int64
@@ -191,6 +193,29 @@
 	return end
 }
 
+// longestLeaseEnd returns the time by which a lease has expired that a worker was granted at this time, whatever end the command
+// named: an incarnation that the owner doesn't know shortens an end on the clock of the one before to the longest lease.
+func (s *Shard) longestLeaseEnd(granted time.Duration) time.Duration {
+	return granted + time.Duration(float64(s.cfg.MaxLease)/(1-clockDrift)) + leaseExpiryMargin
+}
+
+// noteGrant takes into account that a start may have reached an incarnation that the owner didn't know when it sent the start.
+func (s *Shard) noteGrant(cmd StartCommand, now time.Duration) {
+	w := cmd.attempt.worker
+	w.unreportedLeaseEnd = s.longestLeaseEnd(now)
+	if cmd.incarnation != w.incarnation {
+		w.leaseEnd = max(w.leaseEnd, w.unreportedLeaseEnd)
+	}
+}
+
+// leaseEndOf returns the time by which the lease of a run on the worker has expired.
+func (w *worker) leaseEndOf(a *attempt) time.Duration {
+	if a.listed {
+		return w.leaseEnd
+	}
+	return max(w.leaseEnd, w.unreportedLeaseEnd)
+}
+
 // ackableEnd returns the highest number of an ended run that may be acknowledged: that run and all ended before it are
 // recorded.
 func (w *worker) ackableEnd(lastCommitted uint64) int64 {
