fix(shard): a report proves nothing about starts answered by another incarnation

Callers would see a task run twice at the same time (TWICE). Answers on different connections may overtake each other, and the answer to a start doesn't tell which incarnation of the worker gave it. Two orders of events ended a run that lasts: a restarted worker starts a run, and its first report, sent before that, is applied after the answer; or a report from before the restart, with a higher clock reading than the answer, is.

A run that was started but that no report has listed is now stopped when its worker has restarted, and only the stop's answer and the report after it end the run. A report doesn't end such a run if its heartbeat left before the start was answered.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -101,7 +101,7 @@
 	}
 	switch {
 	case err == nil:
-		a.startUnanswered = false
+		a.startUnanswered, a.answeredAt = false, now
 		a.visibleSince = max(a.visibleSince, clock)
 		if a.phase == phaseBound {
 			a.phase, a.progressAt = phaseStarted, now
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -139,6 +139,8 @@
 	startInFlightUntil time.Duration
 	// notBefore is the earliest time for the run's next command.
 	notBefore time.Duration
+	// answeredAt is when a start was last answered with success.
+	answeredAt time.Duration
 	// listed tells that a report of the worker's incarnation has listed the run.
 	listed bool
 	// visibleSince is a reading of the worker's clock: a later report that doesn't list the run proves that it is gone.
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -15,6 +15,7 @@
 	if !ok || s.stopped {
 		return agent.Heartbeat{}, false
 	}
+	w.heartbeatSentAt = now
 	heartbeat := agent.Heartbeat{
 		Token: s.cfg.Token, Acked: w.ackableEnd(s.lastCommitted), ReportConnection: w.reportConnection,
 	}
@@ -83,7 +84,9 @@
 	}
 	s.clearUnconfirmed(w)
 	gone := func(a *attempt) bool {
-		return a.visibleSince >= 0 && r.Clock > a.visibleSince && !a.commandPending && !listed[a.key()]
+		// The clock in the answer to a start is that of the incarnation which answered, the report may be of the one before.
+		overtaken := answeredUnlisted(a) && a.answeredAt >= w.heartbeatSentAt
+		return a.visibleSince >= 0 && r.Clock > a.visibleSince && !a.commandPending && !listed[a.key()] && !overtaken
 	}
 	for _, a := range sortedAttempts(w, gone) {
 		// The end of one member of a gang changes what the others wait for.
@@ -93,9 +96,14 @@
 	}
 }
 
+// answeredUnlisted reports whether a start of the run was answered, but no report has listed the run since. It may have been
+// answered by an incarnation that has not reported yet.
+func answeredUnlisted(a *attempt) bool { return a.phase == phaseStarted && !a.listed }
+
 // replaceIncarnation ends the runs of the worker's previous incarnation. It keeps a run of which a start went unanswered
-// or is in flight until a stop is confirmed, because that start may still reach the new incarnation. It also keeps the
-// runs that the new incarnation reports: their start reached it.
+// or is in flight until a stop is confirmed, because that start may still reach the new incarnation. The same holds for a
+// start whose answer may have overtaken this report of the new incarnation. It also keeps the runs that the new incarnation
+// reports: their start reached it.
 func (s *Shard) replaceIncarnation(w *worker, r agent.Report, now time.Duration) {
 	first, incarnation := w.incarnation == 0, r.Incarnation
 	w.incarnation, w.clock, w.lastEndSeen, w.ackedEnd, w.pendingAcks = incarnation, 0, 0, 0, nil
@@ -123,7 +131,7 @@
 		if reported[a.key()] {
 			continue
 		}
-		if a.startUnanswered || a.commandPending || now < a.startInFlightUntil {
+		if a.startUnanswered || a.commandPending || now < a.startInFlightUntil || answeredUnlisted(a) {
 			s.stopRun(a, now)
 			a.visibleSince = -1
 			continue
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -31,6 +31,8 @@
 	clock        time.Duration
 	clockReadAt  time.Duration
 	lastReportAt time.Duration
+	// heartbeatSentAt is when the last heartbeat was sent.
+	heartbeatSentAt time.Duration
 	// leaseEnd is the time by which every lease granted to the incarnation that reported last has expired.
 	leaseEnd time.Duration
 	// unreportedLeaseEnd is the same for an incarnation that has not reported yet, but that a start may have reached.
