fix(shard): ignore clock readings from before a worker's restart

Callers would see a task that waits for good while its worker is idle. A start or stop that a worker answers just before it restarts may be applied after the restart is known. The clock reading of that answer is far ahead of the next incarnation's clock, and until that clock has caught up no report could prove that the run is gone. A stop answered before the restart also confirmed nothing about the incarnation that a late start may still reach.

Commands remember the incarnation that they were sent to, and the answer counts only for that one.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -25,6 +25,8 @@
 	attempt *attempt
 	worker  *worker
 	key     runKey
+	// incarnation is the worker's incarnation that the owner knew when it sent the stop.
+	incarnation int64
 }
 
 // TakeCommands returns the commands that may be sent now. The caller must pass each result back with ApplyStartResult,
@@ -50,14 +52,14 @@
 			case a.phase == phaseStopping:
 				a.commandPending = true
 				stop := agent.Stop{Task: a.ref(), Run: a.run, Token: s.cfg.Token}
-				commands.Stops = append(commands.Stops, StopCommand{target, stop, a, w, a.key()})
+				commands.Stops = append(commands.Stops, StopCommand{target, stop, a, w, a.key(), w.incarnation})
 			}
 		}
 		for key, unknown := range w.unknownRuns {
 			if !unknown.stopPending && now >= unknown.notBefore {
 				unknown.stopPending = true
 				stop := agent.Stop{Task: key.task, Run: key.run, Token: s.cfg.Token}
-				commands.Stops = append(commands.Stops, StopCommand{target, stop, nil, w, key})
+				commands.Stops = append(commands.Stops, StopCommand{target, stop, nil, w, key, w.incarnation})
 			}
 		}
 	}
@@ -102,7 +104,7 @@
 	switch {
 	case err == nil:
 		a.startUnanswered, a.answeredAt = false, now
-		a.visibleSince = max(a.visibleSince, clock)
+		a.noteAnswer(cmd.incarnation, clock)
 		if a.phase == phaseBound {
 			a.phase, a.progressAt = phaseStarted, now
 			s.markStarted(a, now)
@@ -155,7 +157,7 @@
 		if unknown := cmd.worker.unknownRuns[cmd.key]; unknown != nil {
 			unknown.stopPending = false
 			unknown.notBefore = now + s.cfg.KillGrace + commandRetryDelay
-			if err == nil {
+			if err == nil && cmd.incarnation == cmd.worker.incarnation {
 				unknown.mayArrive = false
 			}
 		}
@@ -171,6 +173,14 @@
 		s.emit("stop-unanswered", string(a.stage.job.spec.ID), a.ref().String(), a.worker, err.Error(), int64(a.run))
 		return
 	}
-	a.visibleSince = max(a.visibleSince, clock)
+	a.noteAnswer(cmd.incarnation, clock)
 	a.notBefore = now + s.cfg.KillGrace + commandRetryDelay
 }
+
+// noteAnswer takes the clock reading of an answered command into account. The worker may have restarted since the command was
+// sent: the clock is then that of another incarnation, and the run is stopped once more.
+func (a *attempt) noteAnswer(sentTo int64, clock time.Duration) {
+	if sentTo == a.worker.incarnation {
+		a.visibleSince = max(a.visibleSince, clock)
+	}
+}
--- a/internal/shard/incarnation_test.go
+++ b/internal/shard/incarnation_test.go
@@ -193,3 +193,50 @@
 	assert.Equal(t, len(h.confirmStarts()), 0)
 	assert.Assert(t, !slices.ContainsFunc(h.shard.workersByID, func(w *worker) bool { return len(w.unknownRuns) > 0 }))
 }
+
+// TestAnswerFromBeforeRestartDoesNotHoldRun guards against a task that waits for good: a command is answered by a worker that
+// has restarted when the answer is applied, and its clock reading is far ahead of the next incarnation's clock.
+func TestAnswerFromBeforeRestartDoesNotHoldRun(t *testing.T) {
+	tests := []struct {
+		name string
+		// stop tells that the command is a stop; otherwise it is a start.
+		stop bool
+	}{
+		{"start", false},
+		{"stop", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newAgedHarness(t, "w1")
+			h.submitJob(tasks(1))
+			start := h.nextCommands().Starts[0]
+			before := h.clock["w1"]
+			restart := func() {
+				h.restart("w1")
+				h.report("w1", agent.Report{})
+			}
+			if tt.stop {
+				h.shard.ApplyStartResult(start, 0, agent.ErrNoAnswer, h.now)
+				h.shard.stopRun(h.shard.jobs["j"].stages[0].tasks[0].attempts[0], h.now)
+				stop := h.nextCommands().Stops[0]
+				restart()
+				h.shard.ApplyStopResult(stop, before, nil, h.now)
+			} else {
+				restart()
+				h.shard.ApplyStartResult(start, before, nil, h.now)
+			}
+			starts := 0
+			for range 20 {
+				h.advance(100 * time.Millisecond)
+				commands := h.nextCommands()
+				for _, cmd := range commands.Stops {
+					h.clock["w1"] += time.Millisecond
+					h.shard.ApplyStopResult(cmd, h.clock["w1"], nil, h.now)
+				}
+				starts += len(commands.Starts)
+				h.report("w1", agent.Report{})
+			}
+			assert.Equal(t, starts, 1)
+		})
+	}
+}
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -129,6 +129,7 @@
 	for _, a := range sortedAttempts(w, anyAttempt) {
 		a.listed = false
 		if reported[a.key()] {
+			a.visibleSince = 0
 			continue
 		}
 		if a.startUnanswered || a.commandPending || now < a.startInFlightUntil || answeredUnlisted(a) {
