fix(shard): incarnations of a worker have no order

Callers would see a task run twice at the same time, or wait for good: a worker that had restarted while the time of day on its machine was set back was ignored until that clock had caught up. An incarnation is named after the time of its start, and reports of a lower one counted as late. Its runs were given up while they lasted, and it got no work.

A worker has one heartbeat at a time, so that reports come in order and any other incarnation is a later one. TestRestartWithClockSetBackIsNoticed failed before (no second start); its incarnations are positive now, as the platform's are. The commit also keeps a run that was listed from being stopped first when its worker restarts: the mark was reset too early.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -46,7 +46,7 @@
 	Labels      []string
 	// Rack is the label that names the worker's rack.
 	Rack string
-	// Incarnation identifies the worker's process; a process that was started later has a higher value.
+	// Incarnation identifies the worker's process. A later one may have a lower value, if the time of day was set back.
 	Incarnation int64
 }
 
--- a/internal/shard/incarnation_test.go
+++ b/internal/shard/incarnation_test.go
@@ -151,11 +151,13 @@
 // had been set back, by which incarnations are identified.
 func TestRestartWithClockSetBackIsNoticed(t *testing.T) {
 	h := newAgedHarness(t, "w1")
+	h.incarnation["w1"] = 9
+	h.report("w1", agent.Report{})
 	h.submitJob(tasks(1))
 	first := h.confirmStarts()
 	assert.Equal(t, len(first), 1)
 	h.report("w1", agent.Report{Running: []agent.ActiveRun{{Task: first[0].Start.Task, Run: first[0].Start.Run}}})
-	h.incarnation["w1"], h.clock["w1"] = -1, 0
+	h.incarnation["w1"], h.clock["w1"] = 5, 0
 	h.advance(time.Second)
 	h.report("w1", agent.Report{})
 	second := h.confirmStarts()
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -41,11 +41,13 @@
 // ApplyReport applies a worker's report.
 func (s *Shard) ApplyReport(id model.WorkerID, r agent.Report, now time.Duration) {
 	w, ok := s.workers[id]
-	if !ok || s.stopped || r.Incarnation < w.incarnation ||
+	if !ok || s.stopped || (r.Incarnation == 0 && w.incarnation != 0) ||
 		(r.Incarnation == w.incarnation && w.tokenSeen && r.Clock < w.clock) {
 		return
 	}
-	if r.Incarnation > w.incarnation {
+	// A worker has one heartbeat at a time, so that a report with another incarnation comes from a later one. Incarnations
+	// can't be ordered: they are named after the time of day, which may be set back.
+	if r.Incarnation != w.incarnation {
 		s.replaceIncarnation(w, r, now)
 	}
 	if now-w.lastReportAt > suspectAfter {
@@ -98,7 +100,7 @@
 
 // answeredUnlisted reports whether a start of the run was answered, but no report has listed the run since. It may have been
 // answered by an incarnation that has not reported yet.
-func answeredUnlisted(a *attempt) bool { return a.phase == phaseStarted && !a.listed }
+func answeredUnlisted(a *attempt) bool { return a.answeredAt > 0 && !a.listed }
 
 // replaceIncarnation ends the runs of the worker's previous incarnation. It keeps a run of which a start went unanswered
 // or is in flight until a stop is confirmed, because that start may still reach the new incarnation. The same holds for a
@@ -127,14 +129,13 @@
 		reported[runKey{end.Task, end.Run}] = true
 	}
 	for _, a := range sortedAttempts(w, anyAttempt) {
-		a.listed = false
 		if reported[a.key()] {
-			a.visibleSince = 0
+			a.listed, a.visibleSince = false, 0
 			continue
 		}
 		if a.startUnanswered || a.commandPending || now < a.startInFlightUntil || answeredUnlisted(a) {
 			s.stopRun(a, now)
-			a.visibleSince = -1
+			a.listed, a.visibleSince = false, -1
 			continue
 		}
 		s.endUnreported(a, goneIncarnation, agent.OutcomeLeaseExpired, now)
