fix(shard): recorded incarnations don't prove that a run is gone

A run is recorded with the incarnation that the owner knew, but its start may reach the next one of the worker, and the record isn't written anew. If another run is recorded with the next incarnation, a new owner counted the first as gone and started its task elsewhere, before any worker had reported.

A new owner now restores all recorded runs; the worker's first report under its token proves which of them are gone, or the lease does.

--- a/internal/shard/restore.go
+++ b/internal/shard/restore.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"arbutuswing.example/internal/agent"
 	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/terms"
 	"arbutuswing.example/internal/work"
@@ -145,18 +144,9 @@
 	}
 }
 
-// restoreBinding restores a run that may be on its worker.
+// restoreBinding restores a run that may be on its worker, whatever incarnation of the worker is recorded with it: the start may
+// have reached a later one. The worker's first report tells.
 func (s *Shard) restoreBinding(st *stage, index int, b work.Binding, now time.Duration) {
 	w := s.ensureWorker(b.Worker)
-	if b.Incarnation < w.incarnation {
-		// A run was bound to a later incarnation of the worker, so this run is gone.
-		return
-	}
-	if b.Incarnation > w.incarnation {
-		for _, a := range sortedAttempts(w, anyAttempt) {
-			s.endUnreported(a, goneSuperseded, agent.OutcomeLeaseExpired, now)
-		}
-		w.incarnation = b.Incarnation
-	}
 	s.attach(&attempt{stage: st, index: index, run: b.Run, worker: w, visibleSince: 0, progressAt: now, savedAt: now})
 }
--- a/internal/shard/unconfirmed.go
+++ b/internal/shard/unconfirmed.go
@@ -23,7 +23,6 @@
 	goneGang        goneReason = "gang-broken"
 	goneNotListed   goneReason = "not-listed"
 	goneIncarnation goneReason = "worker-restarted"
-	goneSuperseded  goneReason = "later-incarnation-recorded"
 )
 
 // endUnreported ends a run whose end no worker has reported. The event's value is the time since the worker's last report.
--- a/internal/work/progress.go
+++ b/internal/work/progress.go
@@ -31,7 +31,8 @@
 type Binding struct {
 	Run    int            `json:"run"`
 	Worker model.WorkerID `json:"worker"`
-	// Incarnation identifies the worker's process: its start in milliseconds since 1970 by the worker's clock.
+	// Incarnation identifies the worker's process when the run was recorded: its start in milliseconds since 1970 by the worker's
+	// clock. The run may have reached a later one.
 	Incarnation int64 `json:"born"`
 }
 
