test(soak): workers that restart and fall silent for longer than a lease

The soak couldn't show the incident. Its workers accepted leases of 6 s, where the owner's lease and the longest are the same; its links were cut for 3.8 s at most, so that no lease ended; its tasks ran for less than 2 s, so that no run outlasted one; and a fake worker that crashed kept its connections, which a process can't.

--- a/soak/node_test.go
+++ b/soak/node_test.go
@@ -51,7 +51,7 @@
 		settings: filepath.Join(dir, fmt.Sprintf("node-%d.json", index)), logPath: filepath.Join(dir, fmt.Sprintf("node-%d.log", index)),
 	}
 	text := fmt.Sprintf(`{"node":%q,"data-centre":%q,"client-address":%q,"readiness-address":%q,"peer-address":%q,
-		"store-address":%q,"advice-address":%q,"worker-lease-max":"6s","kill-grace":"300ms","gang-timeout":"3s","stop-grace":"4s","retention":%q}`,
+		"store-address":%q,"advice-address":%q,"worker-lease-max":"10s","kill-grace":"300ms","gang-timeout":"3s","stop-grace":"4s","retention":%q}`,
 		n.name, dataCentre, ports[0], ports[1], ports[2], link.address(), fleet.AdviceAddress(), retention)
 	assert.NilError(t, os.WriteFile(n.settings, []byte(text), 0o600))
 	go n.run()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,9 +32,12 @@
 	// jobsPerCancel is the number of jobs that a client submits for each one that it cancels.
 	jobsPerCancel = 9
 	// completionTimeout is the time after the last fault within which all accepted jobs must be completed: the leases of lost
-	// runs expire within 6 s, a new owner waits for that time and the renewal limit before it starts them again, and then
+	// runs expire within 10 s, a new owner waits for that time and the renewal limit before it starts them again, and then
 	// they run.
 	completionTimeout = 40 * time.Second
+	// maxRunsInRow is how many runs one after the other a job may need after the last fault, in addition to completionTimeout: each
+	// of its two stages may have to run again.
+	maxRunsInRow = 4
 	// longRetention outlasts each run, and shortRetention is as short as repeated submissions allow.
 	longRetention  = 2 * time.Minute
 	shortRetention = 8 * time.Second
@@ -58,18 +61,20 @@
 	// retention is how long nodes answer calls about ended jobs.
 	retention time.Duration
 	plan      []fault
+	// pause is that of each client before the next job, and taskTime the shortest time that a task runs.
+	pause    time.Duration
+	taskTime time.Duration
 }
 
 // deployment is a set of nodes and fakes of the platform, with proxies that inject faults, and the results of its clients.
 type deployment struct {
-	store   *fakes.Store
-	fleet   *fakes.Fleet
-	nodes   []*node
-	links   []*proxy
-	version int64
-	client  *fakes.Client
-	// retention is that of the scenario.
-	retention time.Duration
+	store    *fakes.Store
+	fleet    *fakes.Fleet
+	nodes    []*node
+	links    []*proxy
+	version  int64
+	client   *fakes.Client
+	scenario scenario
 
 	mu          sync.Mutex
 	accepted    []string
@@ -82,7 +87,7 @@
 
 func newDeployment(t *testing.T, dir string, s scenario) *deployment {
 	t.Helper()
-	d := &deployment{version: 1, client: fakes.NewClient(queueHost, queuePath, teamKey), retention: s.retention}
+	d := &deployment{version: 1, client: fakes.NewClient(queueHost, queuePath, teamKey), scenario: s}
 	var err error
 	d.store, err = fakes.NewStore()
 	assert.NilError(t, err)
@@ -111,13 +116,13 @@
 	d.violations = append(d.violations, fmt.Sprintf(format, arguments...))
 }
 
-// randomJob returns a job of one or two stages.
-func randomJob(random *rand.Rand, id string) fakes.Job {
+// randomJob returns a job of one or two stages whose tasks run for at least the given time.
+func randomJob(random *rand.Rand, id string, taskTime time.Duration) fakes.Job {
 	job := fakes.Job{Payload: "payload of " + id}
 	for i := range 1 + random.IntN(2) {
 		stage := fakes.Stage{
 			Count: 1 + random.IntN(4), CPU: int64(500 + random.IntN(2500)), Memory: int64(256 + random.IntN(2048)),
-			Estimate: int64(200 + random.IntN(1500)), Gang: random.IntN(4) == 0, Checkpoints: random.IntN(2) == 0,
+			Estimate: taskTime.Milliseconds() + int64(200+random.IntN(1500)), Gang: random.IntN(4) == 0, Checkpoints: random.IntN(2) == 0,
 		}
 		if i > 0 {
 			stage.After = []int{0}
@@ -133,7 +138,7 @@
 	random := rand.New(rand.NewPCG(seed, uint64(number)))
 	for count := 0; time.Now().Before(end); count++ {
 		id := fmt.Sprintf("%04x%04x%08x", number, count, random.Uint32())
-		job := randomJob(random, id)
+		job := randomJob(random, id, d.scenario.taskTime)
 		d.fleet.RegisterJob(id, job)
 		accepted := d.submit(random, id, job)
 		cancels := count%jobsPerCancel == jobsPerCancel-1
@@ -149,7 +154,7 @@
 		if cancels {
 			d.cancel(random, id)
 		}
-		time.Sleep(clientPause)
+		time.Sleep(d.scenario.pause)
 	}
 }
 
@@ -337,14 +342,15 @@
 // awaitCompletion waits until all accepted jobs are completed and records a violation for each that is not in time.
 func (d *deployment) awaitCompletion() {
 	random := rand.New(rand.NewPCG(1, 1))
+	limit := completionTimeout + maxRunsInRow*d.scenario.taskTime
 	pending := append([]string(nil), d.accepted...)
-	for end := time.Now().Add(completionTimeout); time.Now().Before(end) && len(pending) > 0; time.Sleep(100 * time.Millisecond) {
+	for end := time.Now().Add(limit); time.Now().Before(end) && len(pending) > 0; time.Sleep(100 * time.Millisecond) {
 		var left []string
 		for _, id := range pending {
 			state, outcome := d.client.State(d.anyAddr(random), id)
 			switch {
 			case outcome == fakes.Accepted && state == "completed":
-			case outcome == fakes.NotFound && d.retention < longRetention && d.fleet.Succeeded(id):
+			case outcome == fakes.NotFound && d.scenario.retention < longRetention && d.fleet.Succeeded(id):
 				// The job's retention time is over.
 			case outcome == fakes.NotFound:
 				d.addViolation("accepted job %s was reported as not found", id)
@@ -358,7 +364,7 @@
 	for _, id := range pending {
 		state, outcome := d.client.State(d.anyAddr(random), id)
 		d.addViolation("accepted job %s is not completed %s after the last fault: state %q, outcome %d", id,
-			completionTimeout, state, outcome)
+			limit, state, outcome)
 	}
 }
 
@@ -419,7 +425,7 @@
 		plan, err = readPlan(*soakPlan)
 		assert.NilError(t, err)
 	}
-	soak(t, scenario{seed: *soakSeed, length: *soakLength, nodes: *soakNodes, retention: longRetention, plan: plan})
+	soak(t, scenario{seed: *soakSeed, length: *soakLength, nodes: *soakNodes, retention: longRetention, plan: plan, pause: clientPause})
 }
 
 // TestSoakForgetsEndedJobs guards against ended or cancelled jobs that run again once their records are no longer kept: owners
@@ -434,5 +440,31 @@
 	for at := firstChange; at < length; at += changeInterval {
 		plan = append(plan, fault{At: at, Kind: faultKillAllNodes})
 	}
-	soak(t, scenario{seed: *soakSeed, length: length, nodes: *soakNodes, retention: shortRetention, plan: plan})
+	soak(t, scenario{seed: *soakSeed, length: length, nodes: *soakNodes, retention: shortRetention, plan: plan, pause: clientPause})
+}
+
+// TestSoakRestartedWorkersFallSilent guards against tasks that run twice at the same time: workers restart under their IDs, get
+// tasks, and fall silent for longer than a lease soon after.
+func TestSoakRestartedWorkersFallSilent(t *testing.T) {
+	const (
+		round   = 13 * time.Second
+		silence = 11 * time.Second
+		workers = 6
+	)
+	random := rand.New(rand.NewPCG(*soakSeed, *soakSeed))
+	length := max(*soakLength, round+quietStart)
+	var plan []fault
+	for at := quietStart; at+round <= length; at += round {
+		first := random.IntN(workerCount)
+		for i := range workers {
+			up := time.Duration(1000+random.IntN(1700)) * time.Millisecond
+			plan = append(plan,
+				fault{At: at, Kind: faultWorkerCrash, Target: first + i},
+				fault{At: at + up, Duration: silence, Kind: faultWorkerLink, Target: first + i, Mode: linkNoData})
+		}
+	}
+	soak(t, scenario{
+		seed: *soakSeed, length: length, nodes: *soakNodes, retention: longRetention, plan: plan, pause: 4 * time.Second,
+		taskTime: 10 * time.Second,
+	})
 }
