--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -63,11 +63,6 @@
 	}
 }
 
-// mayRenewLeases reports whether leases may be renewed: the store has answered within the renewal limit.
-func (ow *ownership) mayRenewLeases() bool {
-	return time.Since(ow.lastStoreAnswer) < ow.cfg.Shard.RenewLimit
-}
-
 // busyWaitFor returns how long a worker with runs may delay its answer in a fleet of the given size.
 func busyWaitFor(workers int) time.Duration {
 	return min(max(busyWait, time.Duration(workers)*busyWaitPerWorker), idleWait)
@@ -84,7 +79,7 @@
 	ow := s.ownership
 	for ctx.Err() == nil {
 		ow.mu.Lock()
-		heartbeat, ok := ow.shard.HeartbeatFor(s.target.ID, ow.now(), ow.mayRenewLeases())
+		heartbeat, ok := ow.shard.HeartbeatFor(s.target.ID, ow.now(), ow.permission.valid(time.Now()))
 		busy, workers := ow.shard.Busy(s.target.ID), len(ow.sessions)
 		ow.mu.Unlock()
 		if !ok {
@@ -120,6 +115,22 @@
 	}
 }
 
+// takeCommands returns the commands to send now. Without permission the starts count as not sent; the lock is held.
+func (ow *ownership) takeCommands() shard.Commands {
+	// The starts' leases count from the moment at which the permission is checked, however late they are sent.
+	now := time.Now()
+	at := now.Sub(ow.start)
+	commands := ow.shard.TakeCommands(at)
+	if ow.permission.valid(now) {
+		return commands
+	}
+	for _, cmd := range commands.Starts {
+		ow.shard.ApplyStartResult(cmd, 0, agent.ErrNotSent, at)
+	}
+	commands.Starts = nil
+	return commands
+}
+
 // sendCommands sends commands to workers, each in its own goroutine, and dispatches advice calls.
 func (ow *ownership) sendCommands(ctx context.Context, commands shard.Commands) {
 	for _, cmd := range commands.Starts {
