--- a/internal/shard/restore.go
+++ b/internal/shard/restore.go
@@ -41,9 +41,14 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.Progress)) {
 		p := r.Progress[id]
-		if _, ok := s.jobs[id]; !ok && p.Final != "" {
+		_, known := s.jobs[id]
+		switch {
+		case known || s.held[id]:
+		case p.Final != "":
 			// The submission is deleted after the job is final; from then on only the final state is needed.
 			s.restoreProgress(s.addFinal(id), p, now)
+		default:
+			s.emit("progress-without-job", string(id), "", nil, "", int64(len(p.Tasks)))
 		}
 	}
 	s.dropFinalSubmissions(r)
