fix(owner): read jobs and progress only once the former owner is fenced on both

Jobs accepted during a takeover were hit.

Cause: the topics were fenced and read independently of each other. If the fence of the progress went unanswered, its repeat came 1.3 s later, and the jobs had been read before that. Meanwhile the former owner took new jobs, recorded their runs and started them. The new owner then found progress of jobs that it didn't know, which it leaves out, and took these jobs for new ones when it read them from the inbox. In the log: job-taken by the new owner after its takeover, of a job that the former owner has bound, often with run-unknown of the same job just before.

The topics are now read only after all fences are answered. A job is in the inbox before any progress of it is recorded, so a read of the jobs after the fence of the progress knows each job with progress. There are no further calls, and no further round trips.

Ruled out, by tracing each append and read of a play in a scratch copy: a store that lost what it acknowledged (the read gave the record that the former owner's accepted append wrote), an append that got past the fence, an older record over a newer one.

Evidence: TestTakeoverSeesLastRecords fails without the change (the owner does not know the job).

--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -31,24 +31,30 @@
 func (ow *ownership) takeOver(ctx context.Context) (int64, error) {
 	begun := time.Now()
 	self := []byte(memberOf(ow.cfg.Self).String())
-	// Each topic is read only after the former owner has been fenced on it. The topics are independent of each other and
-	// handled concurrently, because each call takes long while the store is slow.
-	var progress, inbox ledger.Page
+	// Calls are made concurrently, because each takes long while the store is slow. The topics are read only after the former
+	// owner has been fenced on all of them: until then it takes new jobs and records runs of theirs.
 	var current terms.Configuration
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		return ow.append(groupCtx, TopicOwner, []ledger.Record{{Key: claimantKey, Value: self}})
 	})
+	group.Go(func() error { return ow.append(groupCtx, TopicProgress, nil) })
+	group.Go(func() error { return ow.append(groupCtx, TopicInbox, nil) })
 	group.Go(func() (err error) {
-		progress, err = ow.fenceAndRead(groupCtx, TopicProgress)
+		current, err = ow.waitForInputs(groupCtx)
 		return err
 	})
+	if err := group.Wait(); err != nil {
+		return 0, err
+	}
+	var progress, inbox ledger.Page
+	group, groupCtx = errgroup.WithContext(ctx)
 	group.Go(func() (err error) {
-		inbox, err = ow.fenceAndRead(groupCtx, TopicInbox)
+		progress, err = ow.newest(groupCtx, TopicProgress)
 		return err
 	})
 	group.Go(func() (err error) {
-		current, err = ow.waitForInputs(groupCtx)
+		inbox, err = ow.newest(groupCtx, TopicInbox)
 		return err
 	})
 	if err := group.Wait(); err != nil {
@@ -111,14 +117,6 @@
 	}
 }
 
-// fenceAndRead fences the former owner on a topic and then reads the newest records.
-func (ow *ownership) fenceAndRead(ctx context.Context, topic ledger.Topic) (ledger.Page, error) {
-	if err := ow.append(ctx, topic, nil); err != nil {
-		return ledger.Page{}, err
-	}
-	return ow.newest(ctx, topic)
-}
-
 // newest reads the newest records of a topic and repeats the call until the store answers.
 func (ow *ownership) newest(ctx context.Context, topic ledger.Topic) (ledger.Page, error) {
 	for {
--- /dev/null
+++ b/internal/owner/takeover_test.go
@@ -0,0 +1,83 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"arbutuswing.example/internal/agent"
+	"arbutuswing.example/internal/intake"
+	"arbutuswing.example/internal/ledger"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/shard"
+	"arbutuswing.example/internal/terms"
+	"arbutuswing.example/internal/work"
+)
+
+// unfencedStore is a store at which the first fence on a topic goes unanswered. Until then the former owner writes records.
+type unfencedStore struct {
+	*memoryStore
+	topic ledger.Topic
+	write func()
+	tried bool
+}
+
+func (u *unfencedStore) Append(ctx context.Context, b ledger.Batch) error {
+	if b.Topic == u.topic && !u.tried {
+		u.tried = true
+		time.Sleep(time.Second)
+		u.write()
+		return ledger.ErrNoAnswer
+	}
+	return u.memoryStore.Append(ctx, b)
+}
+
+// TestTakeoverSeesLastRecords guards against a new owner that knows only the job or only the progress of what the former
+// owner started last, and starts it again.
+func TestTakeoverSeesLastRecords(t *testing.T) {
+	tests := []struct {
+		lateFence ledger.Topic
+		want      work.State
+	}{
+		{TopicInbox, work.StateQueued}, {TopicProgress, work.StateRunning},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.lateFence), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				job := work.Job{ID: "j", Queue: testQueue, Team: "north", Accepted: time.Now(), Stages: []work.Stage{
+					{Count: 1, Size: model.Resources{Cores: 1}, RunTime: model.Duration(time.Second)},
+				}}
+				submission, err := job.Encode()
+				assert.NilError(t, err)
+				progress, err := work.Progress{Begun: true, Tasks: []work.TaskProgress{
+					{LastRun: 1, Bindings: []work.Binding{{Run: 1, Worker: "w", Incarnation: 1}}},
+				}}.Encode()
+				assert.NilError(t, err)
+				store := &unfencedStore{memoryStore: newMemoryStore(), topic: tt.lateFence}
+				store.write = func() {
+					// The job is submitted by another node, and the former owner's epoch is in force until the fence.
+					store.mu.Lock()
+					defer store.mu.Unlock()
+					store.newest[TopicInbox] = map[string][]byte{intake.RecordKeys(string(job.ID))[0]: submission}
+					if store.epochs[TopicProgress] < 2 {
+						store.newest[TopicProgress] = map[string][]byte{work.ProgressKey(job.ID, 0): progress}
+					}
+				}
+				ow := newOwnership(Config{
+					Store: store, Log: zap.NewNop(), Shard: shard.Config{Retention: time.Minute},
+					Configuration: func() (terms.Configuration, bool) { return terms.New(terms.Params{Version: 1}), true },
+				}, 2, time.Now(), nil)
+				ow.setRegistry([]agent.Entry{})
+				_, err = ow.takeOver(t.Context())
+				assert.NilError(t, err)
+				state, err := ow.state(job.ID)
+				assert.NilError(t, err)
+				assert.Equal(t, state, tt.want)
+			})
+		})
+	}
+}
