--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -234,3 +234,47 @@
 		nodes[1-first].stop()
 	})
 }
+
+// epochStore is a store that notes which epochs a claim was made under and loses what is sent to leave a group.
+type epochStore struct {
+	*memoryStore
+	claims map[int64]int
+}
+
+func (e *epochStore) Append(ctx context.Context, b ledger.Batch) error {
+	if len(b.Records) > 0 && b.Records[0].Key == claimantKey {
+		e.mu.Lock()
+		e.claims[b.Epoch]++
+		e.mu.Unlock()
+	}
+	return e.memoryStore.Append(ctx, b)
+}
+
+// Join counts the generations of each group by itself, as the platform's store does.
+func (e *epochStore) Join(ctx context.Context, s ledger.Membership) (ledger.Assignment, error) {
+	if s.Group != "owners" {
+		return ledger.Assignment{Generation: 1}, nil
+	}
+	return e.memoryStore.Join(ctx, s)
+}
+
+func (e *epochStore) Leave(context.Context, ledger.Membership) error { return ledger.ErrNoAnswer }
+
+// TestEpochIsUsedOnce guards against a node that owns twice under one epoch because its leaving the group was lost: the store
+// takes the appends of the second ownership for repeats of the first one's and doesn't store them.
+func TestEpochIsUsedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &epochStore{newMemoryStore(), make(map[int64]int)}
+		n := startNode(store, "n0", 1)
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, n.serves())
+		n.owner.cfg.Directory.setRole(roleStandby, "not chosen")
+		time.Sleep(joinInterval + joinInterval/2)
+		n.owner.cfg.Directory.setRole(roleCandidate, "chosen")
+		time.Sleep(3 * time.Second)
+		n.stop()
+		for epoch, claims := range store.claims {
+			assert.Check(t, claims == 1, "%d ownerships under epoch %d", claims, epoch)
+		}
+	})
+}
--- a/internal/owner/renewal_test.go
+++ b/internal/owner/renewal_test.go
@@ -327,3 +327,47 @@
 		})
 	}
 }
+
+// gatedStore is a node's connection to a store that holds the node's appends back.
+type gatedStore struct {
+	*memoryStore
+	// begun is closed at the first append, and the appends wait for open. serving is closed once the node is recorded as
+	// serving.
+	begun, open, serving chan struct{}
+	once                 sync.Once
+}
+
+func (g *gatedStore) Append(ctx context.Context, b ledger.Batch) error {
+	g.once.Do(func() { close(g.begun) })
+	<-g.open
+	err := g.memoryStore.Append(ctx, b)
+	if len(b.Records) > 0 && b.Records[0].Key == servingKey {
+		close(g.serving)
+	}
+	return err
+}
+
+// TestRenewalsProveNothingBeforeClaimIsKnown guards against an owner that renews leases for good after a takeover by a node that
+// had looked for the recorded owner before this owner's claim was recorded.
+func TestRenewalsProveNothingBeforeClaimIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemoryStore()
+		former := &gatedStore{memoryStore: store, begun: make(chan struct{}), serving: make(chan struct{})}
+		next := &gatedStore{memoryStore: store, begun: make(chan struct{}), serving: make(chan struct{})}
+		former.open, next.open = next.begun, former.serving
+		first := startNode(former, "n1", 1)
+		<-former.begun
+		second := startNode(next, "n0", 1)
+		<-next.serving
+		time.Sleep(testRenewLimit + time.Second)
+		if ow := first.owner.current(); ow != nil {
+			ow.mu.Lock()
+			valid := !ow.fenced && ow.permission.valid(time.Now())
+			ow.mu.Unlock()
+			assert.Check(t, !valid, "the former owner still renews leases")
+		}
+		assert.Check(t, second.serves())
+		first.stop()
+		second.stop()
+	})
+}
--- a/internal/owner/takeover_test.go
+++ b/internal/owner/takeover_test.go
@@ -13,6 +13,7 @@
 	"arbutuswing.example/internal/intake"
 	"arbutuswing.example/internal/ledger"
 	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/peers"
 	"arbutuswing.example/internal/shard"
 	"arbutuswing.example/internal/terms"
 	"arbutuswing.example/internal/work"
@@ -81,3 +82,34 @@
 		})
 	}
 }
+
+// slowReadStore is a store that answers reads of the newest jobs late, with the records as they were when the read began.
+type slowReadStore struct {
+	*memoryStore
+	latency time.Duration
+}
+
+func (s *slowReadStore) Newest(ctx context.Context, topic ledger.Topic, partition int) (ledger.Page, error) {
+	page, err := s.memoryStore.Newest(ctx, topic, partition)
+	if topic == TopicInbox {
+		time.Sleep(s.latency)
+	}
+	return page, err
+}
+
+// TestSlowTakeoverDeniesNoJob guards against a new owner that says that a job doesn't exist which was accepted while it read the
+// jobs.
+func TestSlowTakeoverDeniesNoJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &slowReadStore{newMemoryStore(), maxInboxAge + time.Second}
+		ow := newOwnership(Config{
+			Store: store, Log: zap.NewNop(), Shard: shard.Config{Retention: time.Minute},
+			Configuration: func() (terms.Configuration, bool) { return terms.New(terms.Params{Version: 1}), true },
+		}, 2, time.Now(), nil)
+		ow.setRegistry([]agent.Entry{})
+		_, err := ow.takeOver(t.Context())
+		assert.NilError(t, err)
+		_, err = ow.state("accepted-meanwhile")
+		assert.ErrorIs(t, err, peers.ErrNotOwner)
+	})
+}
--- a/internal/shard/incarnation_test.go
+++ b/internal/shard/incarnation_test.go
@@ -242,3 +242,95 @@
 		})
 	}
 }
+
+// TestInFlightStartOutlivesRegistryEntry guards against two runs of a task at the same time: a worker is unlisted and starts anew
+// while an unanswered start of a run that was given up may still reach it.
+func TestInFlightStartOutlivesRegistryEntry(t *testing.T) {
+	h := newAgedHarness(t, "w1", "w2")
+	h.register("w2")
+	h.submitJob(tasks(1))
+	start := h.nextCommands().Starts[0]
+	h.shard.ApplyStartResult(start, 0, agent.ErrNoAnswer, h.now)
+	h.shard.stopRun(h.shard.jobs["j"].stages[0].tasks[0].attempts[0], h.now)
+	stop := h.nextCommands().Stops[0]
+	h.clock["w1"] += time.Millisecond
+	h.shard.ApplyStopResult(stop, h.clock["w1"], nil, h.now)
+	h.register("w1")
+	h.report("w2", agent.Report{})
+	h.report("w1", agent.Report{})
+	elsewhere := h.confirmStarts()
+	assert.Equal(t, len(elsewhere), 1)
+	assert.Equal(t, elsewhere[0].Target.ID, model.WorkerID("w2"))
+	h.workers = []model.WorkerID{"w2"}
+	h.register()
+	h.advance(time.Second)
+	h.workers = []model.WorkerID{"w1", "w2"}
+	h.register()
+	h.restart("w1")
+	h.report("w1", agent.Report{})
+	stops := h.nextCommands().Stops
+	assert.Equal(t, len(stops), 1, "the start may still reach the next incarnation")
+	assert.Equal(t, stops[0].Stop.Run, start.Start.Run)
+}
+
+// TestUnansweredStartMayGrantLeaseLate guards against two runs of a task at the same time: an unanswered start reaches the next
+// incarnation of its worker, which has not reported, as late as a command may, and gives it the longest lease.
+func TestUnansweredStartMayGrantLeaseLate(t *testing.T) {
+	const maxLease = 10200 * time.Millisecond
+	h := newAgedHarness(t, "w1", "w2")
+	h.register("w2")
+	h.submitJob(tasks(1))
+	start := h.nextCommands().Starts[0]
+	assert.Equal(t, start.Target.ID, model.WorkerID("w1"))
+	h.shard.ApplyStartResult(start, 0, agent.ErrNoAnswer, h.now)
+	h.restart("w1")
+	h.register()
+	begun := h.now
+	for h.now-begun < 40*time.Second {
+		h.advance(50 * time.Millisecond)
+		h.clock["w2"] += 50 * time.Millisecond
+		h.report("w2", agent.Report{})
+		for _, cmd := range h.nextCommands().Starts {
+			if cmd.Target.ID == "w2" {
+				waited, lasts := h.now-begun, maxCommandDelay+maxLease
+				assert.Assert(t, waited > lasts, "started elsewhere after %v, the lease may last %v", waited, lasts)
+				return
+			}
+			h.shard.ApplyStartResult(cmd, 0, agent.ErrNoAnswer, h.now)
+		}
+	}
+	t.Fatal("no start elsewhere")
+}
+
+// TestGangMemberOnNextIncarnationIsNotPresumedEnded guards against two runs of a gang's member at the same time: its gang has
+// ended, but a start in flight reaches the next incarnation of its worker, which reports the run and then falls silent.
+func TestGangMemberOnNextIncarnationIsNotPresumedEnded(t *testing.T) {
+	h := newAgedHarness(t, "w1", "w2", "w3")
+	gang := tasks(2)
+	gang.Gang, gang.Size.Cores = true, 3000
+	h.submitJob(gang)
+	starts := h.nextCommands().Starts
+	assert.Equal(t, len(starts), 2)
+	ends, lasts := starts[0], starts[1]
+	h.shard.ApplyStartResult(ends, h.clock[ends.Target.ID], nil, h.now)
+	h.shard.ApplyStartResult(lasts, 0, agent.ErrNoAnswer, h.now)
+	h.advance(commandRetryDelay)
+	again := h.confirmStarts()
+	assert.Equal(t, len(again), 1)
+	running := agent.Report{Running: []agent.ActiveRun{{Task: lasts.Start.Task, Run: lasts.Start.Run}}}
+	h.report(lasts.Target.ID, running)
+	h.report(ends.Target.ID, agent.Report{Ended: []agent.EndedRun{firstEnd(ends, agent.OutcomeFailed)}})
+	// The first start reaches the next incarnation shortly before the member would have ended on the one before.
+	h.advance(simGangTimeout)
+	h.restart(lasts.Target.ID)
+	h.report(lasts.Target.ID, running)
+	arrived := h.now
+	a := h.shard.jobs["j"].stages[0].tasks[lasts.Start.Task.Index].attempts
+	assert.Equal(t, len(a), 1)
+	for len(h.shard.jobs["j"].stages[0].tasks[lasts.Start.Task.Index].attempts) > 0 && h.now-arrived < 20*time.Second {
+		h.advance(50 * time.Millisecond)
+		h.shard.Tick(h.now, h.wall)
+	}
+	waited := h.now - arrived
+	assert.Assert(t, waited > simGangTimeout, "presumed to have ended after %v, the member waits %v for its gang", waited, simGangTimeout)
+}
