fix(shard): a gang's member on a restarted worker has not ended with its gang

Callers could see a gang's member run twice at the same time (TWICE). Once a member is reported as ended, the others count as ended after the time that they may wait for each other. That time was kept when a start in flight reached the next incarnation of a worker, where the member waits anew. TestGangMemberOnNextIncarnationIsNotPresumedEnded failed before: presumed after 2.5 s, while the member waits for 3 s.

--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -130,12 +130,12 @@
 	}
 	for _, a := range sortedAttempts(w, anyAttempt) {
 		if reported[a.key()] {
-			a.listed, a.visibleSince = false, 0
+			a.listed, a.visibleSince, a.endedBy = false, 0, 0
 			continue
 		}
 		if a.startUnanswered || a.commandPending || now < a.startInFlightUntil || answeredUnlisted(a) {
 			s.stopRun(a, now)
-			a.listed, a.visibleSince = false, -1
+			a.listed, a.visibleSince, a.endedBy = false, -1, 0
 			continue
 		}
 		s.endUnreported(a, goneIncarnation, agent.OutcomeLeaseExpired, now)
