fix(shard): keep starts in flight when their worker is unlisted

Callers could see a task run twice at the same time. A worker without runs was forgotten when its entry went, and with it the unanswered starts that may still reach it. A crash takes the entry away, the worker comes back under its ID, and the late start ran there beside the task's next run until a report listed it. The same held for a start without an answer whose run had ended meanwhile. TestInFlightStartOutlivesRegistryEntry failed before: no stop, now one before the worker is used.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -98,6 +98,7 @@
 	if a.worker.attempts[a.key()] != a || s.stopped {
 		if errors.Is(err, agent.ErrNoAnswer) {
 			s.addUnknownRun(a.worker, a.key(), unknownRun{mayArrive: true})
+			a.worker.inFlightStarts[a.key()] = now + maxCommandDelay
 		}
 		return
 	}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -28,6 +28,8 @@
 	targetsVersion uint64
 	// startsUnderWay is the number of starts under way, as of the last plan and with its decisions.
 	startsUnderWay int
+	// inFlightStarts holds what workers knew that are no longer listed; see worker.inFlightStarts.
+	inFlightStarts map[model.WorkerID]map[runKey]time.Duration
 	// toCommand holds at least the workers with a run that may have to be started or stopped.
 	toCommand map[*worker]bool
 	teamUsage map[model.TeamID]model.Resources
@@ -83,7 +85,8 @@
 		cfg: cfg, jobs: make(map[model.JobID]*job), workers: make(map[model.WorkerID]*worker),
 		teamUsage: make(map[model.TeamID]model.Resources), teamRates: make(map[model.TeamID]*tokenBucket),
 		cancelled: make(map[model.JobID]bool), held: make(map[model.JobID]bool), permittedShares: make(map[string]float64), nextCommit: 1,
-		freedWorkers: make(map[*worker]bool), toCommand: make(map[*worker]bool),
+		inFlightStarts: make(map[model.WorkerID]map[runKey]time.Duration),
+		freedWorkers:   make(map[*worker]bool), toCommand: make(map[*worker]bool),
 	}
 }
 
@@ -247,6 +250,7 @@
 		w.listed = false
 		if len(w.attempts) == 0 {
 			delete(s.workers, id)
+			s.keepInFlightStarts(w)
 			s.targetsVersion++
 			s.membersChanged = true
 			s.workersByID = slices.DeleteFunc(s.workersByID, func(other *worker) bool { return other == w })
@@ -262,6 +266,10 @@
 		return w
 	}
 	w := newWorker(id)
+	if starts, ok := s.inFlightStarts[id]; ok {
+		w.inFlightStarts = starts
+		delete(s.inFlightStarts, id)
+	}
 	s.workers[id], s.membersChanged = w, true
 	at, _ := slices.BinarySearchFunc(s.workersByID, id, func(w *worker, id model.WorkerID) int { return cmp.Compare(w.id, id) })
 	s.workersByID = slices.Insert(s.workersByID, at, w)
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -92,6 +92,17 @@
 	}
 }
 
+// keepInFlightStarts keeps the starts in flight of a worker that is no longer listed: it may start again under its ID.
+func (s *Shard) keepInFlightStarts(w *worker) {
+	s.inFlightStarts[w.id] = w.inFlightStarts
+	for id, starts := range s.inFlightStarts {
+		maps.DeleteFunc(starts, func(_ runKey, until time.Duration) bool { return s.lastTick >= until })
+		if len(starts) == 0 {
+			delete(s.inFlightStarts, id)
+		}
+	}
+}
+
 // usable reports whether new tasks may be sent to the worker.
 func (w *worker) usable(now time.Duration) bool {
 	holdsRun := w.heldRunAt > 0 && w.heldRunAt >= w.lastReportAt
