fix(shard): count the lease that a late start may grant

Callers could see a task run twice at the same time, on queues without placement advice. A start without an answer may be carried out 15 s later, by an incarnation that the owner doesn't know, and gives it the longest lease then. The owner counted that lease from the time of the missing answer. Runs that no report has listed now count as present for that long on a silent worker that is still listed. One whose entry has gone counts as gone, so that the tasks of a crashed worker don't wait longer than before. With advice a ticket is valid for one life of the worker only, and the late start is refused.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -93,7 +93,7 @@
 	a := cmd.attempt
 	a.commandPending = false
 	if mayHaveGranted(err) {
-		s.noteGrant(cmd, now)
+		s.noteGrant(cmd, err, now)
 	}
 	if a.worker.attempts[a.key()] != a || s.stopped {
 		if errors.Is(err, agent.ErrNoAnswer) {
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -37,6 +38,9 @@
 	leaseEnd time.Duration
 	// unreportedLeaseEnd is the same for an incarnation that has not reported yet, but that a start may have reached.
 	unreportedLeaseEnd time.Duration
+	// lateLeaseEnd is the same for a start without an answer that is carried out as late as a command may. It doesn't matter
+	// for a worker that is no longer listed, which counts as gone.
+	lateLeaseEnd time.Duration
 	// lastEndSeen is the number of the last ended run that was processed, ackedEnd that of the last one that may be
 	// acknowledged. pendingAcks holds the ended runs to acknowledge later, with the commits that record them.
 	lastEndSeen int64
@@ -212,10 +216,15 @@
 	return granted + time.Duration(float64(s.cfg.MaxLease)/(1-clockDrift)) + leaseExpiryMargin
 }
 
-// noteGrant takes into account that a start may have reached an incarnation that the owner didn't know when it sent the start.
-func (s *Shard) noteGrant(cmd StartCommand, now time.Duration) {
+// noteGrant takes into account that a start may have reached an incarnation that the owner didn't know when it sent the start, or
+// may still do so if it got no answer. With placement advice, a late start is refused there, because its ticket was given for the
+// incarnation before.
+func (s *Shard) noteGrant(cmd StartCommand, result error, now time.Duration) {
 	w := cmd.attempt.worker
 	w.unreportedLeaseEnd = s.longestLeaseEnd(now)
+	if errors.Is(result, agent.ErrNoAnswer) && cmd.attempt.stage.job.queue.Advice == nil {
+		w.lateLeaseEnd = s.longestLeaseEnd(now + maxCommandDelay)
+	}
 	if cmd.incarnation != w.incarnation {
 		w.leaseEnd = max(w.leaseEnd, w.unreportedLeaseEnd)
 	}
@@ -223,10 +232,14 @@
 
 // leaseEndOf returns the time by which the lease of a run on the worker has expired.
 func (w *worker) leaseEndOf(a *attempt) time.Duration {
-	if a.listed {
+	switch {
+	case a.listed:
 		return w.leaseEnd
+	case w.listed:
+		return max(w.leaseEnd, w.unreportedLeaseEnd, w.lateLeaseEnd)
+	default:
+		return max(w.leaseEnd, w.unreportedLeaseEnd)
 	}
-	return max(w.leaseEnd, w.unreportedLeaseEnd)
 }
 
 // ackableEnd returns the highest number of an ended run that may be acknowledged: that run and all ended before it are
