fix(owner): a renewal proves nothing once the group has changed

Callers could see a task run twice at the same time (TWICE). Renewals of the membership counted as proofs of the ownership as long as it had not lapsed, because nobody takes over from a member. But a node may look for the recorded owner before a claim is recorded that goes unanswered, and take over later; the former owner, a member all the while, renewed leases until it had something to record. Each takeover has a generation of the group of its own, so a renewal now proves the ownership only while the generation is the epoch.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -234,7 +234,7 @@
 	case slices.Contains(assignment.Partitions, Partition) && assignment.Generation > checkedGeneration:
 		members, gone := o.ownerIsGone(ctx)
 		if gone {
-			o.startOwnership(ctx, assignment.Generation, begun, members)
+			o.startOwnership(ctx, assignment.Generation, members)
 		} else if ctx.Err() == nil {
 			return assignment.Generation, false
 		}
@@ -341,8 +341,8 @@
 	}
 }
 
-func (o *Owner) startOwnership(ctx context.Context, generation int64, begun time.Time, members []Member) {
-	ow := newOwnership(o.cfg, generation, begun, members)
+func (o *Owner) startOwnership(ctx context.Context, generation int64, members []Member) {
+	ow := newOwnership(o.cfg, generation, members)
 	ownershipsTotal.Inc()
 	load.owned.Set(1)
 	o.cfg.Log.Info("ownership won", zap.Int64("epoch", generation))
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -82,13 +82,12 @@
 	group      sync.WaitGroup
 }
 
-// newOwnership returns an ownership under an epoch that a renewal of the membership, begun at the given time, brought.
-func newOwnership(cfg Config, epoch int64, renewedAt time.Time, members []Member) *ownership {
+func newOwnership(cfg Config, epoch int64, members []Member) *ownership {
 	ow := &ownership{
 		cfg: cfg, epoch: epoch, start: time.Now(), decideSignal: make(chan struct{}, 1), commitSignal: make(chan struct{}, 1),
 		done:     make(chan struct{}),
 		sessions: make(map[model.WorkerID]*workerSession), sequence: make(map[ledger.Topic]int64),
-		permission: permission{limit: cfg.Shard.RenewLimit, ttl: memberTTL, generation: epoch, renewedAt: renewedAt},
+		permission: permission{limit: cfg.Shard.RenewLimit, epoch: epoch},
 		deletions:  make(chan []string, deletionQueueSize), nodes: newNodeTable(cfg.Self, members, time.Now()),
 	}
 	shardCfg := cfg.Shard
@@ -159,7 +158,7 @@
 func (ow *ownership) noteRenewal(generation int64, begun time.Time) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
-	ow.permission.noteRenewal(generation, begun, time.Now())
+	ow.permission.noteRenewal(generation, begun)
 }
 
 func (ow *ownership) setConfiguration(configuration terms.Configuration) {
--- a/internal/owner/permission.go
+++ b/internal/owner/permission.go
@@ -7,16 +7,10 @@
 // newer owner.
 type permission struct {
 	limit time.Duration
-	// ttl is how long a member that doesn't renew its membership stays in the group.
-	ttl time.Duration
+	// epoch is the generation of the group at which this node took over.
+	epoch int64
 	// provedAt is when the last call began that proved the ownership, or zero.
 	provedAt time.Time
-	// renewedAt is when the last renewal of the membership began, and generation that of the group in its answer.
-	renewedAt  time.Time
-	generation int64
-	// lapsed tells that the membership may have lapsed. A takeover that began then may end at any time later, though this node
-	// is a member again, so only appends prove the ownership from then on.
-	lapsed bool
 }
 
 // noteAppend notes that an append under the ownership's epoch, begun at the given time, was accepted.
@@ -26,13 +20,11 @@
 	}
 }
 
-// noteRenewal notes that a renewal of the membership, begun at the given time, was answered now. It proves the ownership if
-// the membership has not lapsed since the takeover, because nobody takes over from a member. The membership has not lapsed
-// if the group is unchanged, or if the renewal before began at most the TTL ago.
-func (p *permission) noteRenewal(generation int64, begun, now time.Time) {
-	p.lapsed = p.lapsed || (generation != p.generation && now.Sub(p.renewedAt) > p.ttl)
-	p.generation, p.renewedAt = generation, begun
-	if !p.lapsed {
+// noteRenewal notes that a renewal of the membership, begun at the given time, was answered with a generation of the group. It
+// proves the ownership if the group is that of the takeover, because each takeover has a generation of its own. In a group that
+// has changed, another member may have looked for the owner before this one was recorded.
+func (p *permission) noteRenewal(generation int64, begun time.Time) {
+	if generation == p.epoch {
 		p.noteAppend(begun)
 	}
 }
--- a/internal/owner/renewal_test.go
+++ b/internal/owner/renewal_test.go
@@ -320,7 +320,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				begun := time.Now()
-				ow := newOwnership(Config{Store: &refusingStore{errs: tt.errs}, Log: zap.NewNop()}, 1, begun, nil)
+				ow := newOwnership(Config{Store: &refusingStore{errs: tt.errs}, Log: zap.NewNop()}, 1, nil)
 				assert.NilError(t, ow.append(t.Context(), TopicProgress, []ledger.Record{{Key: "k"}}))
 				assert.Equal(t, ow.permission.provedAt.Sub(begun), tt.want)
 			})
--- a/internal/owner/takeover_test.go
+++ b/internal/owner/takeover_test.go
@@ -71,7 +71,7 @@
 				ow := newOwnership(Config{
 					Store: store, Log: zap.NewNop(), Shard: shard.Config{Retention: time.Minute},
 					Configuration: func() (terms.Configuration, bool) { return terms.New(terms.Params{Version: 1}), true },
-				}, 2, time.Now(), nil)
+				}, 2, nil)
 				ow.setRegistry([]agent.Entry{})
 				_, err = ow.takeOver(t.Context())
 				assert.NilError(t, err)
@@ -105,7 +105,7 @@
 		ow := newOwnership(Config{
 			Store: store, Log: zap.NewNop(), Shard: shard.Config{Retention: time.Minute},
 			Configuration: func() (terms.Configuration, bool) { return terms.New(terms.Params{Version: 1}), true },
-		}, 2, time.Now(), nil)
+		}, 2, nil)
 		ow.setRegistry([]agent.Entry{})
 		_, err := ow.takeOver(t.Context())
 		assert.NilError(t, err)
