fix(owner): use each epoch for one ownership only

Callers could see tasks run twice, or jobs lost. If a node ended its ownership and its leaving the group was lost, it joined again in the same generation and owned again under the same epoch, with sequence numbers from the start. The store answers appends with known numbers as repeats and stores nothing, so that starts would have gone out unrecorded. The node now stays out of the group until its membership has lapsed, and gets a new generation.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -78,6 +78,9 @@
 type Owner struct {
 	cfg Config
 
+	// lastEpoch is the epoch of the last ownership; only Run uses it.
+	lastEpoch int64
+
 	mu        sync.Mutex
 	ownership *ownership
 }
@@ -216,8 +219,9 @@
 }
 
 // handleRenewal starts or ends an ownership after the membership has been renewed by a call that began at the given time. It
-// returns the generation up to which the recorded owner is known to be a member, and whether the ownership was fenced or
-// failed. In that case the node must leave the group for a while, because the others don't take over from a member.
+// returns the generation up to which the recorded owner is known to be a member, and whether the node must leave the group for
+// a while: because its ownership was fenced or failed, as the others don't take over from a member, or because it would own under
+// the same epoch again.
 func (o *Owner) handleRenewal(
 	ctx context.Context, assignment ledger.Assignment, begun time.Time, checkedGeneration int64,
 ) (int64, bool) {
@@ -231,6 +235,10 @@
 		o.cfg.Directory.StandBy()
 	case current != nil:
 		current.noteRenewal(assignment.Generation, begun)
+	case assignment.Generation <= o.lastEpoch:
+		// Leaving the group after the last ownership was lost. A second ownership under its epoch would repeat its sequence
+		// numbers.
+		return checkedGeneration, true
 	case slices.Contains(assignment.Partitions, Partition) && assignment.Generation > checkedGeneration:
 		members, gone := o.ownerIsGone(ctx)
 		if gone {
@@ -343,6 +351,7 @@
 
 func (o *Owner) startOwnership(ctx context.Context, generation int64, members []Member) {
 	ow := newOwnership(o.cfg, generation, members)
+	o.lastEpoch = generation
 	ownershipsTotal.Inc()
 	load.owned.Set(1)
 	o.cfg.Log.Info("ownership won", zap.Int64("epoch", generation))
