fix(owner): a takeover denies no job that was accepted while it read

Clients could be told that an accepted job doesn't exist (410, LOST): a new owner took its read of the jobs for as fresh as its end, though a slow read shows the jobs as they were when it began. It now counts from its begin. TestSlowTakeoverDeniesNoJob failed before.

--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -31,30 +31,39 @@
 func (ow *ownership) takeOver(ctx context.Context) (int64, error) {
 	begun := time.Now()
 	self := []byte(memberOf(ow.cfg.Self).String())
-	// Calls are made concurrently, because each takes long while the store is slow. The topics are read only after the former
-	// owner has been fenced on all of them: until then it takes new jobs and records runs of theirs.
+	// Calls are made concurrently, because each takes long while the store is slow. The jobs are read only after the former owner
+	// has been fenced on the progress too: until then it takes new jobs and records runs of theirs.
+	var progress, inbox ledger.Page
+	var inboxRead time.Time
 	var current terms.Configuration
+	progressFenced := make(chan struct{})
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		return ow.append(groupCtx, TopicOwner, []ledger.Record{{Key: claimantKey, Value: self}})
 	})
-	group.Go(func() error { return ow.append(groupCtx, TopicProgress, nil) })
-	group.Go(func() error { return ow.append(groupCtx, TopicInbox, nil) })
 	group.Go(func() (err error) {
-		current, err = ow.waitForInputs(groupCtx)
+		if err = ow.append(groupCtx, TopicProgress, nil); err != nil {
+			return err
+		}
+		close(progressFenced)
+		progress, err = ow.newest(groupCtx, TopicProgress)
 		return err
 	})
-	if err := group.Wait(); err != nil {
-		return 0, err
-	}
-	var progress, inbox ledger.Page
-	group, groupCtx = errgroup.WithContext(ctx)
 	group.Go(func() (err error) {
-		progress, err = ow.newest(groupCtx, TopicProgress)
+		if err = ow.append(groupCtx, TopicInbox, nil); err != nil {
+			return err
+		}
+		select {
+		case <-progressFenced:
+		case <-groupCtx.Done():
+			return groupCtx.Err()
+		}
+		inboxRead = time.Now()
+		inbox, err = ow.newest(groupCtx, TopicInbox)
 		return err
 	})
 	group.Go(func() (err error) {
-		inbox, err = ow.newest(groupCtx, TopicInbox)
+		current, err = ow.waitForInputs(groupCtx)
 		return err
 	})
 	if err := group.Wait(); err != nil {
@@ -88,7 +97,7 @@
 	ow.shard.SetConfiguration(current)
 	ow.shard.Restore(restored, ow.now(), time.Now())
 	ow.shard.SetRegistry(ow.entries)
-	ow.restored, ow.inboxRead = true, time.Now()
+	ow.restored, ow.inboxRead = true, inboxRead
 	ow.mu.Unlock()
 	takeoverSeconds.UpdateDuration(begun)
 	ow.cfg.Log.Info("takeover done", zap.Int64("epoch", ow.epoch), zap.Int("jobs", len(restored.Jobs)),
