--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -128,10 +129,17 @@
 	return ow.sequence[topic]
 }
 
-// runProofs proves the ownership by appends without records while nothing else does. They end an ownership that has no
-// records to write when a newer owner exists.
-func (ow *ownership) runProofs(ctx context.Context) {
+// runServing records that this node serves, so that other nodes call it, and repeats the record to prove the ownership while
+// nothing else does. That ends an ownership without other records to write when a newer owner exists.
+func (ow *ownership) runServing(ctx context.Context) {
 	defer ow.group.Done()
+	serving := []ledger.Record{
+		{Key: servingKey, Value: []byte(memberOf(ow.cfg.Self).String())},
+		{Key: strengthKey, Value: []byte(strconv.FormatFloat(ow.cfg.Self.Strength, 'g', -1, 64))},
+	}
+	if err := ow.append(ctx, TopicOwner, serving); err != nil {
+		return
+	}
 	ticker := time.NewTicker(proofCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -146,8 +154,7 @@
 		if !needed {
 			continue
 		}
-		// No other append to this topic is under way or delayed by this one.
-		if err := ow.append(ctx, TopicOwner, nil); err != nil {
+		if err := ow.appendEvery(ctx, proofRetryDelay, TopicOwner, serving); err != nil {
 			return
 		}
 	}
@@ -156,6 +163,11 @@
 // append appends records under the ownership's epoch and repeats the append until its outcome is known. Without records it
 // only fences former owners. An accepted append proves the ownership.
 func (ow *ownership) append(ctx context.Context, topic ledger.Topic, records []ledger.Record) error {
+	return ow.appendEvery(ctx, storeRetryDelay, topic, records)
+}
+
+// appendEvery does the same as append, with a pause of its own before each repeat.
+func (ow *ownership) appendEvery(ctx context.Context, retryDelay time.Duration, topic ledger.Topic, records []ledger.Record) error {
 	batch := ledger.Batch{
 		Topic: topic, Partition: Partition, Producer: producer, Epoch: ow.epoch,
 		Sequence: ow.nextSequence(topic, len(records) > 0), Records: records,
@@ -179,7 +191,7 @@
 				logged = true
 				ow.cfg.Log.Info("append repeated", zap.String("topic", string(topic)), zap.Error(err))
 			}
-			pause.For(ctx, storeRetryDelay)
+			pause.For(ctx, retryDelay)
 		case errors.Is(err, ledger.ErrFenced):
 			ow.fence("the store")
 			return err
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -37,8 +37,10 @@
 	maxInboxAge = 2 * time.Second
 	// storeRetryDelay is the pause after a failed call to the store.
 	storeRetryDelay = 80 * time.Millisecond
-	// proofCheckInterval is the interval of checks whether the ownership has to be proved by an append.
+	// proofCheckInterval is the interval of checks whether the ownership has to be proved by an append, and proofRetryDelay the
+	// pause before such an append is repeated.
 	proofCheckInterval = 100 * time.Millisecond
+	proofRetryDelay    = 500 * time.Millisecond
 	// deletionQueueSize bounds the lists of submissions that wait for deletion; about one list is added per second.
 	deletionQueueSize = 64
 	// maxCommitBytes is the size at which an append is closed; it is below the store's size limit for one call.
@@ -230,7 +232,7 @@
 		return
 	}
 	ow.group.Add(4)
-	go ow.runProofs(ctx)
+	go ow.runServing(ctx)
 	go ow.runDeletions(ctx)
 	go ow.runInbox(ctx, next)
 	go ow.runCommits(ctx)
--- a/internal/owner/renewal_test.go
+++ b/internal/owner/renewal_test.go
@@ -334,15 +334,15 @@
 	// begun is closed at the first append, and the appends wait for open. serving is closed once the node is recorded as
 	// serving.
 	begun, open, serving chan struct{}
-	once                 sync.Once
+	first, firstServing  sync.Once
 }
 
 func (g *gatedStore) Append(ctx context.Context, b ledger.Batch) error {
-	g.once.Do(func() { close(g.begun) })
+	g.first.Do(func() { close(g.begun) })
 	<-g.open
 	err := g.memoryStore.Append(ctx, b)
 	if len(b.Records) > 0 && b.Records[0].Key == servingKey {
-		close(g.serving)
+		g.firstServing.Do(func() { close(g.serving) })
 	}
 	return err
 }
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -102,11 +101,7 @@
 	takeoverSeconds.UpdateDuration(begun)
 	ow.cfg.Log.Info("takeover done", zap.Int64("epoch", ow.epoch), zap.Int("jobs", len(restored.Jobs)),
 		zap.Int("progress", len(restored.Progress)), zap.Duration("took", time.Since(begun)))
-	// Other nodes learn of this owner only now that it can answer calls.
-	strength := strconv.FormatFloat(ow.cfg.Self.Strength, 'g', -1, 64)
-	return inbox.Next, ow.append(ctx, TopicOwner, []ledger.Record{
-		{Key: servingKey, Value: self}, {Key: strengthKey, Value: []byte(strength)},
-	})
+	return inbox.Next, nil
 }
 
 // waitForInputs waits until the configuration and the workers' registry have been read, and returns the configuration.
