fix(shard): a gang of which a part is recorded as done is done

Callers would see a gang's job run for good (LOST). If an owner was lost between two parts of a job's record, the next one found some members of a gang done and others not, and neither started them again nor finished the job. A gang succeeds as a whole, so one member recorded as done now stands for all. TestGangRecordedInPartIsDone failed before: the job stayed running.

--- a/internal/shard/record_test.go
+++ b/internal/shard/record_test.go
@@ -184,3 +184,22 @@
 	assert.Equal(t, heartbeat.Acked, int64(1))
 	assert.Equal(t, heartbeat.ReportConnection, uint64(7))
 }
+
+// TestGangRecordedInPartIsDone guards against a gang that never ends: the former owner recorded the gang's success for some of
+// the tasks only.
+func TestGangRecordedInPartIsDone(t *testing.T) {
+	h := newHarness(t, "w1", "w2")
+	gang := tasks(2)
+	gang.Gang = true
+	h.takeOver(RecordedState{
+		Jobs: []work.Job{{ID: "j", Queue: testQueue, Team: "north", Stages: []work.Stage{gang}, Accepted: h.wall}},
+		Progress: map[model.JobID]work.Progress{"j": {Begun: true, Tasks: []work.TaskProgress{
+			{Index: 0, LastRun: 1, Done: true}, {Index: 1, LastRun: 1},
+		}}},
+	})
+	for _, id := range h.workers {
+		h.report(id, agent.Report{})
+	}
+	assert.Equal(t, len(h.confirmStarts()), 0)
+	h.requireState(work.StateCompleted)
+}
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"arbutuswing.example/internal/agent"
@@ -303,15 +304,14 @@
 			s.stopRun(other, now)
 		}
 	}
-	if st.left > 0 {
-		return
-	}
-	for _, other := range j.stages {
-		if other.left > 0 {
-			return
-		}
+	s.finishIfDone(j, now)
+}
+
+// finishIfDone makes a job final once all its tasks are done.
+func (s *Shard) finishIfDone(j *job, now time.Duration) {
+	if j.open() && !slices.ContainsFunc(j.stages, func(st *stage) bool { return st.left > 0 }) {
+		s.finishJob(j, work.StateCompleted, now)
 	}
-	s.finishJob(j, work.StateCompleted, now)
 }
 
 // recordFailure counts a failure against the worker and against the task, or once against the whole gang.
--- a/internal/shard/restore.go
+++ b/internal/shard/restore.go
@@ -52,6 +52,7 @@
 		}
 	}
 	s.dropFinalSubmissions(r)
+	s.completeGangs(now)
 	for _, st := range s.activeStages {
 		s.stopIncompleteGang(st, now)
 	}
@@ -64,6 +65,24 @@
 	}
 }
 
+// completeGangs marks all tasks of a gang as done if one is, because a gang succeeds as a whole: the former owner may have
+// recorded a part of its tasks only.
+func (s *Shard) completeGangs(now time.Duration) {
+	for _, st := range slices.Clone(s.activeStages) {
+		if !st.spec.Gang || st.left == 0 || st.left == len(st.tasks) {
+			continue
+		}
+		for i := range st.tasks {
+			if !st.tasks[i].done {
+				st.tasks[i].done = true
+				st.left--
+				s.markTaskDirty(st, i)
+			}
+		}
+		s.finishIfDone(st.job, now)
+	}
+}
+
 // stopIncompleteGang stops the remaining members of a gang if at least one member has no run.
 func (s *Shard) stopIncompleteGang(st *stage, now time.Duration) {
 	if !st.spec.Gang || st.left == 0 || !slices.ContainsFunc(st.tasks, func(t task) bool { return len(t.attempts) == 0 }) {
