test(shard): model of further faults of the platform; restarts

The model gets options for what the platform may do beyond what it has played: late commands that reach another incarnation, reports overtaken by answers, silences longer than a lease, a former owner that goes on, leases counted from arrival. With options set, workers have been up for a minute when a sequence begins, and further actions make starts near a restart likely.

In the sequences of TestInvariantsUnderFaults two things change: a late heartbeat no longer takes effect on a worker that is down, and a start that is refused as superseded extends the lease, as the platform has it.

--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -94,7 +95,7 @@
 // sequence that a seed gives.
 func (cl *cluster) actions() map[string]func(*rapid.T) {
 	pick := func(t *rapid.T) *simWorker { return rapid.SampledFrom(cl.workers).Draw(t, "worker") }
-	return map[string]func(*rapid.T){
+	actions := map[string]func(*rapid.T){
 		"submit": cl.submit,
 		"cancel": func(t *rapid.T) {
 			if cl.submitted > 0 {
@@ -104,7 +105,7 @@
 			}
 		},
 		"send": func(t *rapid.T) { cl.sendCommands(func() string { return drawDelivery.Draw(t, "answer") }) },
-		"hold": func(t *rapid.T) { cl.exchangeHeartbeat(pick(t), drawDelivery.Draw(t, "answer")) },
+		"hold": func(t *rapid.T) { cl.exchangeHeartbeat(pick(t), cl.options.heartbeatDeliveries().Draw(t, "answer")) },
 		"pass": func(t *rapid.T) {
 			cl.advance(time.Duration(rapid.IntRange(1, 40).Draw(t, "tenths")) * 100 * time.Millisecond)
 		},
@@ -143,13 +144,20 @@
 		},
 		"": func(*rapid.T) { cl.checkInvariants() },
 	}
+	maps.Copy(actions, cl.platformActions(pick))
+	if cl.options.noRestarts {
+		maps.DeleteFunc(actions, func(name string, _ func(*rapid.T)) bool {
+			return slices.Contains([]string{"back", "crash", "restart", "restart-hold"}, name)
+		})
+	}
+	return actions
 }
 
 // recoverAndFinish clears all faults and requires that every job reaches a final state. New owners take over soon after the
 // first jobs have ended, and again once the records of these jobs are no longer kept. Workers restart, and runs end there
 // before the owner has learnt of it.
 func (cl *cluster) recoverAndFinish(t *rapid.T) {
-	cl.storeDown = false
+	cl.storeDown, cl.reports, cl.former = false, nil, nil
 	for _, w := range cl.workers {
 		w.unreachable = false
 		if !w.up {
@@ -161,6 +169,7 @@
 	for step := range 1200 {
 		if step%60 == 5 && step < 180 {
 			cl.takeOver()
+			cl.former = nil
 		}
 		if w := cl.workers[step%len(cl.workers)]; step%5 == 0 && step < 180 {
 			cl.restartWorker(w)
@@ -209,7 +218,7 @@
 // become unreachable, crash and return, tasks fail, jobs are cancelled, and new owners take over at any time.
 func TestInvariantsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		cl := newCluster(t)
+		cl := newCluster(t, simOptions{})
 		t.Repeat(cl.actions())
 		cl.recoverAndFinish(t)
 	})
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -28,7 +28,9 @@
 	size     model.Resources
 	gang     bool
 	stopping bool
-	stopAt   time.Duration
+	// stray tells that a late start brought the run to another incarnation than the one it was meant for.
+	stray  bool
+	stopAt time.Duration
 	// waitingSince is the reading of the worker's clock when a gang member began to wait for the others; negative once
 	// all members are present.
 	waitingSince time.Duration
@@ -59,20 +61,24 @@
 	lastUncountedEnd int64
 }
 
-// delayedCommand is a command that arrives after newer ones, unless the worker's incarnation has changed by then.
+// delayedCommand is a command that arrives after newer ones. Whether it reaches another incarnation of the worker is one of
+// the simOptions.
 type delayedCommand struct {
 	deliverAt   time.Duration
 	worker      *simWorker
 	incarnation int64
-	start       *StartCommand
-	stop        *StopCommand
-	heartbeat   *agent.Heartbeat
+	// sentAt is the reading of the worker's clock when the command was sent.
+	sentAt    time.Duration
+	start     *StartCommand
+	stop      *StopCommand
+	heartbeat *agent.Heartbeat
 }
 
 // cluster simulates the workers and a store that loses nothing for the property test, and checks the invariants at each
 // step.
 type cluster struct {
 	t       *rapid.T
+	options simOptions
 	now     time.Duration
 	wall    time.Time
 	workers []*simWorker
@@ -96,11 +102,16 @@
 	// storeDown is set while the store records nothing.
 	storeDown bool
 	submitted int
+	// reports holds the answers to heartbeats that are under way.
+	reports []slowReport
+	// former is the owner before the present one while it goes on, and lostAt when it lost the ownership.
+	former *Shard
+	lostAt time.Duration
 }
 
-func newCluster(t *rapid.T) *cluster {
+func newCluster(t *rapid.T, options simOptions) *cluster {
 	cl := &cluster{
-		t: t, now: time.Minute, wall: time.Unix(1_700_000_000, 0), jobs: make(map[model.JobID]work.Job),
+		t: t, options: options, now: time.Minute, wall: time.Unix(1_700_000_000, 0), jobs: make(map[model.JobID]work.Job),
 		submissions: make(map[model.JobID]bool), cancelled: make(map[model.JobID]bool),
 		progress: make(map[string]work.Progress), expired: make(map[model.JobID]bool),
 		acknowledgedDone: make(map[work.TaskRef]bool),
@@ -110,7 +121,8 @@
 	for i := range 4 {
 		cl.workers = append(cl.workers, &simWorker{
 			id: model.WorkerID(fmt.Sprintf("w%d", i)), up: true, incarnation: 1, clockRate: 0.98 + 0.01*float64(i%3),
-			runs: make(map[runKey]*simRun), superseded: make(map[work.TaskRef]int),
+			clock: options.uptime,
+			runs:  make(map[runKey]*simRun), superseded: make(map[work.TaskRef]int),
 		})
 	}
 	cl.takeOver()
@@ -120,6 +132,7 @@
 // takeOver starts a new owner from the recorded state; commands of the former owner may still be in flight.
 func (cl *cluster) takeOver() {
 	cl.token++
+	cl.former, cl.lostAt = cl.shard, cl.now
 	cl.shard = New(Config{
 		Token: cl.token, Lease: testLease, MaxLease: simMaxLease, RenewLimit: 3 * time.Second,
 		KillGrace: simKillGrace, GangTimeout: simGangTimeout,
@@ -185,13 +198,8 @@
 		switch {
 		case cl.now < d.deliverAt:
 			cl.delayed = append(cl.delayed, d)
-		case d.incarnation != d.worker.incarnation:
-		case d.start != nil:
-			_, _ = cl.applyStart(*d.start)
-		case d.heartbeat != nil:
-			_, _ = cl.applyHeartbeat(d.worker, *d.heartbeat)
 		default:
-			_, _ = cl.applyStop(*d.stop)
+			cl.arrive(d)
 		}
 	}
 	cl.checkInvariants()
@@ -290,6 +298,8 @@
 	case w.runs[key] != nil:
 		return w.clock, nil
 	case cmd.Start.Run <= w.superseded[key.task]:
+		// The lease is extended even so.
+		w.extendLease(cmd.Start.LeaseEnd)
 		return w.clock, agent.ErrRunSuperseded
 	case cmd.Start.LeaseEnd <= w.clock:
 		return w.clock, agent.ErrDeadlinePassed
@@ -362,8 +372,11 @@
 }
 
 // exchangeHeartbeat sends a heartbeat and applies the worker's report, unless, as the delivery says, the heartbeat is lost, the
-// report is lost ("unanswered"), or the heartbeat takes effect later ("late").
+// report is lost ("unanswered") or slow ("slow"), or the heartbeat takes effect later ("late").
 func (cl *cluster) exchangeHeartbeat(w *simWorker, delivery string) {
+	if cl.awaitsReport(w) {
+		return
+	}
 	heartbeat, ok := cl.shard.HeartbeatFor(w.id, cl.now, true)
 	if !ok || !w.up || w.unreachable {
 		return
@@ -374,9 +387,7 @@
 	if delivery == "lost" || delivery == "late" {
 		w.connection++
 		if delivery == "late" {
-			cl.delayed = append(cl.delayed, delayedCommand{
-				deliverAt: cl.now + 3*time.Second, worker: w, incarnation: w.incarnation, heartbeat: &heartbeat,
-			})
+			cl.delay(w, delayedCommand{heartbeat: &heartbeat})
 		}
 		return
 	}
@@ -389,6 +400,10 @@
 		return
 	}
 	report.Connection = w.connection
+	if delivery == "slow" {
+		cl.reports = append(cl.reports, slowReport{cl.shard, w, report, cl.now + simReportTimeout})
+		return
+	}
 	cl.shard.ApplyReport(w.id, report, cl.now)
 }
 
@@ -503,8 +518,7 @@
 	case "lost":
 		return 0, agent.ErrNoAnswer
 	case "late":
-		d.deliverAt, d.worker, d.incarnation = cl.now+3*time.Second, w, w.incarnation
-		cl.delayed = append(cl.delayed, d)
+		cl.delay(w, d)
 		return 0, agent.ErrNoAnswer
 	}
 	clock, err := time.Duration(0), error(nil)
@@ -547,6 +561,9 @@
 				cl.t.Fatalf("%v runs on %s and %s", run.key.task, other, w.id)
 			}
 			where[run.key.task] = w.id
+			if run.stray {
+				continue
+			}
 			used = used.Plus(run.size)
 			team := cl.jobs[run.key.task.Job].Team
 			usage[team] = usage[team].Plus(run.size)
