test(shard): reports overtaken by the answers to later starts

The directed test also plays a report of the former incarnation: its clock is far above that of the start's answer, so that it counts as newer.

TestAnswerOfFormerIncarnationHoldsNoRun came from reading: the answer of the former incarnation, applied after the report of the next one, sets a time on the wrong clock, and the task waits until the new clock reaches it.

--- a/internal/shard/platformfaults_test.go
+++ b/internal/shard/platformfaults_test.go
@@ -256,3 +256,8 @@
 func TestInvariantsUnderRestarts(t *testing.T) {
 	checkUnder(t, simOptions{uptime: simUptime})
 }
+
+// TestInvariantsUnderSlowReports lets answers to starts overtake reports, also those of another incarnation.
+func TestInvariantsUnderSlowReports(t *testing.T) {
+	checkUnder(t, simOptions{uptime: simUptime, slowReports: true})
+}
--- a/internal/shard/restart_test.go
+++ b/internal/shard/restart_test.go
@@ -87,3 +87,66 @@
 	assert.Equal(t, len(h.confirmStarts()), 0)
 	h.requireState(work.StateCompleted)
 }
+
+// TestReportOverlappedByStartProvesNothing guards against a second run while the first is on its worker: a report was
+// generated before the start and applied after its answer, and the worker has restarted.
+func TestReportOverlappedByStartProvesNothing(t *testing.T) {
+	tests := []struct {
+		name string
+		// former tells that the report is of the former incarnation.
+		former bool
+	}{
+		{"report of the new incarnation", false},
+		{"report of the former incarnation", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, "w1")
+			h.clock["w1"] = time.Minute
+			h.report("w1", agent.Report{})
+			_, ok := h.shard.HeartbeatFor("w1", h.now, true)
+			assert.Assert(t, ok)
+			slow := agent.Report{Clock: h.clock["w1"] + time.Second, Incarnation: h.incarnation["w1"]}
+			h.restart("w1")
+			if !tt.former {
+				slow = agent.Report{Clock: 20 * time.Millisecond, Incarnation: h.incarnation["w1"]}
+			}
+			h.clock["w1"] = 50 * time.Millisecond
+			h.submitJob(tasks(1))
+			first := h.confirmStarts()
+			assert.Equal(t, len(first), 1)
+			h.shard.ApplyReport("w1", slow, h.now)
+			assert.Equal(t, len(h.confirmStarts()), 0, "the first run is on its worker")
+			h.report("w1", running(first[0]))
+			assert.Equal(t, len(h.confirmStarts()), 0)
+			assert.Equal(t, len(h.shard.workers["w1"].unknownRuns), 0)
+		})
+	}
+}
+
+// TestAnswerOfFormerIncarnationHoldsNoRun guards against a task that isn't started again for as long as its worker had been up
+// before a restart: the answer to its start came after the next incarnation's report.
+func TestAnswerOfFormerIncarnationHoldsNoRun(t *testing.T) {
+	h := newHarness(t, "w1")
+	h.clock["w1"] = time.Hour
+	h.report("w1", agent.Report{})
+	h.submitJob(tasks(1))
+	first := h.nextCommands().Starts
+	assert.Equal(t, len(first), 1)
+	h.restart("w1")
+	h.report("w1", agent.Report{})
+	h.shard.ApplyStartResult(first[0], time.Hour+20*time.Millisecond, nil, h.now)
+	for range 50 {
+		h.advance(100 * time.Millisecond)
+		h.clock["w1"] += 100 * time.Millisecond
+		h.report("w1", agent.Report{})
+		commands := h.nextCommands()
+		for _, stop := range commands.Stops {
+			h.shard.ApplyStopResult(stop, h.clock["w1"], nil, h.now)
+		}
+		if len(commands.Starts) > 0 {
+			return
+		}
+	}
+	t.Fatal("the task wasn't started again")
+}
