test(shard): workers that are silent for longer than a lease

Shrunk: w0 restarts; before its first report a start is sent to it and answered; w0 is silent for 8 s; the owner counts its lease of 7 s as expired and starts the task on w1 while w0, which took the end on the former clock for its longest lease of 10 s, still runs it. The new incarnation never reports to the owner, so that a longer lease counted from its first report isn't enough.

--- a/internal/shard/platformfaults_test.go
+++ b/internal/shard/platformfaults_test.go
@@ -261,3 +261,13 @@
 func TestInvariantsUnderSlowReports(t *testing.T) {
 	checkUnder(t, simOptions{uptime: simUptime, slowReports: true})
 }
+
+// TestInvariantsUnderSilences lets workers fall silent for longer than a lease, also soon after a restart.
+func TestInvariantsUnderSilences(t *testing.T) {
+	checkUnder(t, simOptions{uptime: simUptime, silences: true})
+}
+
+// TestInvariantsUnderLongSilences lets workers fall silent for longer than a lease, but not restart.
+func TestInvariantsUnderLongSilences(t *testing.T) {
+	checkUnder(t, simOptions{uptime: simUptime, silences: true, noRestarts: true})
+}
--- a/internal/shard/restart_test.go
+++ b/internal/shard/restart_test.go
@@ -150,3 +150,39 @@
 	}
 	t.Fatal("the task wasn't started again")
 }
+
+// TestLeaseOfRestartedWorkerLastsLonger guards against a second run while the first is on its worker: the worker has restarted
+// and shortened the end of a lease, on the clock of the incarnation before, only to its maximum.
+func TestLeaseOfRestartedWorkerLastsLonger(t *testing.T) {
+	tests := []struct {
+		name string
+		// reports tells that the new incarnation reports before it falls silent.
+		reports bool
+	}{
+		{"after a report", true},
+		{"before its first report", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, "w1", "w2")
+			// The lease that a former owner may have granted is over.
+			h.advance(10 * time.Second)
+			for _, id := range h.workers {
+				h.clock[id] = time.Minute
+				h.report(id, agent.Report{})
+			}
+			h.submitJob(tasks(1))
+			starts := h.nextCommands().Starts
+			assert.Equal(t, len(starts), 1)
+			id := starts[0].Target.ID
+			h.restart(id)
+			h.clock[id] = 10 * time.Millisecond
+			assert.Assert(t, starts[0].Start.LeaseEnd > h.clock[id]+10*time.Second, "the worker shortens it to 10 s")
+			h.shard.ApplyStartResult(starts[0], h.clock[id], nil, h.now)
+			if tt.reports {
+				h.report(id, running(starts[0]))
+			}
+			h.requireNoSecondRun(9900*time.Millisecond, h.otherThan(id)...)
+		})
+	}
+}
