--- a/internal/shard/platformfaults_test.go
+++ b/internal/shard/platformfaults_test.go
@@ -271,3 +271,13 @@
 func TestInvariantsUnderLongSilences(t *testing.T) {
 	checkUnder(t, simOptions{uptime: simUptime, silences: true, noRestarts: true})
 }
+
+// TestInvariantsUnderHeartbeatsFromArrival lets the leases of late heartbeats count from their arrival.
+func TestInvariantsUnderHeartbeatsFromArrival(t *testing.T) {
+	checkUnder(t, simOptions{uptime: simUptime, silences: true, heartbeatsFromArrival: true, noRestarts: true})
+}
+
+// TestInvariantsUnderStartsFromArrival lets the leases of late starts count from their arrival.
+func TestInvariantsUnderStartsFromArrival(t *testing.T) {
+	checkUnder(t, simOptions{uptime: simUptime, silences: true, startsFromArrival: true, noRestarts: true})
+}
--- a/internal/shard/restart_test.go
+++ b/internal/shard/restart_test.go
@@ -186,3 +186,17 @@
 		})
 	}
 }
+
+// TestLateHeartbeatMayExtendLease guards against a second run while the first is on its worker: a heartbeat without an answer
+// arrives late, and the worker counts the lease from then on.
+func TestLateHeartbeatMayExtendLease(t *testing.T) {
+	h := newHarness(t, "w1", "w2")
+	h.submitJob(tasks(1))
+	starts := h.confirmStarts()
+	assert.Equal(t, len(starts), 1)
+	id := starts[0].Target.ID
+	h.report(id, running(starts[0]))
+	_, ok := h.shard.HeartbeatFor(id, h.now, true)
+	assert.Assert(t, ok)
+	h.requireNoSecondRun(maxCommandDelay+testLease, h.otherThan(id)...)
+}
