test(shard): a former owner that goes on after a takeover

TestInvariantsUnderFormerOwner passed: renewals and recorded starts for 3 s after the takeover, to workers that the new owner can't reach, without restarts.

Shrunk: a start is recorded, and its worker w1 can't be reached; a new owner takes over and counts w1's lease as expired after 10.3 s; then the former owner reaches w1 again, which the new one can't, and sends the start.

--- a/internal/shard/platformfaults_test.go
+++ b/internal/shard/platformfaults_test.go
@@ -272,6 +272,30 @@
 	checkUnder(t, simOptions{uptime: simUptime, silences: true, noRestarts: true})
 }
 
+// TestInvariantsUnderFormerOwner lets a former owner go on until its limit of renewals.
+func TestInvariantsUnderFormerOwner(t *testing.T) {
+	checkUnder(t, simOptions{
+		uptime: simUptime, silences: true, noRestarts: true,
+		formerOwner: true, formerRenewal: 3 * time.Second, formerStarts: 3 * time.Second,
+	})
+}
+
+// TestInvariantsUnderFormerStarts lets a former owner send its recorded starts long after its limit of renewals.
+func TestInvariantsUnderFormerStarts(t *testing.T) {
+	checkUnder(t, simOptions{
+		uptime: simUptime, silences: true, noRestarts: true,
+		formerOwner: true, formerRenewal: 3 * time.Second, formerStarts: time.Minute,
+	})
+}
+
+// TestInvariantsUnderFormerOwnerAndRestarts lets a former owner go on while workers restart.
+func TestInvariantsUnderFormerOwnerAndRestarts(t *testing.T) {
+	checkUnder(t, simOptions{
+		uptime: simUptime, silences: true,
+		formerOwner: true, formerRenewal: 3 * time.Second, formerStarts: 3 * time.Second,
+	})
+}
+
 // TestInvariantsUnderHeartbeatsFromArrival lets the leases of late heartbeats count from their arrival.
 func TestInvariantsUnderHeartbeatsFromArrival(t *testing.T) {
 	checkUnder(t, simOptions{uptime: simUptime, silences: true, heartbeatsFromArrival: true, noRestarts: true})
--- a/internal/shard/restart_test.go
+++ b/internal/shard/restart_test.go
@@ -187,6 +187,24 @@
 	}
 }
 
+// TestNoStartWithoutPermissionToRenew guards against a start by an owner that no longer renews leases: a new owner assumes that
+// no lease lasts longer than those that the former one may have renewed.
+func TestNoStartWithoutPermissionToRenew(t *testing.T) {
+	h := newHarness(t, "w1")
+	h.submitJob(tasks(1))
+	starts := h.nextCommands().Starts
+	assert.Equal(t, len(starts), 1)
+	h.shard.ApplyStartResult(starts[0], 0, agent.ErrNotSent, h.now)
+	for range 11 {
+		h.advance(time.Second)
+		h.clock["w1"] += time.Second
+		_, ok := h.shard.HeartbeatFor("w1", h.now, false)
+		assert.Assert(t, ok)
+		h.shard.ApplyReport("w1", agent.Report{Clock: h.clock["w1"], Incarnation: h.incarnation["w1"]}, h.now)
+		assert.Equal(t, len(h.nextCommands().Starts), 0)
+	}
+}
+
 // TestLateHeartbeatMayExtendLease guards against a second run while the first is on its worker: a heartbeat without an answer
 // arrives late, and the worker counts the lease from then on.
 func TestLateHeartbeatMayExtendLease(t *testing.T) {
