test(shard): late commands that reach the next incarnation

Late starts, stops and heartbeats take 2 to 12 s and reach the worker's next incarnation. A start that does so isn't judged by limits and the order of stages; it is refused for a queue with tickets, which end with an incarnation, and where a run of its task is there already.

--- a/internal/shard/platformfaults_test.go
+++ b/internal/shard/platformfaults_test.go
@@ -272,6 +272,26 @@
 	checkUnder(t, simOptions{uptime: simUptime, silences: true, noRestarts: true})
 }
 
+// TestInvariantsUnderLateStarts lets late starts reach the next incarnation of their worker.
+func TestInvariantsUnderLateStarts(t *testing.T) {
+	checkUnder(t, simOptions{uptime: simUptime, silences: true, lateStarts: true})
+}
+
+// TestInvariantsUnderLateStops lets late stops reach the next incarnation of their worker.
+func TestInvariantsUnderLateStops(t *testing.T) {
+	checkUnder(t, simOptions{uptime: simUptime, silences: true, lateStops: true})
+}
+
+// TestInvariantsUnderLateHeartbeats lets late heartbeats reach the next incarnation of their worker.
+func TestInvariantsUnderLateHeartbeats(t *testing.T) {
+	checkUnder(t, simOptions{uptime: simUptime, silences: true, lateHeartbeats: true})
+}
+
+// TestInvariantsUnderLateAcknowledgements lets late heartbeats acknowledge ended runs of the next incarnation.
+func TestInvariantsUnderLateAcknowledgements(t *testing.T) {
+	checkUnder(t, simOptions{uptime: simUptime, silences: true, lateHeartbeats: true, lateAcks: true})
+}
+
 // TestInvariantsUnderFormerOwner lets a former owner go on until its limit of renewals.
 func TestInvariantsUnderFormerOwner(t *testing.T) {
 	checkUnder(t, simOptions{
--- a/internal/shard/restart_test.go
+++ b/internal/shard/restart_test.go
@@ -187,6 +187,17 @@
 	}
 }
 
+// TestLateStartMayReachNextIncarnation guards against a second run while a start of the first may still arrive: its worker has
+// restarted unnoticed, accepts the start and grants its longest lease.
+func TestLateStartMayReachNextIncarnation(t *testing.T) {
+	h := newHarness(t, "w1", "w2")
+	h.submitJob(tasks(1))
+	starts := h.nextCommands().Starts
+	assert.Equal(t, len(starts), 1)
+	h.shard.ApplyStartResult(starts[0], 0, agent.ErrNoAnswer, h.now)
+	h.requireNoSecondRun(maxCommandDelay+10*time.Second, h.otherThan(starts[0].Target.ID)...)
+}
+
 // TestNoStartWithoutPermissionToRenew guards against a start by an owner that no longer renews leases: a new owner assumes that
 // no lease lasts longer than those that the former one may have renewed.
 func TestNoStartWithoutPermissionToRenew(t *testing.T) {
