test(shard): directed tests of a second run pass over repeats of the first

requireNoSecondRun counted a repeat of the first run's own unanswered start, so that TestLateStartMayReachNextIncarnation failed for another reason than the one it names. It now looks at the run's number and gives repeats no answer.

--- a/internal/shard/restart_test.go
+++ b/internal/shard/restart_test.go
@@ -17,7 +17,8 @@
 	h.clock[id] = 0
 }
 
-// requireNoSecondRun lets time pass, while the other workers report, and requires that no task starts until then.
+// requireNoSecondRun lets time pass, while the other workers report, and requires that no second run starts until then. Commands
+// that repeat the first run's get no answer.
 func (h *harness) requireNoSecondRun(length time.Duration, others ...model.WorkerID) {
 	h.t.Helper()
 	for end := h.now + length; h.now < end; {
@@ -25,7 +26,14 @@
 		for _, id := range others {
 			h.report(id, agent.Report{})
 		}
-		assert.Equal(h.t, len(h.confirmStarts()), 0, "the first run may still be on its worker")
+		commands := h.nextCommands()
+		for _, cmd := range commands.Starts {
+			assert.Equal(h.t, cmd.Start.Run, 1, "the first run may still be on its worker")
+			h.shard.ApplyStartResult(cmd, 0, agent.ErrNoAnswer, h.now)
+		}
+		for _, cmd := range commands.Stops {
+			h.shard.ApplyStopResult(cmd, 0, agent.ErrNoAnswer, h.now)
+		}
 	}
 }
 
