--- a/internal/shard/incarnation_test.go
+++ b/internal/shard/incarnation_test.go
@@ -334,3 +334,18 @@
 	waited := h.now - arrived
 	assert.Assert(t, waited > simGangTimeout, "presumed to have ended after %v, the member waits %v for its gang", waited, simGangTimeout)
 }
+
+// TestLateHeartbeatMayExtendLease guards against a second run while the first is on its worker: a heartbeat without an answer
+// arrives late, and the worker counts the lease from then on.
+func TestLateHeartbeatMayExtendLease(t *testing.T) {
+	h := newHarness(t, "w1", "w2")
+	h.submitJob(tasks(1))
+	starts := h.confirmStarts()
+	assert.Equal(t, len(starts), 1)
+	id := starts[0].Target.ID
+	h.report(id, agent.Report{Running: []agent.ActiveRun{{Task: starts[0].Start.Task, Run: starts[0].Start.Run}}})
+	_, ok := h.shard.HeartbeatFor(id, h.now, true)
+	assert.Assert(t, ok)
+	waited := h.startElsewhere(id, 30*time.Second)
+	assert.Assert(t, waited > maxCommandDelay+testLease, "started elsewhere after %v", waited)
+}
