--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -150,12 +150,10 @@
 	stop  func()
 }
 
-func startNode(store ledger.Store, name string, strength float64) testNode {
-	return startNodeWith(store, name, strength, nil)
-}
+func startNode(store ledger.Store, name string) testNode { return startNodeWith(store, name, nil) }
 
 // startNodeWith starts a node in a fleet of one worker, or of none.
-func startNodeWith(store ledger.Store, name string, strength float64, workers agent.Workers) testNode {
+func startNodeWith(store ledger.Store, name string, workers agent.Workers) testNode {
 	var entries []agent.Entry
 	if workers != nil {
 		entries = []agent.Entry{{ID: "w", Pool: "pool", Address: "w", Capacity: model.Resources{Cores: 1000, Memory: 1000}}}
@@ -163,7 +161,7 @@
 	configuration := terms.New(terms.Params{
 		Version: 1, Queues: []terms.Queue{{Name: testQueue, Pool: "pool", Attempts: 1}}, Teams: []terms.Team{{ID: "north", Share: 1}},
 	})
-	self := peers.NodeInfo{Node: name, BootID: "1", Strength: strength}
+	self := peers.NodeInfo{Node: name, BootID: "1", Strength: 1}
 	log := zap.NewNop()
 	directory := NewDirectory(DirectoryConfig{Store: store, Self: self, Group: "owners", Client: peers.NewClient(), Log: log})
 	o := New(Config{
@@ -198,7 +196,7 @@
 				store.fail, store.failTopic = ledger.ErrProtocol, TopicInbox
 				nodes := make([]testNode, 0, count)
 				for i := range count {
-					nodes = append(nodes, startNode(store, fmt.Sprintf("n%d", i), 1))
+					nodes = append(nodes, startNode(store, fmt.Sprintf("n%d", i)))
 				}
 				time.Sleep(2 * time.Second)
 				store.mu.Lock()
@@ -224,7 +222,7 @@
 func TestOwnerThatEndsIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newMemoryStore()
-		nodes := []testNode{startNode(store, "n0", 1), startNode(store, "n1", 1)}
+		nodes := []testNode{startNode(store, "n0"), startNode(store, "n1")}
 		time.Sleep(3 * time.Second)
 		first := slices.IndexFunc(nodes, testNode.serves)
 		assert.Assert(t, first >= 0)
@@ -265,7 +263,7 @@
 func TestEpochIsUsedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &epochStore{newMemoryStore(), make(map[int64]int)}
-		n := startNode(store, "n0", 1)
+		n := startNode(store, "n0")
 		time.Sleep(3 * time.Second)
 		assert.Assert(t, n.serves())
 		n.owner.cfg.Directory.setRole(roleStandby, "not chosen")
--- a/internal/owner/renewal_test.go
+++ b/internal/owner/renewal_test.go
@@ -197,7 +197,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store, w := &faultyStore{memoryStore: newMemoryStore()}, &oneWorker{start: time.Now()}
-				node := startNodeWith(store, "n0", 1, w)
+				node := startNodeWith(store, "n0", w)
 				defer node.stop()
 				time.Sleep(3 * time.Second)
 				assert.Assert(t, time.Since(w.lastRenewal()) <= idleWait+heartbeatPause)
@@ -224,7 +224,7 @@
 func TestLateCommitStartsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, w := &faultyStore{memoryStore: newMemoryStore()}, &oneWorker{start: time.Now()}
-		node := startNodeWith(store, "n0", 1, w)
+		node := startNodeWith(store, "n0", w)
 		defer node.stop()
 		time.Sleep(3 * time.Second)
 		store.freeze(5 * time.Second)
@@ -249,10 +249,10 @@
 		shared := newMemoryStore()
 		store := &faultyStore{memoryStore: shared}
 		reached, unreached := &oneWorker{start: time.Now()}, &oneWorker{unreachable: true}
-		former := startNodeWith(store, "n0", 1, reached)
+		former := startNodeWith(store, "n0", reached)
 		defer former.stop()
 		time.Sleep(3 * time.Second)
-		next := startNodeWith(shared, "n1", 1, unreached)
+		next := startNodeWith(shared, "n1", unreached)
 		defer next.stop()
 		time.Sleep(time.Second)
 		assert.Assert(t, former.serves())
@@ -275,7 +275,7 @@
 		t.Run(latency.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store, w := &slowStore{memoryStore: newMemoryStore(), latency: latency}, &oneWorker{start: time.Now()}
-				node := startNodeWith(store, "n0", 1, w)
+				node := startNodeWith(store, "n0", w)
 				defer node.stop()
 				time.Sleep(15 * time.Second)
 				before := store.appends.Load()
@@ -355,9 +355,9 @@
 		former := &gatedStore{memoryStore: store, begun: make(chan struct{}), serving: make(chan struct{})}
 		next := &gatedStore{memoryStore: store, begun: make(chan struct{}), serving: make(chan struct{})}
 		former.open, next.open = next.begun, former.serving
-		first := startNode(former, "n1", 1)
+		first := startNode(former, "n1")
 		<-former.begun
-		second := startNode(next, "n0", 1)
+		second := startNode(next, "n0")
 		<-next.serving
 		time.Sleep(testRenewLimit + time.Second)
 		if ow := first.owner.current(); ow != nil {
