fix(owner): let all nodes make long advice calls when few are left

Now less than half of the nodes are reserved, and none when no short call was made in the last second.

The fault is not gone: three nodes can't give the advice that is asked for.

--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -15,9 +15,12 @@
 	// longCall is the service time from which on a call may not use all nodes, so that short calls find a free node.
 	longCall = 150 * time.Millisecond
 	// minShortCallNodes and shortCallNodeDivisor define how many nodes are reserved for short calls: one of each
-	// shortCallNodeDivisor nodes, but at least minShortCallNodes. Short calls are frequent but take little service time.
+	// shortCallNodeDivisor nodes, but at least minShortCallNodes, and always less than half of them. Short calls are frequent
+	// but take little service time.
 	minShortCallNodes    = 2
 	shortCallNodeDivisor = 8
+	// shortCallMemory is how long nodes stay reserved after the last short call.
+	shortCallMemory = time.Second
 	// callTimeoutMargin is added to the expected duration of a call to give its timeout. A node that hasn't answered by then
 	// is unreachable or down.
 	callTimeoutMargin = 250 * time.Millisecond
@@ -40,6 +43,8 @@
 	load         map[Member]time.Duration
 	calls        map[Member]int
 	blockedUntil map[Member]time.Time
+	// lastShortCall is when a short call was last sent.
+	lastShortCall time.Time
 }
 
 func newAdviceDispatcher(ow *ownership) *adviceDispatcher {
@@ -80,8 +85,7 @@
 			remaining = append(remaining, call)
 			continue
 		}
-		a.load[node] += call.ServiceTime
-		a.calls[node]++
+		a.begin(node, call.ServiceTime)
 		go a.runCall(ctx, node, call, a.load[node])
 	}
 	a.waiting = remaining
@@ -95,8 +99,8 @@
 
 // pickNode returns the node with the least load that can take a call of the given service time, or false if there is none.
 func (a *adviceDispatcher) pickNode(nodes []Member, serviceTime time.Duration) (Member, bool) {
-	if reserved := max(minShortCallNodes, len(nodes)/shortCallNodeDivisor); serviceTime >= longCall && len(nodes) > reserved {
-		nodes = nodes[reserved:]
+	if serviceTime >= longCall {
+		nodes = nodes[a.reservedNodes(len(nodes)):]
 	}
 	var best Member
 	found := false
@@ -111,6 +115,29 @@
 	return best, found
 }
 
+// reservedNodes returns how many of n nodes are reserved for short calls.
+func (a *adviceDispatcher) reservedNodes(n int) int {
+	if n == 0 || time.Since(a.lastShortCall) > shortCallMemory {
+		return 0
+	}
+	return min(max(minShortCallNodes, n/shortCallNodeDivisor), (n-1)/2)
+}
+
+// begin notes that a call is sent through a node.
+func (a *adviceDispatcher) begin(node Member, serviceTime time.Duration) {
+	a.load[node] += serviceTime
+	a.calls[node]++
+	if serviceTime < longCall {
+		a.lastShortCall = time.Now()
+	}
+}
+
+// end notes that a call through a node has ended.
+func (a *adviceDispatcher) end(node Member, serviceTime time.Duration) {
+	a.load[node] -= serviceTime
+	a.calls[node]--
+}
+
 // runCall makes a call through a node and applies the answer; load is the node's load including this call.
 func (a *adviceDispatcher) runCall(ctx context.Context, node Member, call shard.AdviceCall, load time.Duration) {
 	ow := a.ownership
@@ -118,8 +145,7 @@
 	req.Timeout = model.Duration(load + callTimeoutMargin)
 	advice, err := a.call(ctx, node, req)
 	a.mu.Lock()
-	a.load[node] -= call.ServiceTime
-	a.calls[node]--
+	a.end(node, call.ServiceTime)
 	if err != nil && ctx.Err() == nil {
 		a.blockedUntil[node] = time.Now().Add(failedNodePause)
 	}
