fix(shard): share out the advice that few nodes can get

Calls were built when a stage began to wait and kept their workers and urgency for up to 40 s in the dispatcher; late stages came after all others for good; a call named as many workers as suit the placement, also for gangs that couldn't start, however many stages waited. Now stages wait in the shard. adviceBudget, which is apart from input and output, settles when a node is free which stage is asked for; the workers are chosen at that moment. A quarter of the service time goes to the stage that waits longest, which bounds the wait (TestAdviceWaitIsBounded). While the nodes need more than a second for what waits, a call names as few workers as are likely to suffice, on one standard deviation.

--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -37,8 +38,7 @@
 type adviceDispatcher struct {
 	ownership *ownership
 
-	mu      sync.Mutex
-	waiting []shard.AdviceCall
+	mu sync.Mutex
 	// load is the total service time of the calls under way at each node, and calls is their number.
 	load         map[Member]time.Duration
 	calls        map[Member]int
@@ -54,41 +54,43 @@
 	}
 }
 
-// callCounts returns how many calls wait for a node and how many are under way.
-func (a *adviceDispatcher) callCounts() (waiting, underWay int) {
+// underWay returns how many calls are under way.
+func (a *adviceDispatcher) underWay() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	underWay := 0
 	for _, n := range a.calls {
 		underWay += n
 	}
-	return len(a.waiting), underWay
+	return underWay
 }
 
-// dispatch queues new calls and sends those that a node can take now, the most urgent first.
-func (a *adviceDispatcher) dispatch(ctx context.Context, added []shard.AdviceCall) {
+// dispatch sends the calls that the nodes can take now; the ownership's lock is held.
+func (a *adviceDispatcher) dispatch(ctx context.Context, now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(added) > 0 {
-		a.waiting = append(a.waiting, added...)
-		slices.SortStableFunc(a.waiting, func(x, y shard.AdviceCall) int {
-			return x.Urgency.Compare(y.Urgency)
-		})
-	}
-	if len(a.waiting) == 0 {
-		return
-	}
 	nodes := a.availableNodes()
-	remaining := a.waiting[:0]
-	for _, call := range a.waiting {
-		node, ok := a.pickNode(nodes, call.ServiceTime)
+	for {
+		call, ok := a.ownership.shard.NextAdviceCall(
+			shard.AdviceNodes{Count: len(nodes), LongestCall: a.longestCall(nodes)}, now)
 		if !ok {
-			remaining = append(remaining, call)
-			continue
+			return
 		}
+		node, _ := a.pickNode(nodes, call.ServiceTime)
 		a.begin(node, call.ServiceTime)
 		go a.runCall(ctx, node, call, a.load[node])
 	}
-	a.waiting = remaining
+}
+
+// longestCall returns the longest service time of a call that a node can take now, or zero if none can take a call.
+func (a *adviceDispatcher) longestCall(nodes []Member) time.Duration {
+	if _, ok := a.pickNode(nodes, longCall); ok {
+		return math.MaxInt64
+	}
+	if _, ok := a.pickNode(nodes, 0); ok {
+		return longCall - 1
+	}
+	return 0
 }
 
 // availableNodes returns the nodes that may be called, in a fixed order.
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -285,13 +285,12 @@
 // logLoad logs the load and sets its metrics; the lock is held.
 func (ow *ownership) logLoad() {
 	l := ow.shard.Load(ow.now(), time.Now())
-	waiting, underWay := ow.dispatcher.callCounts()
 	load.set(l)
 	ow.cfg.Log.Info("load", zap.Int64("epoch", ow.epoch), zap.Int("jobs", l.Jobs), zap.Int("waiting-stages", l.WaitingStages),
 		zap.Int("late-stages", l.LateStages), zap.Int("at-team-limit", l.AtTeamLimit),
 		zap.Int("for-advice", l.WaitingForAdvice), zap.Int("for-room", l.WaitingForCapacity),
 		zap.Int("for-worker", l.WaitingForWorker),
-		zap.Int("advice-waiting", waiting), zap.Int("advice-under-way", underWay),
+		zap.Int("advice-waiting", l.AdviceWaiting), zap.Int("advice-under-way", ow.dispatcher.underWay()),
 		zap.Int("runs", l.Runs), zap.Int("starts-to-record", l.StartsToRecord), zap.Int("starts-to-send", l.StartsToSend),
 		zap.Int("starts-in-flight", l.StartsInFlight), zap.Duration("commit-time", l.CommitTime.Std()),
 		zap.Duration("decision-time", ow.longestDecision), zap.Int("workers", l.Workers), zap.Int("usable-workers", l.UsableWorkers),
@@ -315,6 +314,7 @@
 		took := time.Since(begun)
 		ow.longestDecision = max(ow.longestDecision, took)
 		commands := ow.takeCommands()
+		ow.dispatcher.dispatch(ctx, ow.now())
 		ow.syncSessions(ctx)
 		decided := ow.shard.CommitDue(ow.now())
 		ow.mu.Unlock()
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -131,7 +131,7 @@
 	return commands
 }
 
-// sendCommands sends commands to workers, each in its own goroutine, and dispatches advice calls.
+// sendCommands sends commands to workers, each in its own goroutine.
 func (ow *ownership) sendCommands(ctx context.Context, commands shard.Commands) {
 	for _, cmd := range commands.Starts {
 		go ow.runStart(ctx, cmd)
@@ -139,7 +139,6 @@
 	for _, cmd := range commands.Stops {
 		go ow.runStop(ctx, cmd)
 	}
-	ow.dispatcher.dispatch(ctx, commands.AdviceCalls)
 }
 
 func (ow *ownership) runStart(ctx context.Context, cmd shard.StartCommand) {
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -20,6 +20,12 @@
 	// advicePauseFactor times the service time of a stage's last advice call is the pause before its next call, so that
 	// a stage that waits for capacity doesn't keep the advice service from serving others.
 	advicePauseFactor = 4
+	// maxChoiceAge is how long a stage may wait for its call before the workers to name are chosen again.
+	maxChoiceAge = 20 * time.Millisecond
+	// renewalDivisor gives the slots, as a fraction of the tasks, that a renewal covers beyond the tasks, because other stages
+	// take capacity during the call; scarceRenewalDivisor replaces it while advice is scarce.
+	renewalDivisor       = 2
+	scarceRenewalDivisor = 8
 	// reservationMargin is added to the service time of an advice call to bound how long capacity stays reserved for
 	// the stage.
 	reservationMargin = 500 * time.Millisecond
@@ -30,7 +36,6 @@
 	Request agent.AdviceRequest
 	// ServiceTime is how long the advice service is expected to take to process the call.
 	ServiceTime time.Duration
-	Urgency     Urgency
 	stage       *stage
 }
 
@@ -45,8 +50,13 @@
 
 // Compare returns a negative number if u is more urgent than v, a positive one if v is, and zero if they are equal.
 func (u Urgency) Compare(v Urgency) int {
+	return cmp.Or(u.compareClass(v), cmp.Compare(u.objective, v.objective))
+}
+
+// compareClass compares without the objectives.
+func (u Urgency) compareClass(v Urgency) int {
 	return cmp.Or(compareBool(u.missesObjective, v.missesObjective), compareBool(u.overShare, v.overShare),
-		cmp.Compare(u.priority, v.priority), cmp.Compare(u.objective, v.objective))
+		cmp.Compare(u.priority, v.priority))
 }
 
 func (st *stage) urgency(now time.Duration) Urgency {
@@ -64,11 +74,11 @@
 	}
 	st.nextAdviceAt = 0
 	if workers := s.ticketsToRenew(st, n, now); len(workers) > 0 {
-		s.addAdviceCall(st, workers, now)
+		s.addAdviceRequest(st, workers, now)
 		return true
 	}
 	if workers := s.unadvisedWorkers(st, n, now); len(workers) > 0 {
-		s.addAdviceCall(st, workers, now)
+		s.addAdviceRequest(st, workers, now)
 		return true
 	}
 	return false
@@ -86,7 +96,7 @@
 	preferred, total := 0, 0
 	expired := false
 	for _, c := range list {
-		if total >= n+n/2+1 {
+		if total >= n+n/s.renewalDivisor()+1 {
 			break
 		}
 		preferred++
@@ -98,7 +108,7 @@
 	}
 	limit := s.workerLimit(st)
 	others := list[preferred:]
-	if st.spec.Gang {
+	if st.spec.Gang || s.adviceBudget.scarce() {
 		others = nil
 	} else {
 		others = append(slices.Clone(others), s.eligibleWithoutCapacity(st, list, now)...)
@@ -114,6 +124,14 @@
 	return workers
 }
 
+// renewalDivisor returns the divisor of the tasks that gives the spare slots of a renewal.
+func (s *Shard) renewalDivisor() int {
+	if s.adviceBudget.scarce() {
+		return scarceRenewalDivisor
+	}
+	return renewalDivisor
+}
+
 // expiresBy reports whether the stage's ticket for the worker has expired at the given time, or there is none.
 func (st *stage) expiresBy(w *worker, at time.Duration) bool { return at >= st.answers[w.id].expires }
 
@@ -151,33 +169,99 @@
 	}
 }
 
-func (s *Shard) addAdviceCall(st *stage, workers []candidate, now time.Duration) {
+// addAdviceRequest lets a stage wait for an advice call about the workers.
+func (s *Shard) addAdviceRequest(st *stage, workers []candidate, now time.Duration) {
 	st.advicePending = true
-	ids := make([]model.WorkerID, len(workers))
-	for i, c := range workers {
+	s.adviceRequests = append(s.adviceRequests, adviceRequest{
+		stage: st, since: now, serviceTime: s.adviceTime(st, len(workers)), workers: workers, chosenAt: now,
+	})
+	s.adviceBudget = s.adviceBudget.withBacklog(s.adviceRequests)
+}
+
+// NextAdviceCall returns the advice call to send next, or false if no node can take one that waits. The caller must pass the
+// answer back with ApplyAdvice.
+func (s *Shard) NextAdviceCall(nodes AdviceNodes, now time.Duration) (AdviceCall, bool) {
+	s.adviceBudget = s.adviceBudget.withNodes(nodes.Count)
+	for len(s.adviceRequests) > 0 && !s.stopped {
+		i, overdue := s.adviceBudget.next(s.adviceRequests, nodes.LongestCall, now)
+		if i < 0 {
+			break
+		}
+		r := &s.adviceRequests[i]
+		if now-r.chosenAt > maxChoiceAge {
+			r.workers, r.chosenAt = s.chooseAgain(r.stage, now), now
+			r.serviceTime = s.adviceTime(r.stage, len(r.workers))
+		}
+		if len(r.workers) > 0 && r.serviceTime > nodes.LongestCall {
+			continue
+		}
+		chosen := *r
+		s.adviceRequests = slices.Delete(s.adviceRequests, i, i+1)
+		s.adviceBudget = s.adviceBudget.withBacklog(s.adviceRequests)
+		if len(chosen.workers) == 0 {
+			chosen.stage.advicePending = false
+			chosen.stage.retry, s.replan = true, true
+			continue
+		}
+		s.adviceBudget = s.adviceBudget.withServed(chosen.serviceTime, overdue)
+		chosen.stage.adviceSent = true
+		return chosen.call(), true
+	}
+	return AdviceCall{}, false
+}
+
+func (r adviceRequest) call() AdviceCall {
+	ids := make([]model.WorkerID, len(r.workers))
+	for i, c := range r.workers {
 		ids[i] = c.worker.id
 	}
-	serviceTime := s.adviceTime(st, len(ids))
-	s.adviceCalls = append(s.adviceCalls, AdviceCall{
+	return AdviceCall{
 		Request: agent.AdviceRequest{
-			Stage:   work.StageRef{Job: st.job.spec.ID, Occurrence: st.occurrence, Stage: st.index},
+			Stage:   work.StageRef{Job: r.stage.job.spec.ID, Occurrence: r.stage.occurrence, Stage: r.stage.index},
 			Workers: ids,
 		},
-		ServiceTime: serviceTime, Urgency: st.urgency(now), stage: st,
-	})
+		ServiceTime: r.serviceTime, stage: r.stage,
+	}
+}
+
+// chooseAgain returns the workers to name for a stage that has waited for its call, or nil if a call is of no use any more.
+func (s *Shard) chooseAgain(st *stage, now time.Duration) []candidate {
+	n := s.startableTasks(st, now)
+	if n == 0 {
+		return nil
+	}
+	if workers := s.ticketsToRenew(st, n, now); len(workers) > 0 {
+		return workers
+	}
+	if st.spec.Gang && !s.needsMoreWorkers(st, n, now) {
+		return s.reservedTicketsToRenew(st, n, now)
+	}
+	return s.unadvisedWorkers(st, n, now)
+}
+
+// startableTasks returns how many tasks of the stage may be started once there is advice and capacity.
+func (s *Shard) startableTasks(st *stage, now time.Duration) int {
+	if !st.job.open() || st.job.queue.Advice == nil {
+		return 0
+	}
+	waiting := slices.DeleteFunc(st.waitingTasks(), func(index int) bool { return !st.mayStart(index, now) })
+	allowed := s.teamLimitSlots(st, len(waiting))
+	if st.spec.Gang && (len(waiting) < st.spec.Count || allowed < len(waiting)) {
+		return 0
+	}
+	return allowed
 }
 
-// takeAdviceCalls returns the advice calls queued since the last time and clears the queue.
-func (s *Shard) takeAdviceCalls() []AdviceCall {
-	calls := s.adviceCalls
-	s.adviceCalls = nil
-	return calls
+// dropAdviceRequests removes the requests of a job that has become final.
+func (s *Shard) dropAdviceRequests(j *job) {
+	s.adviceRequests = slices.DeleteFunc(s.adviceRequests, func(r adviceRequest) bool { return r.stage.job == j })
+	s.adviceBudget = s.adviceBudget.withBacklog(s.adviceRequests)
 }
 
 // ApplyAdvice applies the answer to an advice call, or its error.
 func (s *Shard) ApplyAdvice(call AdviceCall, advice agent.Advice, err error, now time.Duration) {
 	st := call.stage
-	st.advicePending = false
+	st.advicePending, st.adviceSent = false, false
 	if !st.job.open() {
 		return
 	}
@@ -199,6 +283,7 @@
 		ticket, ok := advice.Tickets[id]
 		if ok {
 			permitted++
+			st.ticketsValidUntil = now + advice.Valid.Std()
 			if w := s.workers[id]; w != nil {
 				w.permittedFor[st] = true
 			}
--- a/internal/shard/adviceworkers.go
+++ b/internal/shard/adviceworkers.go
@@ -35,6 +35,9 @@
 // workers are known.
 func (s *Shard) unadvisedWorkers(st *stage, n int, now time.Duration) []candidate {
 	limit, share := s.workerLimit(st), s.permittedShare(st.job.queue.Name)
+	if s.adviceBudget.scarce() {
+		return s.fewestUnadvised(st, n, share, limit, now)
+	}
 	if st.spec.Gang {
 		// A gang reserves capacity until it suffices, so each worker counts with the slots that it has when empty.
 		missing := max(gangCapacityFactor*n-s.eligibleSlots(st, n, now), n)
@@ -121,6 +124,29 @@
 	return firstWithSlots(slices.Concat(list, reserved, full), needed, limit)
 }
 
+// fewestUnadvised returns the fewest workers with free capacity that are likely to yield n slots together with the eligible
+// workers, at least minWorkersPerCall and at most limit workers, or nil if a gang still wouldn't fit with all of them.
+func (s *Shard) fewestUnadvised(st *stage, n int, share float64, limit int, now time.Duration) []candidate {
+	expected, possible := expectedSlots{}, 0
+	for _, c := range s.candidates(st, now, false) {
+		expected, possible = expected.with(c.slots, 1), possible+c.slots
+	}
+	var list []candidate
+	for _, w := range slices.Backward(s.workersByFreeCores()) {
+		if len(list) == limit || (len(list) >= minWorkersPerCall && expected.suffices(n)) {
+			break
+		}
+		if c, ok := s.unadvised(st, w, n, now); ok && c.slots > 0 && (st.spec.Gang || !w.reservedForOther(st)) {
+			list = append(list, c)
+			expected, possible = expected.with(c.slots, share), possible+c.slots
+		}
+	}
+	if st.spec.Gang && possible < n {
+		return nil
+	}
+	return list
+}
+
 // workerLimit returns the maximum number of workers in an advice call for the stage.
 func (s *Shard) workerLimit(st *stage) int {
 	advice := st.job.queue.Advice
--- a/internal/shard/bench_test.go
+++ b/internal/shard/bench_test.go
@@ -51,7 +51,7 @@
 				h.submitAs(model.JobID(fmt.Sprintf("waiting-%03d", i)), "advised", stage)
 			}
 			for range 5 {
-				h.answerAdvice(h.nextCommands().AdviceCalls)
+				h.answerAdvice(h.nextAdviceCalls())
 				h.advance(100 * time.Millisecond)
 			}
 			numbers := make(map[model.WorkerID]int64)
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -29,8 +29,8 @@
 	incarnation int64
 }
 
-// TakeCommands returns the commands that may be sent now. The caller must pass each result back with ApplyStartResult,
-// ApplyStopResult or ApplyAdvice.
+// TakeCommands returns the commands that may be sent now. The caller must pass each result back with ApplyStartResult or
+// ApplyStopResult.
 func (s *Shard) TakeCommands(now time.Duration) Commands {
 	var commands Commands
 	if s.stopped {
@@ -63,7 +63,6 @@
 			}
 		}
 	}
-	commands.AdviceCalls = s.takeAdviceCalls()
 	return commands
 }
 
--- a/internal/shard/config.go
+++ b/internal/shard/config.go
@@ -115,9 +115,8 @@
 
 // Commands holds the commands that may be sent now.
 type Commands struct {
-	Starts      []StartCommand
-	Stops       []StopCommand
-	AdviceCalls []AdviceCall
+	Starts []StartCommand
+	Stops  []StopCommand
 }
 
 // Commit holds what has to be recorded: the progress records that have changed, and the jobs to delete.
--- a/internal/shard/dump.go
+++ b/internal/shard/dump.go
@@ -21,6 +21,8 @@
 	WaitingForAdvice   int `json:"for-advice"`
 	WaitingForCapacity int `json:"for-room"`
 	WaitingForWorker   int `json:"for-worker"`
+	// AdviceWaiting counts the stages that wait for a node that can make their advice call.
+	AdviceWaiting int `json:"advice-waiting"`
 	// Runs counts the runs that may be on workers. UsableWorkers counts the workers that may get new tasks; Used and
 	// Capacity are sums over these.
 	Runs int `json:"runs"`
@@ -39,7 +41,7 @@
 
 // Load returns the current load.
 func (s *Shard) Load(now time.Duration, wall time.Time) Load {
-	l := Load{Workers: len(s.workers), CommitTime: model.Duration(s.commitLatency)}
+	l := Load{Workers: len(s.workers), AdviceWaiting: len(s.adviceRequests), CommitTime: model.Duration(s.commitLatency)}
 	for _, j := range s.jobs {
 		if j.final == "" {
 			l.Jobs++
--- a/internal/shard/gang.go
+++ b/internal/shard/gang.go
@@ -36,12 +36,12 @@
 	eligibleSlots := s.eligibleSlots(st, n, now)
 	if advised {
 		if workers := s.ticketsToRenew(st, n, now); len(workers) > 0 {
-			s.addAdviceCall(st, workers, now)
+			s.addAdviceRequest(st, workers, now)
 			return
 		}
-		if eligibleSlots < gangCapacityFactor*n || now-st.advisedAt > moreAdviceDelay {
+		if s.needsMoreWorkers(st, n, now) {
 			if workers := s.unadvisedWorkers(st, n, now); len(workers) > 0 {
-				s.addAdviceCall(st, workers, now)
+				s.addAdviceRequest(st, workers, now)
 				return
 			}
 		}
@@ -55,11 +55,20 @@
 	s.reserveForGang(st, n, now)
 	if advised {
 		if workers := s.reservedTicketsToRenew(st, n, now); len(workers) > 0 {
-			s.addAdviceCall(st, workers, now)
+			s.addAdviceRequest(st, workers, now)
 		}
 	}
 }
 
+// needsMoreWorkers reports whether a gang of n tasks should ask for advice about further workers.
+func (s *Shard) needsMoreWorkers(st *stage, n int, now time.Duration) bool {
+	wanted := gangCapacityFactor * n
+	if s.adviceBudget.scarce() {
+		wanted = n
+	}
+	return s.eligibleSlots(st, n, now) < wanted || now-st.advisedAt > moreAdviceDelay
+}
+
 // eligibleSlots returns how many of n tasks would fit on each eligible worker if it were empty, summed over the
 // workers.
 func (s *Shard) eligibleSlots(st *stage, n int, now time.Duration) int {
--- a/internal/shard/harness_test.go
+++ b/internal/shard/harness_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -121,6 +122,24 @@
 	return h.shard.TakeCommands(h.now)
 }
 
+// allAdviceCalls returns the advice calls that wait, as if there were a free node for each.
+func allAdviceCalls(s *Shard, now time.Duration) []AdviceCall {
+	var calls []AdviceCall
+	for {
+		call, ok := s.NextAdviceCall(AdviceNodes{Count: math.MaxInt32, LongestCall: math.MaxInt64}, now)
+		if !ok {
+			return calls
+		}
+		calls = append(calls, call)
+	}
+}
+
+// nextAdviceCalls runs a tick, commits the decisions and returns the advice calls to send.
+func (h *harness) nextAdviceCalls() []AdviceCall {
+	h.nextCommands()
+	return allAdviceCalls(h.shard, h.now)
+}
+
 // confirmStarts answers all start commands with success and returns them.
 func (h *harness) confirmStarts() []StartCommand {
 	commands := h.nextCommands()
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -54,8 +54,12 @@
 	// criticalPath is the estimated run time from the start of the stage to the end of the job.
 	criticalPath time.Duration
 	// answers holds the advice received for each worker.
-	answers       map[model.WorkerID]workerAdvice
+	answers map[model.WorkerID]workerAdvice
+	// advicePending tells that the stage waits for an advice call or its answer, and adviceSent that the call is under way.
 	advicePending bool
+	adviceSent    bool
+	// ticketsValidUntil is when the tickets of the last call expire.
+	ticketsValidUntil time.Duration
 	// advisedAt is when the last answer to an advice call arrived.
 	advisedAt time.Duration
 	// nextAdviceAt is the earliest time for the next advice call, or zero.
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -153,7 +153,7 @@
 func (s *Shard) waitingStages(now time.Duration, wall time.Time) []*stage {
 	var waiting []*stage
 	for _, st := range s.activeStages {
-		if len(st.reserved) > 0 && now > st.reservedUntil && !st.advicePending {
+		if len(st.reserved) > 0 && now > st.reservedUntil && !st.adviceSent {
 			s.releaseReservation(st)
 			st.retry, s.replan = true, true
 		}
--- a/internal/shard/plan_test.go
+++ b/internal/shard/plan_test.go
@@ -54,7 +54,7 @@
 	for id := range permitted {
 		h.submitAs(id, "advised", sized(1, 1000, time.Second))
 	}
-	for _, call := range h.nextCommands().AdviceCalls {
+	for _, call := range h.nextAdviceCalls() {
 		worker := permitted[call.Request.Stage.Job]
 		h.shard.ApplyAdvice(call, agent.Advice{
 			Tickets: map[model.WorkerID]string{worker: "ticket"}, Valid: model.Duration(time.Minute),
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -41,7 +41,9 @@
 	// held holds the jobs whose records can't be decoded.
 	held map[model.JobID]bool
 
-	adviceCalls []AdviceCall
+	// adviceRequests holds the stages that wait for an advice call.
+	adviceRequests []adviceRequest
+	adviceBudget   adviceBudget
 	// permittedShares holds, for each queue, a moving average of the share of workers that the advice service permits.
 	permittedShares map[string]float64
 
@@ -198,6 +200,7 @@
 		st.answers = nil
 	}
 	s.activeStages = slices.DeleteFunc(s.activeStages, func(st *stage) bool { return st.job == j })
+	s.dropAdviceRequests(j)
 	s.replan = true
 	s.emit("job-"+string(state), string(j.spec.ID), "", nil, j.spec.Queue, (now - j.received).Milliseconds())
 }
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -496,7 +496,7 @@
 		clock, err := cl.deliver(nextDelivery(), cl.workerByID(cmd.Target.ID), delayedCommand{stop: &cmd})
 		cl.shard.ApplyStopResult(cmd, clock, err, cl.now)
 	}
-	for _, call := range commands.AdviceCalls {
+	for _, call := range allAdviceCalls(cl.shard, cl.now) {
 		advice := agent.Advice{Tickets: make(map[model.WorkerID]string), Valid: model.Duration(2 * time.Second)}
 		for i, id := range call.Request.Workers {
 			if (i+len(call.Request.Stage.Job))%3 > 0 || i == 0 {
