--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -20,6 +20,7 @@
 // loadGauges show the load of a node that owns jobs; without ownership they keep their last values.
 type loadGauges struct {
 	owned, jobs, waiting, late, teamLimit, advice, room, worker, runs, workers, usable, used, capacity *metrics.Gauge
+	adviceNodes, adviceWaiting, adviceBacklog, adviceDrain, adviceWait                                 *metrics.Gauge
 }
 
 func newLoadGauges() loadGauges {
@@ -38,6 +39,12 @@
 		usable:    gauge(`aw_owner_usable_workers`),
 		used:      gauge(`aw_owner_used_cores`),
 		capacity:  gauge(`aw_owner_usable_cores`),
+
+		adviceNodes:   gauge(`aw_owner_advice_nodes`),
+		adviceWaiting: gauge(`aw_owner_advice_waiting_calls`),
+		adviceBacklog: gauge(`aw_owner_advice_backlog_seconds`),
+		adviceDrain:   gauge(`aw_owner_advice_drain_seconds`),
+		adviceWait:    gauge(`aw_owner_advice_longest_wait_seconds`),
 	}
 }
 
@@ -54,6 +61,11 @@
 	g.usable.Set(float64(l.UsableWorkers))
 	g.used.Set(float64(l.Used.Cores) / 1000)
 	g.capacity.Set(float64(l.Capacity.Cores) / 1000)
+	g.adviceNodes.Set(float64(l.AdviceNodes))
+	g.adviceWaiting.Set(float64(l.AdviceWaiting))
+	g.adviceBacklog.Set(l.AdviceBacklog.Std().Seconds())
+	g.adviceDrain.Set(l.AdviceDrainTime.Std().Seconds())
+	g.adviceWait.Set(l.LongestAdviceWait.Std().Seconds())
 }
 
 // countEvent counts an event by its name and records the durations that events carry.
--- a/internal/shard/advicebudget_test.go
+++ b/internal/shard/advicebudget_test.go
@@ -204,3 +204,23 @@
 	assert.Equal(t, started(), stages)
 	assert.Assert(t, f.serviceTime <= 2*stages*fewest, "%v for %d stages", f.serviceTime, stages)
 }
+
+// TestLoadTellsAdviceBacklog guards against a lack of advice that operators can't see.
+func TestLoadTellsAdviceBacklog(t *testing.T) {
+	h := newHarness(t, "w1")
+	for i := range 4 {
+		h.submitAs(model.JobID(fmt.Sprintf("j%d", i)), "advised", tasks(1))
+	}
+	h.nextCommands()
+	_, ok := h.shard.NextAdviceCall(AdviceNodes{Count: 3, LongestCall: time.Second}, h.now)
+	assert.Assert(t, ok)
+	h.advance(time.Second)
+	l := h.shard.Load(h.now, h.wall)
+	// A call about the only worker takes 11 ms.
+	assert.Equal(t, l.AdviceNodes, 3)
+	assert.Equal(t, l.AdviceWaiting, 3)
+	assert.Equal(t, l.AdviceBacklog.Std(), 33*time.Millisecond)
+	assert.Equal(t, l.AdviceDrainTime.Std(), 11*time.Millisecond)
+	assert.Equal(t, l.LongestAdviceWait.Std(), time.Second+commitDelay)
+	assert.Equal(t, h.shard.Dump(h.now, h.wall).Jobs[3].AdviceWait.Std(), time.Second+commitDelay)
+}
--- a/internal/shard/dump.go
+++ b/internal/shard/dump.go
@@ -21,8 +21,14 @@
 	WaitingForAdvice   int `json:"for-advice"`
 	WaitingForCapacity int `json:"for-room"`
 	WaitingForWorker   int `json:"for-worker"`
-	// AdviceWaiting counts the stages that wait for a node that can make their advice call.
-	AdviceWaiting int `json:"advice-waiting"`
+	// AdviceNodes is the number of nodes that can make advice calls; each gives a second of service time per second.
+	AdviceNodes int `json:"advice-nodes"`
+	// AdviceWaiting counts the advice calls that wait for a node, AdviceBacklog is their service time, AdviceDrainTime how long
+	// the nodes need for it, and LongestAdviceWait the time since the first of them was wanted.
+	AdviceWaiting     int            `json:"advice-waiting"`
+	AdviceBacklog     model.Duration `json:"advice-backlog"`
+	AdviceDrainTime   model.Duration `json:"advice-drain-time"`
+	LongestAdviceWait model.Duration `json:"longest-advice-wait"`
 	// Runs counts the runs that may be on workers. UsableWorkers counts the workers that may get new tasks; Used and
 	// Capacity are sums over these.
 	Runs int `json:"runs"`
@@ -41,7 +47,14 @@
 
 // Load returns the current load.
 func (s *Shard) Load(now time.Duration, wall time.Time) Load {
-	l := Load{Workers: len(s.workers), AdviceWaiting: len(s.adviceRequests), CommitTime: model.Duration(s.commitLatency)}
+	l := Load{
+		Workers: len(s.workers), CommitTime: model.Duration(s.commitLatency), AdviceNodes: s.adviceBudget.nodes,
+		AdviceWaiting: len(s.adviceRequests), AdviceBacklog: model.Duration(s.adviceBudget.backlog),
+		AdviceDrainTime: model.Duration(s.adviceBudget.drainTime()),
+	}
+	for _, r := range s.adviceRequests {
+		l.LongestAdviceWait = max(l.LongestAdviceWait, model.Duration(now-r.since))
+	}
 	for _, j := range s.jobs {
 		if j.final == "" {
 			l.Jobs++
@@ -109,6 +122,8 @@
 	TasksLeft     int            `json:"tasks-left"`
 	Runs          int            `json:"runs"`
 	AdvicePending bool           `json:"asking"`
+	// AdviceWait is how long the job's stages have waited for a node that can make their advice call, at most.
+	AdviceWait model.Duration `json:"advice-wait"`
 	// WaitsFor is what the job's first waiting stage lacks: team-limit, advice, room, worker, starts or outcome.
 	WaitsFor string `json:"waits-for,omitempty"`
 }
@@ -131,6 +146,10 @@
 			Runs:      len(w.attempts), Used: w.used, UnknownRuns: len(w.unknownRuns),
 		})
 	}
+	adviceWaits := make(map[*job]time.Duration)
+	for _, r := range s.adviceRequests {
+		adviceWaits[r.stage.job] = max(adviceWaits[r.stage.job], now-r.since)
+	}
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		j := s.jobs[id]
 		if j.final != "" {
@@ -138,7 +157,7 @@
 		}
 		dump := JobDump{
 			Job: id, Queue: j.spec.Queue, Team: j.spec.Team, Age: model.Duration(now - j.received),
-			ObjectiveIn: model.Duration(j.objective - now),
+			ObjectiveIn: model.Duration(j.objective - now), AdviceWait: model.Duration(adviceWaits[j]),
 		}
 		for _, st := range j.stages {
 			dump.TasksLeft += st.left
