fix(shard): leave renewals out of the share of permitted workers

A renewal names only workers that are known to be permitted, so it raised the estimate, and the next calls named too few workers. TestRenewalsDoNotRaisePermittedShare failed before: the share rose from 0.46 to 0.514.

--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -278,9 +278,15 @@
 		return
 	}
 	st.reservedUntil = now + ticketMargin
-	permitted := 0
+	permitted, asked, newlyPermitted := 0, 0, 0
 	for _, id := range call.Request.Workers {
 		ticket, ok := advice.Tickets[id]
+		if _, renewed := st.answers[id]; !renewed {
+			asked++
+			if ok {
+				newlyPermitted++
+			}
+		}
 		if ok {
 			permitted++
 			st.ticketsValidUntil = now + advice.Valid.Std()
@@ -291,9 +297,8 @@
 		st.answers[id] = workerAdvice{permitted: ok, ticket: ticket, expires: now + advice.Valid.Std()}
 	}
 	queue := st.job.queue.Name
-	share := float64(permitted) / float64(max(1, len(call.Request.Workers)))
-	if len(call.Request.Workers) >= minWorkersPerCall {
-		s.permittedShares[queue] = 0.9*s.permittedShare(queue) + 0.1*share
+	if asked >= minWorkersPerCall {
+		s.permittedShares[queue] = 0.9*s.permittedShare(queue) + 0.1*float64(newlyPermitted)/float64(asked)
 	}
 	s.emit("advised", string(st.job.spec.ID), "", nil,
 		st.job.queue.Name+" named "+strconv.Itoa(len(call.Request.Workers)), int64(permitted))
--- a/internal/shard/advicebudget_test.go
+++ b/internal/shard/advicebudget_test.go
@@ -205,6 +205,29 @@
 	assert.Assert(t, f.serviceTime <= 2*stages*fewest, "%v for %d stages", f.serviceTime, stages)
 }
 
+// TestRenewalsDoNotRaisePermittedShare guards against calls that name too few workers because renewals, which name only permitted
+// ones, count in the share of permitted workers.
+func TestRenewalsDoNotRaisePermittedShare(t *testing.T) {
+	workers := make([]model.WorkerID, minWorkersPerCall)
+	for i := range workers {
+		workers[i] = model.WorkerID(fmt.Sprintf("w%03d", i))
+	}
+	h := newHarness(t, workers...)
+	h.submitAs("full", testQueue, sized(4*minWorkersPerCall, 1000, time.Hour))
+	assert.Equal(t, len(h.confirmStarts()), 4*minWorkersPerCall)
+	h.submitAs("j", "advised", tasks(1))
+	tickets := make(map[model.WorkerID]string)
+	for _, id := range workers {
+		tickets[id] = "ticket"
+	}
+	call := AdviceCall{Request: agent.AdviceRequest{Workers: workers}, stage: h.shard.jobs["j"].stages[0]}
+	h.shard.ApplyAdvice(call, agent.Advice{Tickets: tickets, Valid: model.Duration(time.Second)}, nil, h.now)
+	share := h.shard.permittedShare("advised")
+	assert.Assert(t, share > initialPermittedShare)
+	h.shard.ApplyAdvice(call, agent.Advice{Tickets: tickets, Valid: model.Duration(time.Second)}, nil, h.now)
+	assert.Equal(t, h.shard.permittedShare("advised"), share)
+}
+
 // TestLoadTellsAdviceBacklog guards against a lack of advice that operators can't see.
 func TestLoadTellsAdviceBacklog(t *testing.T) {
 	h := newHarness(t, "w1")
