--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -15,9 +16,12 @@
 	// longCall is the service time from which on a call may not use all nodes, so that short calls find a free node.
 	longCall = 150 * time.Millisecond
 	// minShortCallNodes and shortCallNodeDivisor define how many nodes are reserved for short calls: one of each
-	// shortCallNodeDivisor nodes, but at least minShortCallNodes. Short calls are frequent but take little service time.
+	// shortCallNodeDivisor nodes, but at least minShortCallNodes, and always less than half of them. Short calls are frequent
+	// but take little service time.
 	minShortCallNodes    = 2
 	shortCallNodeDivisor = 8
+	// shortCallMemory is how long nodes stay reserved after the last short call.
+	shortCallMemory = time.Second
 	// callTimeoutMargin is added to the expected duration of a call to give its timeout. A node that hasn't answered by then
 	// is unreachable or down.
 	callTimeoutMargin = 250 * time.Millisecond
@@ -34,12 +38,13 @@
 type adviceDispatcher struct {
 	ownership *ownership
 
-	mu      sync.Mutex
-	waiting []shard.AdviceCall
+	mu sync.Mutex
 	// load is the total service time of the calls under way at each node, and calls is their number.
 	load         map[Member]time.Duration
 	calls        map[Member]int
 	blockedUntil map[Member]time.Time
+	// lastShortCall is when a short call was last sent.
+	lastShortCall time.Time
 }
 
 func newAdviceDispatcher(ow *ownership) *adviceDispatcher {
@@ -49,42 +54,43 @@
 	}
 }
 
-// callCounts returns how many calls wait for a node and how many are under way.
-func (a *adviceDispatcher) callCounts() (waiting, underWay int) {
+// underWay returns how many calls are under way.
+func (a *adviceDispatcher) underWay() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	underWay := 0
 	for _, n := range a.calls {
 		underWay += n
 	}
-	return len(a.waiting), underWay
+	return underWay
 }
 
-// dispatch queues new calls and sends those that a node can take now, the most urgent first.
-func (a *adviceDispatcher) dispatch(ctx context.Context, added []shard.AdviceCall) {
+// dispatch sends the calls that the nodes can take now; the ownership's lock is held.
+func (a *adviceDispatcher) dispatch(ctx context.Context, now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(added) > 0 {
-		a.waiting = append(a.waiting, added...)
-		slices.SortStableFunc(a.waiting, func(x, y shard.AdviceCall) int {
-			return x.Urgency.Compare(y.Urgency)
-		})
-	}
-	if len(a.waiting) == 0 {
-		return
-	}
 	nodes := a.availableNodes()
-	remaining := a.waiting[:0]
-	for _, call := range a.waiting {
-		node, ok := a.pickNode(nodes, call.ServiceTime)
+	for {
+		call, ok := a.ownership.shard.NextAdviceCall(
+			shard.AdviceNodes{Count: len(nodes), LongestCall: a.longestCall(nodes)}, now)
 		if !ok {
-			remaining = append(remaining, call)
-			continue
+			return
 		}
-		a.load[node] += call.ServiceTime
-		a.calls[node]++
+		node, _ := a.pickNode(nodes, call.ServiceTime)
+		a.begin(node, call.ServiceTime)
 		go a.runCall(ctx, node, call, a.load[node])
 	}
-	a.waiting = remaining
+}
+
+// longestCall returns the longest service time of a call that a node can take now, or zero if none can take a call.
+func (a *adviceDispatcher) longestCall(nodes []Member) time.Duration {
+	if _, ok := a.pickNode(nodes, longCall); ok {
+		return math.MaxInt64
+	}
+	if _, ok := a.pickNode(nodes, 0); ok {
+		return longCall - 1
+	}
+	return 0
 }
 
 // availableNodes returns the nodes that may be called, in a fixed order.
@@ -95,8 +101,8 @@
 
 // pickNode returns the node with the least load that can take a call of the given service time, or false if there is none.
 func (a *adviceDispatcher) pickNode(nodes []Member, serviceTime time.Duration) (Member, bool) {
-	if reserved := max(minShortCallNodes, len(nodes)/shortCallNodeDivisor); serviceTime >= longCall && len(nodes) > reserved {
-		nodes = nodes[reserved:]
+	if serviceTime >= longCall {
+		nodes = nodes[a.reservedNodes(len(nodes)):]
 	}
 	var best Member
 	found := false
@@ -111,6 +117,29 @@
 	return best, found
 }
 
+// reservedNodes returns how many of n nodes are reserved for short calls.
+func (a *adviceDispatcher) reservedNodes(n int) int {
+	if n == 0 || time.Since(a.lastShortCall) > shortCallMemory {
+		return 0
+	}
+	return min(max(minShortCallNodes, n/shortCallNodeDivisor), (n-1)/2)
+}
+
+// begin notes that a call is sent through a node.
+func (a *adviceDispatcher) begin(node Member, serviceTime time.Duration) {
+	a.load[node] += serviceTime
+	a.calls[node]++
+	if serviceTime < longCall {
+		a.lastShortCall = time.Now()
+	}
+}
+
+// end notes that a call through a node has ended.
+func (a *adviceDispatcher) end(node Member, serviceTime time.Duration) {
+	a.load[node] -= serviceTime
+	a.calls[node]--
+}
+
 // runCall makes a call through a node and applies the answer; load is the node's load including this call.
 func (a *adviceDispatcher) runCall(ctx context.Context, node Member, call shard.AdviceCall, load time.Duration) {
 	ow := a.ownership
@@ -118,8 +147,7 @@
 	req.Timeout = model.Duration(load + callTimeoutMargin)
 	advice, err := a.call(ctx, node, req)
 	a.mu.Lock()
-	a.load[node] -= call.ServiceTime
-	a.calls[node]--
+	a.end(node, call.ServiceTime)
 	if err != nil && ctx.Err() == nil {
 		a.blockedUntil[node] = time.Now().Add(failedNodePause)
 	}
