--- a/internal/shard/bench_test.go
+++ b/internal/shard/bench_test.go
@@ -84,3 +84,23 @@
 		})
 	}
 }
+
+// BenchmarkNextAdvice measures the choice of the next advice call. The load pattern is the loss of most nodes: the fewer are
+// left, the more stages wait, and the choice must not take long enough to leave the nodes idle.
+func BenchmarkNextAdvice(b *testing.B) {
+	for _, waiting := range []int{10, 350, 3500} {
+		b.Run(fmt.Sprintf("waiting-%d", waiting), func(b *testing.B) {
+			const now = time.Minute
+			requests := make([]adviceRequest, 0, waiting)
+			for i := range waiting {
+				age := time.Duration(i) * 10 * time.Millisecond
+				requests = append(requests, testRequest(i%3, now-age, time.Second/2, now+age/2))
+			}
+			budget := adviceBudget{nodes: 3, credit: -1}
+			for b.Loop() {
+				chosen, _ := budget.next(requests, time.Second, now)
+				assert.Assert(b, chosen >= 0)
+			}
+		})
+	}
+}
