--- a/internal/shard/failures_test.go
+++ b/internal/shard/failures_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -138,23 +139,32 @@
 // TestLateStartReachesNewIncarnation guards against exceeding a worker's capacity: a start went unanswered and was
 // repeated successfully, the worker restarted, and the first start reaches the new incarnation.
 func TestLateStartReachesNewIncarnation(t *testing.T) {
-	h := newHarness(t, "w1")
-	h.submitJob(tasks(4))
-	starts := h.nextCommands().Starts
-	assert.Equal(t, len(starts), 4)
-	for i, cmd := range starts {
-		var err error
-		if i == 0 {
-			err = agent.ErrNoAnswer
-		}
-		h.clock["w1"] += time.Millisecond
-		h.shard.ApplyStartResult(cmd, h.clock["w1"], err, h.now)
+	for _, listed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("listed %v", listed), func(t *testing.T) {
+			h := newHarness(t, "w1")
+			h.submitJob(tasks(4))
+			starts := h.nextCommands().Starts
+			assert.Equal(t, len(starts), 4)
+			running := agent.Report{}
+			for i, cmd := range starts {
+				var err error
+				if i == 0 {
+					err = agent.ErrNoAnswer
+				}
+				h.clock["w1"] += time.Millisecond
+				h.shard.ApplyStartResult(cmd, h.clock["w1"], err, h.now)
+				running.Running = append(running.Running, agent.ActiveRun{Task: cmd.Start.Task, Run: cmd.Start.Run})
+			}
+			h.advance(commandRetryDelay)
+			assert.Equal(t, len(h.confirmStarts()), 1, "the unanswered start is sent again")
+			if listed {
+				h.report("w1", running)
+			}
+			h.incarnation["w1"], h.clock["w1"] = 2, 0
+			h.report("w1", agent.Report{})
+			assert.Assert(t, len(h.confirmStarts()) < 4, "a start that may still arrive keeps its capacity")
+		})
 	}
-	h.advance(commandRetryDelay)
-	assert.Equal(t, len(h.confirmStarts()), 1, "the unanswered start is sent again")
-	h.incarnation["w1"], h.clock["w1"] = 2, 0
-	h.report("w1", agent.Report{})
-	assert.Assert(t, len(h.confirmStarts()) < 4, "a start that may still arrive keeps its capacity")
 }
 
 // TestLateStartOfEndedRunIsStopped guards against starting a task again after its success was acknowledged: a start went
