test(soak): ports of nodes outside the range of outgoing connections

Its log shows why: node-0 couldn't listen on its port for clients (address already in use), which had been free when the test picked it. Such ports come from the range from which the system takes those of outgoing connections (32768 to 60999 here), and another process got it first. Not a fault of the node: it ends, is started again and logs the reason.

--- a/soak/node_test.go
+++ b/soak/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -59,13 +60,23 @@
 	return n
 }
 
+// minPort and maxPort bound the ports of nodes. Systems pick the ports of outgoing connections from a range above, where another
+// process may take a port before the node listens on it.
+const (
+	minPort = 10_000
+	maxPort = 32_000
+)
+
 // freePorts returns addresses on 127.0.0.1 whose ports were free when it checked.
 func freePorts(t *testing.T, count int) []string {
 	t.Helper()
 	addresses := make([]string, 0, count)
-	for range count {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
-		assert.NilError(t, err)
+	for tries := 0; len(addresses) < count; tries++ {
+		assert.Assert(t, tries < 100*count, "no free ports")
+		listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", minPort+rand.IntN(maxPort-minPort)))
+		if err != nil {
+			continue
+		}
 		defer listener.Close()
 		addresses = append(addresses, listener.Addr().String())
 	}
