fix(shard): wait for the lease of a gang's member on a silent worker

Symptom: two runs of a gang's member at the same time, if a worker that is cut off goes on with it after another member has ended.

Change: a member counts as present until its worker reports otherwise or its lease has expired, like any other run. A run is now presumed to have ended by its lease only, and a failure that is reported after that doesn't count, so that the list of unconfirmed runs goes.

Evidence: TestGangWaitsForUnreachableWorker replaces TestGangDoesNotWaitForUnreachableWorker, which required a second start within 5 s of the member's last report, with the lease of 7 s still running. TestNoStartWhileFinalFailureMayBeUnreported answers its stops now.

--- a/internal/shard/failures_test.go
+++ b/internal/shard/failures_test.go
@@ -104,7 +104,11 @@
 						h.report(id, agent.Report{})
 					}
 				}
-				started = len(h.confirmStarts())
+				commands := h.nextCommands()
+				for _, cmd := range commands.Stops {
+					h.shard.ApplyStopResult(cmd, 0, agent.ErrNoAnswer, h.now)
+				}
+				started = len(commands.Starts)
 			}
 			assert.Equal(t, started, 2)
 			assert.Assert(t, h.now > presumed)
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -76,8 +76,6 @@
 	preemptTriedAt time.Duration
 	// onlyAvoidedLeft tells that every worker that could run the stage is avoided by its job.
 	onlyAvoidedLeft bool
-	// unconfirmed holds runs that are presumed to have ended but whose outcome is unknown.
-	unconfirmed []unconfirmedRun
 	// waitsFor is what the stage lacked when it was last considered.
 	waitsFor waitReason
 }
@@ -93,8 +91,8 @@
 	waitWorker waitReason = "worker"
 	// waitStarts means that enough starts are under way, or that commits lag.
 	waitStarts waitReason = "starts"
-	// waitOutcome means that a failure not yet reported might be the last one that the queue allows.
-	waitOutcome waitReason = "outcome"
+	// waitLateStart means that the start of an earlier run may still arrive at its worker.
+	waitLateStart waitReason = "late-start"
 )
 
 // workerAdvice is the advice about one worker for a stage, with its ticket and when that expires.
@@ -131,7 +129,7 @@
 
 // attempt is the state of one run of a task while that run may be on a worker. In this package a run is one execution of
 // a task, identified by its runKey; only a run that belongs to a known job and may be on a worker has an attempt. An
-// unknownRun and an unconfirmedRun are runs without one.
+// unknownRun is a run without one.
 type attempt struct {
 	stage        *stage
 	index        int
@@ -162,9 +160,6 @@
 	progressAt   time.Duration
 	// savedAt is when the run was last seen to have saved a checkpoint, or else when it was bound.
 	savedAt time.Duration
-	// endedBy is the time by which the run must have ended because a member of its gang was reported as ended; zero if
-	// unknown.
-	endedBy time.Duration
 }
 
 func (a *attempt) task() *task { return &a.stage.tasks[a.index] }
@@ -300,6 +295,9 @@
 	return found
 }
 
+// mayStart reports whether no start of an earlier run of the task may still arrive.
+func (st *stage) mayStart(index int, now time.Duration) bool { return now >= st.tasks[index].notBefore }
+
 // nextRun returns the number of a task's next run. The members of a gang share it.
 func (st *stage) nextRun(index int) int {
 	if !st.spec.Gang {
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -201,7 +201,7 @@
 	}
 	waiting := slices.DeleteFunc(st.waitingTasks(), func(index int) bool { return !st.mayStart(index, now) })
 	if len(waiting) == 0 || (st.spec.Gang && len(waiting) < st.spec.Count) {
-		st.waitsFor, st.retry = waitOutcome, true
+		st.waitsFor, st.retry = waitLateStart, true
 		return
 	}
 	st.onlyAvoidedLeft = s.hasOnlyAvoidedLeft(st, now)
--- a/internal/shard/record_test.go
+++ b/internal/shard/record_test.go
@@ -76,17 +76,15 @@
 	assert.Equal(t, h.shard.workers["w1"].used, model.Resources{})
 }
 
-// TestGangDoesNotWaitForUnreachableWorker guards against a gang that waits for an unreachable worker's lease to expire
-// although another member's end proves that the run is over. It also guards against not waiting when a start may still
-// arrive at that worker.
-func TestGangDoesNotWaitForUnreachableWorker(t *testing.T) {
+// TestGangWaitsForUnreachableWorker guards against two runs of a gang's member at the same time: another member has ended, which
+// proves nothing about the one on a worker that doesn't answer.
+func TestGangWaitsForUnreachableWorker(t *testing.T) {
 	tests := []struct {
-		name     string
-		answer   error
-		restarts bool
+		name   string
+		answer error
 	}{
-		{"both running", nil, true},
-		{"start without an answer", agent.ErrNoAnswer, false},
+		{"both running", nil},
+		{"start without an answer", agent.ErrNoAnswer},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -99,15 +97,21 @@
 			h.shard.ApplyStartResult(starts[0], h.clock[starts[0].Target.ID], nil, h.now)
 			h.shard.ApplyStartResult(starts[1], h.clock[starts[1].Target.ID], test.answer, h.now)
 			h.report(starts[0].Target.ID, agent.Report{Ended: []agent.EndedRun{firstEnd(starts[0], agent.OutcomeStopped)}})
-			for range 5 {
+			silent, silentSince := starts[1].Target.ID, h.now
+			for h.now-silentSince < 30*time.Second {
 				h.advance(time.Second)
 				for _, id := range h.workers {
-					if id != starts[1].Target.ID {
+					if id != silent {
 						h.report(id, agent.Report{})
 					}
 				}
+				if len(h.nextCommands().Starts) == 2 {
+					waited := h.now - silentSince
+					assert.Assert(t, waited > testLease, "started again after %v", waited)
+					return
+				}
 			}
-			assert.Equal(t, len(h.nextCommands().Starts) == 2, test.restarts)
+			t.Fatal("the gang isn't started again")
 		})
 	}
 }
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -93,7 +93,6 @@
 	if r.Incomplete {
 		return
 	}
-	s.clearUnconfirmed(w)
 	gone := func(a *attempt) bool {
 		// The clock in the answer to a start is that of the incarnation which answered, the report may be of the one before.
 		overtaken := answeredUnlisted(a) && a.answeredAt >= w.heartbeat.sentAt
@@ -139,12 +138,12 @@
 	}
 	for _, a := range sortedAttempts(w, anyAttempt) {
 		if reported[a.key()] {
-			a.listed, a.visibleSince, a.endedBy = false, 0, 0
+			a.listed, a.visibleSince = false, 0
 			continue
 		}
 		if a.startUnanswered || a.commandPending || now < a.startInFlightUntil || answeredUnlisted(a) {
 			s.stopRun(a, now)
-			a.listed, a.visibleSince, a.endedBy = false, -1, 0
+			a.listed, a.visibleSince = false, -1
 			continue
 		}
 		s.endUnreported(a, goneIncarnation, agent.OutcomeLeaseExpired, now)
@@ -159,9 +158,6 @@
 		w.lastEndSeen = end.Number
 		notBefore := time.Duration(0)
 		if a, ok := w.attempts[key]; ok {
-			if end.Outcome != agent.OutcomeDone {
-				s.setGangEndedBy(a, now)
-			}
 			notBefore = a.reachesNextIncarnationUntil()
 			s.endRun(a, end.Outcome, end.Checkpoint, now)
 		} else if end.Outcome == agent.OutcomeFailed {
@@ -214,25 +210,6 @@
 	}
 }
 
-// setGangEndedBy sets the time by which the other members of a gang's run have ended, once one member was reported as
-// ended. Members that are running end with it, and a member that starts afterwards ends when its wait for the others
-// times out. Members on unreachable workers then needn't wait for their leases to expire. A member whose start may
-// still arrive gets no such time.
-func (s *Shard) setGangEndedBy(a *attempt, now time.Duration) {
-	if !a.stage.spec.Gang {
-		return
-	}
-	limit := now + time.Duration(float64(s.cfg.GangTimeout+s.cfg.KillGrace)/(1-clockDrift)) + leaseExpiryMargin
-	for i := range a.stage.tasks {
-		for _, other := range a.stage.tasks[i].attempts {
-			if other != a && other.run == a.run && other.endedBy == 0 && other.worker.tokenSeen &&
-				!other.startUnanswered && other.visibleSince >= 0 {
-				other.endedBy = limit
-			}
-		}
-	}
-}
-
 // markStarted records that a task of the job has started.
 func (s *Shard) markStarted(a *attempt, now time.Duration) {
 	j := a.stage.job
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -345,8 +345,7 @@
 	s.plan(now, wall)
 }
 
-// expireLeases ends runs on silent workers: all of them once the worker's lease has certainly expired, and before that
-// the gang members that must have ended with their gang.
+// expireLeases ends the runs on silent workers whose lease has certainly expired.
 func (s *Shard) expireLeases(now time.Duration) {
 	if now-s.leasesCheckedAt < leaseCheckInterval {
 		return
@@ -356,18 +355,13 @@
 		if len(w.attempts) == 0 || now-w.lastReportAt < suspectAfter {
 			continue
 		}
-		for _, a := range sortedAttempts(w, anyAttempt) {
-			if a.endedBy > 0 && now > a.endedBy {
-				s.presumeEnded(a, goneGang, agent.OutcomeGangBroken, now)
-			}
-		}
 		expired := sortedAttempts(w, func(a *attempt) bool { return now > s.leaseEndOf(a) })
 		if len(expired) == 0 {
 			continue
 		}
 		s.emit("worker-lapsed", "", "", w, "", (now - w.lastReportAt).Milliseconds())
 		for _, a := range expired {
-			s.presumeEnded(a, goneLease, agent.OutcomeLeaseExpired, now)
+			s.endUnreported(a, goneLease, agent.OutcomeLeaseExpired, now)
 		}
 	}
 }
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -60,9 +60,6 @@
 	firstHeldEnd int64
 	heldRunAt    time.Duration
 
-	// hasUnconfirmed tells that there may be unconfirmed runs of this worker.
-	hasUnconfirmed bool
-
 	consecutiveFailures int
 	lastFailedJob       model.JobID
 	quarantinedUntil    time.Duration
