feat(shard): tell which commands to workers are in doubt

The log and the dump told neither when a command without an answer may still be carried out nor when that ended, so that a late restart of a task couldn't be explained from them. The events commands-in-doubt and commands-void, and the generation and number of commands in doubt of each worker in the dump, do.

--- a/internal/shard/dump.go
+++ b/internal/shard/dump.go
@@ -110,6 +110,10 @@
 	Runs        int             `json:"runs"`
 	Used        model.Resources `json:"used"`
 	UnknownRuns int             `json:"unknown-runs"`
+	// Generation is the generation of the worker's fencing tokens, and CommandsInDoubt the number of commands that are under way
+	// or may still be carried out late.
+	Generation      int64 `json:"generation"`
+	CommandsInDoubt int   `json:"commands-in-doubt"`
 }
 
 // JobDump is a job in the state dump that is not final.
@@ -124,7 +128,7 @@
 	AdvicePending bool           `json:"asking"`
 	// AdviceWait is how long the job's stages have waited for a node that can make their advice call, at most.
 	AdviceWait model.Duration `json:"advice-wait"`
-	// WaitsFor is what the job's first waiting stage lacks: team-limit, advice, room, worker, starts or outcome.
+	// WaitsFor is what the job's first waiting stage lacks: team-limit, advice, room, worker, starts or late-start.
 	WaitsFor string `json:"waits-for,omitempty"`
 }
 
@@ -144,6 +148,7 @@
 			Worker: w.id, Incarnation: w.incarnation, Listed: w.listed, Usable: w.usable(now),
 			SilentFor: model.Duration(now - w.lastReportAt),
 			Runs:      len(w.attempts), Used: w.used, UnknownRuns: len(w.unknownRuns),
+			Generation: w.generation, CommandsInDoubt: len(w.grants),
 		})
 	}
 	adviceWaits := make(map[*job]time.Duration)
--- a/internal/shard/grant.go
+++ b/internal/shard/grant.go
@@ -61,6 +61,7 @@
 	}
 	g.arrivesBy = arrivesBy
 	if g.generation == w.generation {
+		s.emit("commands-in-doubt", "", "", w, "", w.generation)
 		w.generation = min(w.generation+1, maxGeneration)
 		s.lastGeneration = max(s.lastGeneration, w.generation)
 	}
@@ -69,6 +70,7 @@
 // voidGrants notes that the worker has accepted a command of a generation: it carries out no command of an earlier one from
 // now on, but may have done so until now.
 func (s *Shard) voidGrants(w *worker, generation int64, now time.Duration) {
+	before := len(w.grants)
 	w.grants = slices.DeleteFunc(w.grants, func(g *grant) bool {
 		if g.generation >= generation {
 			return false
@@ -77,6 +79,9 @@
 		w.leaseEnd = max(w.leaseEnd, s.longestLeaseEnd(now))
 		return true
 	})
+	if len(w.grants) < before {
+		s.emit("commands-void", "", "", w, "", generation)
+	}
 }
 
 // leaseEndOf returns the time by which the lease of a run has expired, if the worker doesn't answer until then.
