fix(shard): renew leases with heartbeats that don't wait

Cause: a heartbeat that renews the lease waited up to a second for its answer, so that one was always under way when a worker fell silent. It might be carried out late, and the runs of each silent worker were waited for during 15 s and the longest lease.

Change: a lease is renewed by a heartbeat that is answered at once; those that wait for an end leave it as it is. A silent worker's runs are given up when their lease has expired, 8.4 s after the last renewal, unless a renewal or a start is really in doubt. Leases last 8 s instead of 7 s where the platform allows it, and are renewed every 2 s, otherwise every second: they outlast silences of 6 s, or of 5 s, as before. Commands in doubt count with the lease that they name, and with the longest one only where another incarnation may shorten it. After a takeover late commands of the former owner are waited for only while the worker is listed: the platform asks to treat a missing entry as gone.

Tests that took any heartbeat for a renewal now ask for one (harness.renewal), and the bound on the time between two renewals counts the heartbeat between them.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -85,6 +85,9 @@
 	LeaseEnd time.Duration
 	// Acked is the highest EndedRun.Number that the worker may stop reporting.
 	Acked int64
+	// Prompt tells that the report is needed at once. A renewal is prompt, so that it is hardly ever under way when the worker falls
+	// silent.
+	Prompt bool
 	// Wait is how long the worker may delay its answer while no run ends.
 	Wait time.Duration
 }
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -55,7 +55,7 @@
 	n.LinkMbps = 1000
 	n.MemoryMiB = 512
 	n.LogLevel = "info"
-	n.WorkerLease = seconds(7)
+	n.WorkerLease = seconds(8)
 	n.WorkerLeaseMax = seconds(10)
 	// Together with WorkerLease, this outlasts the usual outage of the store.
 	n.RenewLimit = seconds(3)
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// busyWait is how long a worker with runs may delay its answer to a heartbeat while no run ends. In a large fleet it is
-	// busyWaitPerWorker for each worker, up to idleWait, so that the owner gets at most 600 such answers a second.
-	busyWait          = 900 * time.Millisecond
+	// busyWaitPerWorker times the number of workers is how long a worker with runs may delay its answer to a heartbeat while no run
+	// ends, so that the owner gets at most 600 such answers a second. It is at least the time between two renewals, and at most
+	// idleWait.
 	busyWaitPerWorker = time.Second / 600
 	// idleWait is the same for a worker without runs.
 	idleWait = 1800 * time.Millisecond
@@ -64,8 +64,8 @@
 }
 
 // busyWaitFor returns how long a worker with runs may delay its answer in a fleet of the given size.
-func busyWaitFor(workers int) time.Duration {
-	return min(max(busyWait, time.Duration(workers)*busyWaitPerWorker), idleWait)
+func busyWaitFor(workers int, renewInterval time.Duration) time.Duration {
+	return min(max(renewInterval-2*heartbeatPause, time.Duration(workers)*busyWaitPerWorker), idleWait)
 }
 
 // endsAcknowledgeable reports whether the ends that the worker has reported can be acknowledged.
@@ -86,10 +86,9 @@
 			return
 		}
 		switch {
-		case heartbeat.LeaseEnd == 0:
-			// The first report is needed at once.
+		case heartbeat.Prompt:
 		case busy:
-			heartbeat.Wait = busyWaitFor(workers)
+			heartbeat.Wait = busyWaitFor(workers, ow.cfg.Shard.RenewInterval())
 		default:
 			heartbeat.Wait = idleWait
 		}
--- a/internal/shard/config.go
+++ b/internal/shard/config.go
@@ -9,12 +9,19 @@
 const (
 	// clockDrift is the fraction by which a worker's clock may run slower than the owner's.
 	clockDrift = 0.02
+	// minRenewInterval and maxRenewInterval bound the time between two renewals of a worker's lease.
+	minRenewInterval = time.Second
+	maxRenewInterval = 2 * time.Second
+	// toleratedSilence is how long a lease should outlast the last report, as far as its longest duration allows.
+	toleratedSilence = 6 * time.Second
 	// leaseExpiryMargin is added before a lease counts as expired, to allow for rounding of clock readings.
 	leaseExpiryMargin = 150 * time.Millisecond
 	// commandRetryDelay is the pause before a command that went unanswered is sent again.
 	commandRetryDelay = 150 * time.Millisecond
 	// maxCommandDelay is how long a command without an answer may take to reach its worker.
 	maxCommandDelay = 15 * time.Second
+	// unlistedGrace is how long the entry of a worker that lives may be missing from the registry.
+	unlistedGrace = 3 * time.Second
 	// gangStopGrace is how long workers have to stop the members of a broken gang themselves before stop commands are
 	// sent.
 	gangStopGrace = 200 * time.Millisecond
@@ -95,6 +102,11 @@
 	Events func(Event)
 }
 
+// RenewInterval returns the time between two renewals of a worker's lease.
+func (c Config) RenewInterval() time.Duration {
+	return min(max(c.Lease-toleratedSilence, minRenewInterval), maxRenewInterval)
+}
+
 // Events whose value is a time in milliseconds since the job was received: until its first task started, and until it
 // completed.
 const (
--- a/internal/shard/grant.go
+++ b/internal/shard/grant.go
@@ -18,8 +18,9 @@
 // grant is a command that may extend the lease of all runs on its worker when it is carried out.
 type grant struct {
 	generation int64
-	// arrivesBy is when the command has been carried out or is lost for certain.
+	// arrivesBy is when the command has been carried out or is lost for certain, and lease the longest lease that it grants.
 	arrivesBy time.Duration
+	lease     time.Duration
 }
 
 // sentHeartbeat is a heartbeat that is under way; its grant is nil if it extends no lease.
@@ -41,9 +42,20 @@
 	return !ok || token < s.token(w)
 }
 
+// renewalDue reports whether the worker's next heartbeat should renew its lease. While an earlier one may be carried out late, it
+// should only make that void.
+func (s *Shard) renewalDue(w *worker, now time.Duration) bool {
+	return w.tokenSeen && now-w.renewedAt >= s.cfg.RenewInterval() && !w.hasDoubts()
+}
+
+// hasDoubts reports whether an unanswered command may still be carried out late, which the next answer to a heartbeat excludes.
+func (w *worker) hasDoubts() bool {
+	return slices.ContainsFunc(w.grants, func(g *grant) bool { return g.generation < w.generation })
+}
+
 // addGrant notes that a command which may extend the worker's lease is about to be sent.
-func (w *worker) addGrant(arrivesBy time.Duration) *grant {
-	g := &grant{generation: w.generation, arrivesBy: arrivesBy}
+func (s *Shard) addGrant(w *worker, arrivesBy time.Duration) *grant {
+	g := &grant{generation: w.generation, arrivesBy: arrivesBy, lease: s.cfg.Lease}
 	w.grants = append(w.grants, g)
 	return g
 }
@@ -76,7 +88,7 @@
 			return false
 		}
 		w.voidUntil = max(w.voidUntil, g.arrivesBy)
-		w.leaseEnd = max(w.leaseEnd, s.longestLeaseEnd(now))
+		w.leaseEnd = max(w.leaseEnd, leaseEndAfter(now, g.lease))
 		return true
 	})
 	if len(w.grants) < before {
@@ -85,18 +97,21 @@
 }
 
 // leaseEndOf returns the time by which the lease of a run has expired, if the worker doesn't answer until then.
-func (s *Shard) leaseEndOf(a *attempt) time.Duration {
+func (s *Shard) leaseEndOf(a *attempt, now time.Duration) time.Duration {
 	w := a.worker
-	end := w.leaseEnd
+	end, lease := w.leaseEnd, time.Duration(0)
+	if !w.gone(now) {
+		end = max(end, w.formerLeaseEnd)
+	}
 	if !a.listed {
-		end = max(end, w.unreportedLeaseEnd)
+		end, lease = max(end, w.unreportedLeaseEnd), s.cfg.MaxLease
 	}
 	if until := a.reachesNextIncarnationUntil(); until > w.lastReportAt {
 		// The next incarnation may carry out the start, and after it the other commands that are void for this one.
-		end = max(end, s.longestLeaseEnd(max(until, w.voidUntil)))
+		end, lease = max(end, s.longestLeaseEnd(max(until, w.voidUntil))), s.cfg.MaxLease
 	}
 	for _, g := range w.grants {
-		end = max(end, s.longestLeaseEnd(g.arrivesBy))
+		end = max(end, leaseEndAfter(g.arrivesBy, max(g.lease, lease)))
 	}
 	return end
 }
--- a/internal/shard/harness_test.go
+++ b/internal/shard/harness_test.go
@@ -105,6 +105,14 @@
 	h.shard.ApplyReport(id, report, h.now)
 }
 
+// renewal returns the worker's next heartbeat that renews the lease; the heartbeat is under way.
+func (h *harness) renewal(id model.WorkerID) agent.Heartbeat {
+	h.advance(h.shard.cfg.RenewInterval())
+	heartbeat, ok := h.shard.HeartbeatFor(id, h.now, true)
+	assert.Assert(h.t, ok && heartbeat.LeaseEnd > 0)
+	return heartbeat
+}
+
 // commit records all pending changes, including those that could wait, and returns the progress records.
 func (h *harness) commit() []JobProgress {
 	h.advance(commitDelay)
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -24,11 +24,12 @@
 		Token: s.token(w), Acked: w.ackableEnd(s.lastCommitted, now), ReportConnection: w.reportConnection,
 	}
 	// The lease of a silent worker is not extended, so that its runs expire at a known time.
-	if renew && now-w.lastReportAt < suspectAfter {
-		if heartbeat.LeaseEnd = w.newLeaseEnd(now, s.cfg.Lease); heartbeat.LeaseEnd > 0 {
-			w.heartbeat.grant = w.addGrant(now + maxCommandDelay)
-		}
+	if renew && now-w.lastReportAt < suspectAfter && s.renewalDue(w, now) {
+		heartbeat.LeaseEnd = w.newLeaseEnd(now, s.cfg.Lease)
+		w.heartbeat.grant = s.addGrant(w, now+maxCommandDelay)
+		w.renewedAt = now
 	}
+	heartbeat.Prompt = heartbeat.LeaseEnd > 0 || !w.tokenSeen || w.hasDoubts()
 	return heartbeat, true
 }
 
@@ -67,7 +68,7 @@
 	if !w.tokenSeen {
 		// From its first report on, only this owner extends the worker's lease. Any lease granted earlier lasts at most
 		// MaxLease.
-		w.leaseEnd = s.longestLeaseEnd(now)
+		w.leaseEnd, w.formerLeaseEnd = s.longestLeaseEnd(now), 0
 	}
 	s.voidGrants(w, w.heartbeat.generation, now)
 	w.settleGrant(w.heartbeat.grant)
@@ -118,6 +119,10 @@
 	first, incarnation := w.incarnation == 0, r.Incarnation
 	w.incarnation, w.clock, w.lastEndSeen, w.ackedEnd, w.pendingAcks = incarnation, 0, 0, 0, nil
 	w.unknownRuns, w.firstHeldEnd = make(map[runKey]*unknownRun), 0
+	for _, g := range w.grants {
+		// This incarnation shortens a lease end on the clock of the one before to the longest lease.
+		g.lease = s.cfg.MaxLease
+	}
 	for key, until := range w.inFlightStarts {
 		if now < until {
 			s.addUnknownRun(w, key, unknownRun{mayArrive: true})
--- a/internal/shard/restore.go
+++ b/internal/shard/restore.go
@@ -59,10 +59,10 @@
 	for _, id := range r.Cancelled {
 		s.Cancel(id, now)
 	}
-	// Commands of the former owner may be carried out late.
-	limit := s.longestLeaseEnd(now + s.cfg.RenewLimit + maxCommandDelay)
+	limit := now + s.cfg.RenewLimit
 	for _, w := range s.workersByID {
-		w.leaseEnd = limit
+		w.leaseEnd = s.longestLeaseEnd(limit)
+		w.formerLeaseEnd = s.longestLeaseEnd(limit + maxCommandDelay)
 	}
 }
 
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -252,6 +252,7 @@
 		}
 		if w.listed {
 			s.emit("worker-unlisted", "", "", w, "", int64(len(w.attempts)))
+			w.unlistedAt = s.lastTick
 		}
 		w.listed = false
 		if len(w.attempts) == 0 {
@@ -355,7 +356,7 @@
 		if len(w.attempts) == 0 || now-w.lastReportAt < suspectAfter {
 			continue
 		}
-		expired := sortedAttempts(w, func(a *attempt) bool { return now > s.leaseEndOf(a) })
+		expired := sortedAttempts(w, func(a *attempt) bool { return now > s.leaseEndOf(a, now) })
 		if len(expired) == 0 {
 			continue
 		}
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -12,9 +12,11 @@
 
 // worker is the state of one incarnation of a worker.
 type worker struct {
-	id          model.WorkerID
-	entry       agent.Entry
-	listed      bool
+	id     model.WorkerID
+	entry  agent.Entry
+	listed bool
+	// unlistedAt is when the worker's entry was first missing, unless it is listed.
+	unlistedAt  time.Duration
 	incarnation int64
 	// tokenSeen tells that this incarnation has seen the owner's fencing token.
 	tokenSeen bool
@@ -36,6 +38,8 @@
 	generation int64
 	// heartbeat is the heartbeat that is under way.
 	heartbeat sentHeartbeat
+	// renewedAt is when the lease was last renewed.
+	renewedAt time.Duration
 	// grants holds the commands that may extend the lease and that are under way, or that stayed unanswered and are not void yet.
 	grants []*grant
 	// voidUntil is when the last command that is void for the incarnation that reported last has arrived or is lost for certain.
@@ -44,6 +48,9 @@
 	// leaseEnd is the time by which every lease granted to the incarnation that reported last has expired, unless one of the
 	// grants extends it.
 	leaseEnd time.Duration
+	// formerLeaseEnd is the same for the leases that late commands of a former owner grant. It doesn't matter for a worker that
+	// counts as gone.
+	formerLeaseEnd time.Duration
 	// unreportedLeaseEnd is the same for an incarnation that has not reported yet, but that a start may have reached.
 	unreportedLeaseEnd time.Duration
 	// lastEndSeen is the number of the last ended run that was processed, ackedEnd that of the last one that may be
@@ -115,6 +122,10 @@
 	}
 }
 
+// gone reports whether the worker's entry has been missing for so long that the worker counts as gone. Entries that expired
+// while the registry was unavailable come back within that time.
+func (w *worker) gone(now time.Duration) bool { return !w.listed && now-w.unlistedAt > unlistedGrace }
+
 // usable reports whether new tasks may be sent to the worker.
 func (w *worker) usable(now time.Duration) bool {
 	holdsRun := w.heldRunAt > 0 && w.heldRunAt >= w.lastReportAt
@@ -220,7 +231,12 @@
 // longestLeaseEnd returns the time by which a lease has expired that a worker was granted at this time, whatever end the command
 // named: an incarnation that the owner doesn't know shortens an end on the clock of the one before to the longest lease.
 func (s *Shard) longestLeaseEnd(granted time.Duration) time.Duration {
-	return granted + onSlowestClock(s.cfg.MaxLease) + leaseExpiryMargin
+	return leaseEndAfter(granted, s.cfg.MaxLease)
+}
+
+// leaseEndAfter returns the time by which a lease has expired that a worker was granted at this time.
+func leaseEndAfter(granted, lease time.Duration) time.Duration {
+	return granted + onSlowestClock(lease) + leaseExpiryMargin
 }
 
 // onSlowestClock returns how long a duration on a worker's clock may last.
