test(shard): all kinds of faults in one sequence

Cause: each property test played a few kinds of faults, so that a fault that needs two or three others at once was not found. The model could not express commands that are carried out or answered after newer ones within the time limit, commands to a silent worker that arrive all the same, silences longer than all delays, late commands of former owners, several of these, workers without an entry, draining workers, and gang members that go on when their gang ends. Time passed in steps of up to 4 s, at whose end all that was due arrived, after all leases.

Change: simOptions for each of these, with TestInvariantsUnderSlowAnswers, LossySilences, LateFormerOwners, UnlistedWorkers and GangsThatOutlive, and TestInvariantsUnderEverything, which draws the mix for each sequence: each kind in two, five or ten tenths of the cases. Leases that count from arrival do so in the next incarnation too. Former owners acknowledge over connections of their own. Time passes from one arrival to the next. A failing sequence lists starts, ends, stops, restarts and late arrivals with their times.

--- a/internal/shard/faultmodel_test.go
+++ b/internal/shard/faultmodel_test.go
@@ -1,12 +1,17 @@
 package shard
 
 import (
+	"errors"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"arbutuswing.example/internal/agent"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/work"
 )
 
 const (
@@ -15,6 +20,10 @@
 	simUptime = time.Minute
 	// simReportTimeout is how long the owner waits for a report.
 	simReportTimeout = 2500 * time.Millisecond
+	// simCommandTimeout is how long the owner waits for the answer to a start or stop.
+	simCommandTimeout = 700 * time.Millisecond
+	// simFormerLife is for how long a former owner sends heartbeats beyond its limit of renewals.
+	simFormerLife = 5 * time.Second
 )
 
 // simOptions selects what the simulated platform does beyond what TestInvariantsUnderFaults has always played.
@@ -32,6 +41,35 @@
 	formerOwner time.Duration
 	// heartbeatsFromArrival and startsFromArrival tell that the leases of late commands count from their arrival.
 	heartbeatsFromArrival, startsFromArrival bool
+	// longSilences tells that silences last up to 30 s and that a silent worker may restart. lossySilences tells that commands to
+	// a silent worker may still be carried out, at once or late.
+	longSilences, lossySilences bool
+	// slowAnswers tells that commands are carried out, and answered, after newer ones, and that the owner learns late that
+	// one has no answer.
+	slowAnswers bool
+	// formersFail tells that commands of former owners may be lost, unanswered or late.
+	formersFail bool
+	// takeoverPairs tells that two new owners may follow each other within a second, and that one may come during a silence.
+	takeoverPairs bool
+	// unlisting tells that entries of workers go while these run, and draining that workers drain.
+	unlisting, draining bool
+	// gangsOutlive tells that a gang's member on an unreachable worker goes on when its gang ends: until its lease ends or the
+	// worker can be reached.
+	gangsOutlive bool
+	// guardedCapacity tells that workers refuse a start that doesn't fit.
+	guardedCapacity bool
+}
+
+// formerOwner is an owner that has lost the ownership and goes on for a while.
+type formerOwner struct {
+	shard  *Shard
+	lostAt time.Duration
+}
+
+// slowAnswer is the answer to a command, or the news that it has none, on the way to its owner.
+type slowAnswer struct {
+	at    time.Duration
+	apply func()
 }
 
 // slowReport is an answer to a heartbeat that is under way to its owner.
@@ -62,7 +100,12 @@
 // arrive carries out a delayed command, if its worker is up and, for another incarnation, if the options allow it.
 func (cl *cluster) arrive(d delayedCommand) {
 	w, other := d.worker, d.incarnation != d.worker.incarnation
+	cl.logf("%s (incarnation %d) gets late what was sent to incarnation %d: %v", w.id, w.incarnation, d.incarnation, d)
 	switch {
+	case d.answer != nil && (other || !w.up):
+		d.answer(0, agent.ErrNoAnswer)
+	case d.answer != nil:
+		d.answer(cl.carryOut(d))
 	case !w.up:
 	case d.start != nil:
 		// Tickets are valid during one life of the worker.
@@ -70,7 +113,7 @@
 			return
 		}
 		start := *d.start
-		if !other && cl.options.startsFromArrival {
+		if cl.options.startsFromArrival {
 			start.Start.LeaseEnd += w.clock - d.sentAt
 		}
 		_, _ = cl.applyStart(start, other)
@@ -82,7 +125,7 @@
 		if other && !cl.options.lateAcks {
 			heartbeat.Acked = 0
 		}
-		if !other && cl.options.heartbeatsFromArrival && heartbeat.LeaseEnd > 0 {
+		if cl.options.heartbeatsFromArrival && heartbeat.LeaseEnd > 0 {
 			heartbeat.LeaseEnd += w.clock - d.sentAt
 		}
 		_, _ = cl.applyHeartbeat(w, heartbeat)
@@ -91,6 +134,81 @@
 	}
 }
 
+func (d delayedCommand) String() string {
+	switch {
+	case d.start != nil:
+		return fmt.Sprintf("start %v run %d token %d", d.start.Start.Task, d.start.Start.Run, d.start.Start.Token)
+	case d.stop != nil:
+		return fmt.Sprintf("stop %v run %d token %d", d.stop.Stop.Task, d.stop.Stop.Run, d.stop.Stop.Token)
+	default:
+		return fmt.Sprintf("heartbeat token %d acknowledges %d", d.heartbeat.Token, d.heartbeat.Acked)
+	}
+}
+
+// dueTimes returns when delayed commands and answers arrive.
+func (cl *cluster) dueTimes() []time.Duration {
+	times := make([]time.Duration, 0, len(cl.delayed)+len(cl.answers))
+	for _, d := range cl.delayed {
+		times = append(times, d.deliverAt)
+	}
+	for _, a := range cl.answers {
+		times = append(times, a.at)
+	}
+	return times
+}
+
+// answersSlowly reports whether the command is on the way for longer than newer ones, and its answer with it.
+func (cl *cluster) answersSlowly(w *simWorker, d delayedCommand, delivery string) bool {
+	if !cl.options.slowAnswers || delivery != "answered" || !w.up || !rapid.Bool().Draw(cl.t, "slow") {
+		return false
+	}
+	d.worker, d.incarnation, d.sentAt, d.deliverAt = w, w.incarnation, w.clock, cl.now+cl.drawAnswerTime()
+	cl.delayed = append(cl.delayed, d)
+	return true
+}
+
+func (cl *cluster) drawAnswerTime() time.Duration {
+	return time.Duration(rapid.IntRange(1, int(simCommandTimeout/time.Millisecond)/100).Draw(cl.t, "tenths")) * 100 * time.Millisecond
+}
+
+// answer passes the answer to a command on to its owner, or that there is none.
+func (cl *cluster) answer(d delayedCommand, clock time.Duration, err error) {
+	switch {
+	case !cl.options.slowAnswers:
+		d.answer(clock, err)
+	case errors.Is(err, agent.ErrNoAnswer):
+		cl.answers = append(cl.answers, slowAnswer{cl.now + simCommandTimeout, func() { d.answer(clock, err) }})
+	default:
+		cl.answers = append(cl.answers, slowAnswer{cl.now + cl.drawAnswerTime(), func() { d.answer(clock, err) }})
+	}
+}
+
+// applyAnswers passes on the answers that have arrived.
+func (cl *cluster) applyAnswers() {
+	answers := cl.answers
+	cl.answers = nil
+	for _, a := range answers {
+		if cl.now < a.at {
+			cl.answers = append(cl.answers, a)
+			continue
+		}
+		a.apply()
+	}
+}
+
+// deliveryInSilence returns what becomes of a command to a silent worker.
+func (cl *cluster) deliveryInSilence() string {
+	if !cl.options.lossySilences {
+		return "lost"
+	}
+	return rapid.SampledFrom([]string{"lost", "lost", "unanswered", "late"}).Draw(cl.t, "in silence")
+}
+
+// reaches reports whether the owner knows the worker's address.
+func (cl *cluster) reaches(owner *Shard, w *simWorker) bool {
+	return slices.ContainsFunc(owner.Targets(), func(t agent.Target) bool { return t.ID == w.id })
+}
+
 // awaitsReport reports whether the owner still waits for a report of the worker, so that it sends no further heartbeat.
 func (cl *cluster) awaitsReport(w *simWorker) bool {
 	kept := cl.reports[:0]
@@ -98,7 +216,7 @@
 	for _, r := range cl.reports {
 		if r.owner != cl.shard || cl.now > r.until {
 			if r.owner == cl.shard {
-				r.worker.connection++
+				delete(r.worker.connections, cl.shard)
 			}
 			continue
 		}
@@ -148,28 +266,83 @@
 	}
 	if cl.options.silences {
 		actions["silence"] = func(t *rapid.T) {
-			w, length := pick(t), time.Duration(rapid.IntRange(16, 28).Draw(t, "half seconds"))*500*time.Millisecond
-			cl.keepSilent(w, length)
+			longest := 28
+			if cl.options.longSilences {
+				longest = 60
+			}
+			cl.keepSilent(pick(t), rapid.IntRange(16, longest).Draw(t, "half seconds"))
+		}
+	}
+	if cl.options.takeoverPairs {
+		actions["owner-twice"] = func(t *rapid.T) {
+			cl.storeDown = false
+			cl.takeOver()
+			for range rapid.IntRange(0, 2).Draw(t, "half seconds") {
+				for _, w := range cl.workers {
+					cl.exchangeHeartbeat(w, drawDelivery.Draw(t, "answer"))
+				}
+				cl.sendCommands(func() string { return drawDelivery.Draw(t, "answer") })
+				cl.advance(500 * time.Millisecond)
+			}
+			cl.takeOver()
+		}
+	}
+	if cl.options.unlisting {
+		actions["unlist"] = func(t *rapid.T) {
+			w := pick(t)
+			w.unlisted = !w.unlisted
+			w.unreachable = w.unreachable || (w.unlisted && rapid.Bool().Draw(t, "cut"))
+			cl.register()
+		}
+	}
+	if cl.options.gangsOutlive {
+		actions["break-gang"] = cl.breakGang
+	}
+	if cl.options.draining {
+		actions["drain"] = func(t *rapid.T) {
+			w := pick(t)
+			w.draining = !w.draining
+			cl.register()
 		}
 	}
 	if cl.options.formerOwner > 0 {
-		actions["former-hold"] = func(t *rapid.T) { cl.exchangeFormerHeartbeat(pick(t)) }
+		actions["former-hold"] = func(t *rapid.T) { cl.exchangeFormerHeartbeats(pick(t)) }
 		actions["former-send"] = func(*rapid.T) { cl.sendFormerCommands() }
 	}
 	return actions
 }
 
-// keepSilent lets a worker be silent while the others report and the owner acts.
-func (cl *cluster) keepSilent(w *simWorker, length time.Duration) {
+// keepSilent lets a worker be silent for so many half seconds while the others report and the owner acts. The worker may restart
+// and a new owner take over meanwhile.
+func (cl *cluster) keepSilent(w *simWorker, length int) {
+	restart := 0
+	if cl.options.longSilences && !cl.options.noRestarts {
+		restart = rapid.IntRange(0, 2*length).Draw(cl.t, "restart")
+	}
+	takeover := 0
+	if cl.options.takeoverPairs {
+		takeover = rapid.IntRange(0, 2*length).Draw(cl.t, "takeover")
+	}
+	cl.logf("%s falls silent for %d half seconds", w.id, length)
 	w.unreachable = true
-	for end := cl.now + length; cl.now < end; {
+	if cl.options.lossySilences && rapid.Bool().Draw(cl.t, "submit") {
+		cl.submit(cl.t)
+	}
+	for i := range length {
 		cl.advance(500 * time.Millisecond)
+		if restart == i+1 && w.up {
+			cl.restartWorker(w)
+			w.unreachable = true
+		}
+		if takeover == i+1 {
+			cl.takeOver()
+		}
 		if cl.options.formerOwner > 0 {
-			cl.exchangeFormerHeartbeat(w)
+			cl.exchangeFormerHeartbeats(w)
 			cl.sendFormerCommands()
 		}
 		for _, other := range cl.workers {
-			if other != w {
+			if other != w || cl.options.lossySilences {
 				cl.exchangeHeartbeat(other, "answered")
 			}
 		}
@@ -178,39 +351,98 @@
 	w.unreachable = false
 }
 
-// exchangeFormerHeartbeat lets the former owner send a heartbeat; it reaches workers that the new owner can't reach.
-func (cl *cluster) exchangeFormerHeartbeat(w *simWorker) {
-	if cl.former == nil || !w.up {
-		return
+// breakGang starts a gang that needs several workers, and ends one member after another worker of the gang has fallen silent.
+func (cl *cluster) breakGang(t *rapid.T) {
+	stage := work.Stage{
+		Count: 3, Size: model.Resources{Cores: 1500, Memory: 500}, Gang: true, RunTime: model.Duration(time.Second),
 	}
-	heartbeat, ok := cl.former.HeartbeatFor(w.id, cl.now, cl.now-cl.lostAt < cl.options.formerOwner)
-	if !ok {
-		return
+	cl.submitJob(work.Job{Queue: drawQueue.Draw(t, "queue"), Team: "north", Stages: []work.Stage{stage}})
+	for range 2 {
+		for _, w := range cl.workers {
+			cl.exchangeHeartbeat(w, "answered")
+		}
+		cl.sendCommands(func() string { return "answered" })
+		cl.advance(100 * time.Millisecond)
 	}
-	// The former owner has connections of its own; its acknowledgements are left out.
-	heartbeat.Acked = 0
-	report, ok := cl.applyHeartbeat(w, heartbeat)
-	if !ok {
-		cl.former = nil
+	var gang []*simWorker
+	for _, w := range cl.workers {
+		if slices.ContainsFunc(w.sortedRuns(), func(run *simRun) bool { return run.gang && run.waitingSince < 0 }) {
+			gang = append(gang, w)
+		}
+	}
+	if len(gang) < 2 {
 		return
 	}
-	cl.former.ApplyReport(w.id, report, cl.now)
+	silent := rapid.SampledFrom(gang).Draw(t, "silent")
+	silent.unreachable = true
+	for _, w := range gang {
+		for _, run := range w.sortedRuns() {
+			if w != silent && run.gang && w.runs[run.key] == run {
+				cl.finishRun(w, run, drawEnd.Draw(t, "how"))
+			}
+		}
+	}
+	cl.keepSilent(silent, rapid.IntRange(0, 28).Draw(t, "half seconds"))
 }
 
-// sendFormerCommands lets the former owner send what it had recorded.
-func (cl *cluster) sendFormerCommands() {
-	if cl.former == nil || cl.now-cl.lostAt >= cl.options.formerOwner {
-		return
+// noteFormerOwner lets the present owner go on as a former one.
+func (cl *cluster) noteFormerOwner() {
+	cl.formers = slices.DeleteFunc(cl.formers, func(f formerOwner) bool {
+		return cl.now-f.lostAt > cl.options.formerOwner+simFormerLife
+	})
+	if cl.shard != nil {
+		cl.formers = append(cl.formers, formerOwner{cl.shard, cl.now})
+	}
+}
+
+// formerDelivery returns how a command of a former owner is delivered.
+func (cl *cluster) formerDelivery() string {
+	if !cl.options.formersFail {
+		return "answered"
 	}
-	former := cl.former
-	commands := former.TakeCommands(cl.now)
-	for _, cmd := range commands.Starts {
-		clock, err := cl.applyStart(cmd, false)
-		former.ApplyStartResult(cmd, clock, err, cl.now)
+	return drawDelivery.Draw(cl.t, "former's answer")
+}
+
+// exchangeFormerHeartbeats lets the former owners send heartbeats; these reach workers that the new owner can't reach. A former
+// owner that is fenced ends.
+func (cl *cluster) exchangeFormerHeartbeats(w *simWorker) {
+	cl.formers = slices.DeleteFunc(cl.formers, func(f formerOwner) bool { return !cl.exchangeFormerHeartbeat(f, w) })
+}
+
+// exchangeFormerHeartbeat reports whether the worker accepted the heartbeat, if it reached the worker.
+func (cl *cluster) exchangeFormerHeartbeat(f formerOwner, w *simWorker) bool {
+	heartbeat, ok := f.shard.HeartbeatFor(w.id, cl.now, cl.now-f.lostAt < cl.options.formerOwner)
+	if !ok || !w.up || !cl.reaches(f.shard, w) {
+		return true
 	}
-	for _, cmd := range commands.Stops {
-		clock, err := cl.applyStop(cmd)
-		former.ApplyStopResult(cmd, clock, err, cl.now)
+	heartbeat = cl.onConnection(f.shard, w, heartbeat)
+	delivery := cl.formerDelivery()
+	if delivery == "lost" || delivery == "late" {
+		delete(w.connections, f.shard)
+		if delivery == "late" {
+			cl.delay(w, delayedCommand{heartbeat: &heartbeat})
+		}
+		return true
+	}
+	report, ok := cl.applyHeartbeat(w, heartbeat)
+	switch {
+	case delivery == "unanswered":
+		delete(w.connections, f.shard)
+	case !ok:
+		return false
+	default:
+		report.Connection = w.connections[f.shard]
+		f.shard.ApplyReport(w.id, report, cl.now)
+	}
+	return true
+}
+
+// sendFormerCommands lets the former owners send what they had recorded.
+func (cl *cluster) sendFormerCommands() {
+	for _, f := range cl.formers {
+		if cl.now-f.lostAt < cl.options.formerOwner {
+			cl.sendOwnersCommands(f.shard, cl.formerDelivery)
+		}
 	}
 	cl.checkInvariants()
 }
@@ -290,3 +522,78 @@
 func TestInvariantsUnderStartsFromArrival(t *testing.T) {
 	checkUnder(t, simOptions{uptime: simUptime, silences: true, startsFromArrival: true, noRestarts: true})
 }
+
+// drawOptions draws a mix of faults: often a few, at times half of them or all.
+func drawOptions(t *rapid.T) simOptions {
+	o := simOptions{uptime: simUptime}
+	formers := false
+	share := rapid.SampledFrom([]int{2, 5, 10}).Draw(t, "tenths of the faults")
+	for _, fault := range []struct {
+		name string
+		on   *bool
+	}{
+		{"late starts", &o.lateStarts},
+		{"late stops", &o.lateStops},
+		{"late heartbeats", &o.lateHeartbeats},
+		{"late acknowledgements", &o.lateAcks},
+		{"heartbeats from arrival", &o.heartbeatsFromArrival},
+		{"starts from arrival", &o.startsFromArrival},
+		{"slow reports", &o.slowReports},
+		{"slow answers", &o.slowAnswers},
+		{"silences", &o.silences},
+		{"long silences", &o.longSilences},
+		{"lossy silences", &o.lossySilences},
+		{"former owners", &formers},
+		{"former owners fail", &o.formersFail},
+		{"takeover pairs", &o.takeoverPairs},
+		{"unlisting", &o.unlisting},
+		{"draining", &o.draining},
+		{"gangs outlive", &o.gangsOutlive},
+	} {
+		*fault.on = rapid.IntRange(1, 10).Draw(t, fault.name) > 10-share
+	}
+	if formers {
+		o.formerOwner = 3 * time.Second
+	}
+	// These take faults away, so that all at once includes either of them.
+	o.noRestarts, o.guardedCapacity = rapid.Bool().Draw(t, "no restarts"), rapid.Bool().Draw(t, "guarded capacity")
+	return o
+}
+
+// TestInvariantsUnderSlowAnswers lets commands be carried out, and answered, after newer ones.
+func TestInvariantsUnderSlowAnswers(t *testing.T) {
+	checkUnder(t, simOptions{uptime: simUptime, silences: true, slowReports: true, slowAnswers: true})
+}
+
+// TestInvariantsUnderLossySilences lets commands to a silent worker be carried out, and silences last for longer than all delays.
+func TestInvariantsUnderLossySilences(t *testing.T) {
+	checkUnder(t, simOptions{uptime: simUptime, silences: true, longSilences: true, lossySilences: true})
+}
+
+// TestInvariantsUnderLateFormerOwners lets commands of former owners be lost, unanswered or late.
+func TestInvariantsUnderLateFormerOwners(t *testing.T) {
+	checkUnder(t, simOptions{
+		uptime: simUptime, silences: true, formerOwner: 3 * time.Second, formersFail: true, takeoverPairs: true,
+	})
+}
+
+// TestInvariantsUnderUnlistedWorkers lets workers work on whose entries are gone, and others drain.
+func TestInvariantsUnderUnlistedWorkers(t *testing.T) {
+	checkUnder(t, simOptions{
+		uptime: simUptime, silences: true, longSilences: true, unlisting: true, draining: true, takeoverPairs: true,
+	})
+}
+
+// TestInvariantsUnderGangsThatOutlive lets gang members on unreachable workers go on when their gang ends.
+func TestInvariantsUnderGangsThatOutlive(t *testing.T) {
+	checkUnder(t, simOptions{uptime: simUptime, silences: true, gangsOutlive: true})
+}
+
+// TestInvariantsUnderEverything plays all kinds of faults in one sequence, in mixes that differ from sequence to sequence.
+func TestInvariantsUnderEverything(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cl := newCluster(t, drawOptions(t))
+		t.Repeat(cl.actions())
+		cl.recoverAndFinish(t)
+	})
+}
--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -24,11 +24,7 @@
 )
 
 func (cl *cluster) submit(t *rapid.T) {
-	cl.submitted++
-	job := work.Job{
-		ID: model.JobID(fmt.Sprintf("j%03d", cl.submitted)), Queue: drawQueue.Draw(t, "queue"), Team: drawTeam.Draw(t, "team"),
-		Accepted: cl.wall,
-	}
+	job := work.Job{Queue: drawQueue.Draw(t, "queue"), Team: drawTeam.Draw(t, "team")}
 	for i := range rapid.IntRange(1, 2).Draw(t, "stages") {
 		stage := work.Stage{
 			Count: rapid.IntRange(1, 3).Draw(t, "count"), RunTime: model.Duration(time.Second),
@@ -45,13 +41,19 @@
 		}
 		job.Stages = append(job.Stages, stage)
 	}
+	cl.submitJob(job)
+}
+
+func (cl *cluster) submitJob(job work.Job) {
+	cl.submitted++
+	job.ID, job.Accepted = model.JobID(fmt.Sprintf("j%03d", cl.submitted)), cl.wall
 	cl.jobs[job.ID], cl.submissions[job.ID] = job, true
 	cl.shard.Submit(job, cl.now)
 }
 
 // finishRun ends a run, unless it is being stopped or belongs to a gang that is not complete yet.
 func (cl *cluster) finishRun(w *simWorker, run *simRun, outcome agent.RunOutcome) {
-	if run.stopping {
+	if run.stopping || run.orphaned != "" {
 		return
 	}
 	if run.gang && run.waitingSince >= 0 {
@@ -62,6 +64,7 @@
 
 // crashWorker ends the worker's incarnation; the next one has no state.
 func (cl *cluster) crashWorker(w *simWorker) {
+	cl.logf("%s (incarnation %d) ends", w.id, w.incarnation)
 	for _, run := range w.sortedRuns() {
 		if w.runs[run.key] == run {
 			delete(w.runs, run.key)
@@ -71,7 +74,7 @@
 		}
 	}
 	w.up, w.unreachable, w.clock, w.token, w.leaseEnd, w.lastEnd, w.lastUncountedEnd = false, false, 0, 0, 0, 0, 0
-	w.connection++
+	clear(w.connections)
 	w.ends, w.superseded, w.endedAt = nil, make(map[work.TaskRef]int), make(map[int64]int)
 }
 
@@ -157,9 +160,9 @@
 // first jobs have ended, and again once the records of these jobs are no longer kept. Workers restart, and runs end there
 // before the owner has learnt of it.
 func (cl *cluster) recoverAndFinish(t *rapid.T) {
-	cl.storeDown, cl.reports, cl.former = false, nil, nil
+	cl.storeDown, cl.reports, cl.formers, cl.options.slowAnswers = false, nil, nil, false
 	for _, w := range cl.workers {
-		w.unreachable = false
+		w.unreachable, w.unlisted, w.draining = false, false, false
 		if !w.up {
 			w.up = true
 			w.incarnation++
@@ -169,7 +172,7 @@
 	for step := range 1200 {
 		if step%60 == 5 && step < 180 {
 			cl.takeOver()
-			cl.former = nil
+			cl.formers = nil
 		}
 		if w := cl.workers[step%len(cl.workers)]; step%5 == 0 && step < 180 {
 			cl.restartWorker(w)
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -22,6 +23,9 @@
 	simTasksPerRecord = 2
 )
 
+// simCapacity is the capacity of each worker.
+var simCapacity = model.Resources{Cores: 4000, Memory: 4000}
+
 // simRun is a run on a simulated worker; it uses the worker's capacity until it has ended.
 type simRun struct {
 	key      runKey
@@ -29,8 +33,10 @@
 	gang     bool
 	stopping bool
 	// stray tells that a late start brought the run to another incarnation than the one it was meant for.
-	stray  bool
-	stopAt time.Duration
+	stray bool
+	// orphaned is how a gang member's run ends once its worker, which doesn't know yet that the gang has ended, can be reached.
+	orphaned agent.RunOutcome
+	stopAt   time.Duration
 	// waitingSince is the reading of the worker's clock when a gang member began to wait for the others; negative once
 	// all members are present.
 	waitingSince time.Duration
@@ -42,15 +48,17 @@
 	up          bool
 	unreachable bool
 	draining    bool
+	// unlisted tells that the worker's entry is gone while its processes run.
+	unlisted    bool
 	incarnation int64
-	// connection identifies the owner's connection for heartbeats. It ends with the incarnation, and with a heartbeat that
+	// connections identifies each owner's connection for heartbeats. It ends with the incarnation, and with a heartbeat that
 	// gets no answer.
-	connection uint64
-	clockRate  float64
-	clock      time.Duration
-	token      int64
-	leaseEnd   time.Duration
-	runs       map[runKey]*simRun
+	connections map[*Shard]uint64
+	clockRate   float64
+	clock       time.Duration
+	token       int64
+	leaseEnd    time.Duration
+	runs        map[runKey]*simRun
 	// superseded holds, for each task, the highest run that has ended or was stopped on the worker. The worker refuses starts
 	// of this and earlier runs.
 	superseded map[work.TaskRef]int
@@ -74,6 +82,8 @@
 	start     *StartCommand
 	stop      *StopCommand
 	heartbeat *agent.Heartbeat
+	// answer takes the answer of a command that is only slow; it is nil for one that counts as unanswered.
+	answer func(time.Duration, error)
 }
 
 // cluster simulates the workers and a store that loses nothing for the property test, and checks the invariants at each
@@ -109,9 +119,12 @@
 	submitted int
 	// reports holds the answers to heartbeats that are under way.
 	reports []slowReport
-	// former is the owner before the present one while it goes on, and lostAt when it lost the ownership.
-	former *Shard
-	lostAt time.Duration
+	// formers holds the owners before the present one while they go on.
+	formers []formerOwner
+	// lastConnection is the number of the last connection.
+	lastConnection uint64
+	// answers holds the answers to commands that are under way.
+	answers []slowAnswer
 }
 
 func newCluster(t *rapid.T, options simOptions) *cluster {
@@ -128,6 +141,7 @@
 			id: model.WorkerID(fmt.Sprintf("w%d", i)), up: true, incarnation: 1, clockRate: 0.98 + 0.01*float64(i%3),
 			clock: options.uptime,
 			runs:  make(map[runKey]*simRun), superseded: make(map[work.TaskRef]int), endedAt: make(map[int64]int),
+			connections: make(map[*Shard]uint64),
 		})
 	}
 	cl.takeOver()
@@ -137,12 +151,13 @@
 // takeOver starts a new owner from the recorded state; commands of the former owner may still be in flight.
 func (cl *cluster) takeOver() {
 	cl.token++
-	cl.former, cl.lostAt = cl.shard, cl.now
+	cl.noteFormerOwner()
 	cl.shard = New(Config{
 		Token: cl.token, Lease: testLease, MaxLease: simMaxLease, RenewLimit: 3 * time.Second,
 		KillGrace: simKillGrace, GangTimeout: simGangTimeout,
 		Retention: simRetention, TasksPerRecord: simTasksPerRecord,
 	})
+	cl.logf("owner %d takes over", cl.token)
 	cl.drops = nil
 	cl.shard.SetConfiguration(testConfiguration())
 	r := RecordedState{Progress: joinRecords(cl.t, cl.progress)}
@@ -154,13 +169,18 @@
 	cl.register()
 }
 
+// logf adds a line with the time to the output of a failing sequence.
+func (cl *cluster) logf(format string, args ...any) {
+	cl.t.Logf("%v: "+format, append([]any{cl.now}, args...)...)
+}
+
 func (cl *cluster) register() {
 	var entries []agent.Entry
 	for _, w := range cl.workers {
-		if w.up {
+		if w.up && !w.unlisted {
 			entries = append(entries, agent.Entry{
 				ID: w.id, Pool: testPool, Address: string(w.id), DataCentre: "dc1", Draining: w.draining,
-				Capacity: model.Resources{Cores: 4000, Memory: 4000},
+				Capacity: simCapacity,
 			})
 		}
 	}
@@ -173,8 +193,22 @@
 
 func (cl *cluster) stageOf(task work.TaskRef) work.Stage { return cl.jobs[task.Job].Stages[task.Stage] }
 
-// advance lets time pass: leases expire, stopped runs end, delayed commands arrive.
+// advance lets time pass, step by step from one delayed command or answer to the next.
 func (cl *cluster) advance(d time.Duration) {
+	for end := cl.now + d; cl.now < end; {
+		next := end
+		for _, at := range cl.dueTimes() {
+			if at > cl.now {
+				next = min(next, at)
+			}
+		}
+		cl.pass(next - cl.now)
+	}
+	cl.checkInvariants()
+}
+
+// pass lets time pass: leases expire, stopped runs end, delayed commands and answers arrive.
+func (cl *cluster) pass(d time.Duration) {
 	cl.now += d
 	cl.wall = cl.wall.Add(d)
 	for _, w := range cl.workers {
@@ -192,6 +226,10 @@
 				cl.endRun(w, run, agent.OutcomeLeaseExpired)
 			case run.stopping && cl.now >= run.stopAt:
 				cl.endRun(w, run, agent.OutcomeStopped)
+			case run.orphaned != "":
+				if !w.unreachable {
+					cl.listEnd(w, run, run.orphaned)
+				}
 			case run.gang && run.waitingSince >= 0 && w.clock-run.waitingSince > simGangTimeout:
 				cl.endRun(w, run, agent.OutcomeGangIncomplete)
 			}
@@ -207,7 +245,16 @@
 			cl.arrive(d)
 		}
 	}
-	cl.checkInvariants()
+	cl.applyAnswers()
+}
+
+// used returns the capacity that the worker's runs use.
+func (w *simWorker) used() model.Resources {
+	used := model.Resources{}
+	for _, run := range w.runs {
+		used = used.Plus(run.size)
+	}
+	return used
 }
 
 func (w *simWorker) sortedRuns() []*simRun {
@@ -234,6 +281,7 @@
 
 // listEnd removes a run and lists its end.
 func (cl *cluster) listEnd(w *simWorker, run *simRun, outcome agent.RunOutcome) {
+	cl.logf("%s ends %v run %d: %s, end %d", w.id, run.key.task, run.key.run, outcome, w.lastEnd+1)
 	delete(w.runs, run.key)
 	w.lastEnd++
 	cl.moments++
@@ -252,19 +300,25 @@
 	}
 	for _, w := range cl.workers {
 		for _, run := range w.sortedRuns() {
-			if run.key.task.Job != key.task.Job || run.key.task.Stage != key.task.Stage || run.key.run != key.run ||
-				w.runs[run.key] != run {
+			if !run.inGang(key) || w.runs[run.key] != run {
 				continue
 			}
 			other := agent.OutcomeGangBroken
 			if outcome == agent.OutcomeDone {
 				other = agent.OutcomeDone
 			}
+			if cl.options.gangsOutlive && w.unreachable {
+				run.orphaned = cmp.Or(run.orphaned, other)
+				continue
+			}
 			cl.listEnd(w, run, other)
 		}
 	}
 }
 
+// GoString keeps the draws of a failing sequence short.
+func (w *simWorker) GoString() string { return string(w.id) }
+
 func (w *simWorker) describe() string {
 	text := fmt.Sprintf("(incarnation %d)", w.incarnation)
 	for _, run := range w.sortedRuns() {
@@ -312,6 +366,9 @@
 		return w.clock, agent.ErrRunSuperseded
 	case cmd.Start.LeaseEnd <= w.clock:
 		return w.clock, agent.ErrDeadlinePassed
+	case cl.options.guardedCapacity && !w.used().Plus(cl.stageOf(key.task).Size).Fits(simCapacity):
+		w.extendLease(cmd.Start.LeaseEnd)
+		return w.clock, agent.ErrNoCapacity
 	}
 	w.extendLease(cmd.Start.LeaseEnd)
 	cl.begin(w, key, stray)
@@ -324,16 +381,23 @@
 	cl.lastStart[key.task] = cl.moments
 	stage := cl.stageOf(key.task)
 	w.runs[key] = &simRun{key: key, size: stage.Size, gang: stage.Gang, waitingSince: w.clock, stray: stray}
+	cl.logf("%s (incarnation %d) starts %v run %d, stray %v, lease until %v of %v", w.id, w.incarnation, key.task, key.run, stray,
+		w.leaseEnd, w.clock)
 	cl.startGangIfComplete(key, stage)
 	cl.checkStart(key, stray)
 }
 
+// inGang reports whether the run belongs to the same run of a gang.
+func (run *simRun) inGang(key runKey) bool {
+	return run.gang && run.key.task.Job == key.task.Job && run.key.task.Stage == key.task.Stage && run.key.run == key.run
+}
+
 // members returns the members of a gang's run that are present on workers.
 func (cl *cluster) members(key runKey) []*simRun {
 	var list []*simRun
 	for _, w := range cl.workers {
 		for _, run := range w.sortedRuns() {
-			if run.gang && run.key.task.Job == key.task.Job && run.key.task.Stage == key.task.Stage && run.key.run == key.run {
+			if run.inGang(key) && run.orphaned == "" {
 				list = append(list, run)
 			}
 		}
@@ -381,6 +445,7 @@
 	case !w.acceptToken(cmd.Stop.Token):
 		return w.clock, agent.ErrFenced
 	}
+	cl.logf("%s stops %v run %d", w.id, cmd.Stop.Task, cmd.Stop.Run)
 	w.superseded[cmd.Stop.Task] = max(w.superseded[cmd.Stop.Task], cmd.Stop.Run)
 	if run := w.runs[runKey{cmd.Stop.Task, cmd.Stop.Run}]; run != nil && !run.stopping {
 		run.stopping, run.stopAt = true, cl.now+simKillGrace
@@ -391,19 +456,20 @@
 // exchangeHeartbeat sends a heartbeat and applies the worker's report, unless, as the delivery says, the heartbeat is lost, the
 // report is lost ("unanswered") or slow ("slow"), or the heartbeat takes effect later ("late").
 func (cl *cluster) exchangeHeartbeat(w *simWorker, delivery string) {
-	if cl.awaitsReport(w) {
+	if cl.awaitsReport(w) || !cl.reaches(cl.shard, w) {
 		return
 	}
 	heartbeat, ok := cl.shard.HeartbeatFor(w.id, cl.now, true)
-	if !ok || !w.up || w.unreachable {
+	if !ok {
 		return
 	}
-	if heartbeat.ReportConnection != w.connection {
-		heartbeat.Acked, heartbeat.LeaseEnd = 0, 0
+	if w.unreachable {
+		delivery = cl.deliveryInSilence()
 	}
-	if delivery == "lost" || delivery == "late" {
-		w.connection++
-		if delivery == "late" {
+	heartbeat = cl.onConnection(cl.shard, w, heartbeat)
+	if !w.up || delivery == "lost" || delivery == "late" {
+		delete(w.connections, cl.shard)
+		if w.up && delivery == "late" {
 			cl.delay(w, delayedCommand{heartbeat: &heartbeat})
 		}
 		return
@@ -413,10 +479,10 @@
 		cl.t.Fatalf("%s has seen a higher token than the owner's", w.id)
 	}
 	if delivery == "unanswered" {
-		w.connection++
+		delete(w.connections, cl.shard)
 		return
 	}
-	report.Connection = w.connection
+	report.Connection = w.connections[cl.shard]
 	if delivery == "slow" {
 		cl.reports = append(cl.reports, slowReport{cl.shard, w, report, cl.now + simReportTimeout})
 		return
@@ -424,6 +490,18 @@
 	cl.shard.ApplyReport(w.id, report, cl.now)
 }
 
+// onConnection returns a heartbeat as an owner sends it over its connection, which is a new one if it has none.
+func (cl *cluster) onConnection(owner *Shard, w *simWorker, heartbeat agent.Heartbeat) agent.Heartbeat {
+	if w.connections[owner] == 0 {
+		cl.lastConnection++
+		w.connections[owner] = cl.lastConnection
+	}
+	if heartbeat.ReportConnection != w.connections[owner] {
+		heartbeat.Acked, heartbeat.LeaseEnd = 0, 0
+	}
+	return heartbeat
+}
+
 // applyHeartbeat carries out a heartbeat and returns the worker's report, or false if the worker has seen a higher token.
 func (cl *cluster) applyHeartbeat(w *simWorker, heartbeat agent.Heartbeat) (agent.Report, bool) {
 	if !w.acceptToken(heartbeat.Token) {
@@ -509,15 +587,7 @@
 func (cl *cluster) sendCommands(nextDelivery func() string) {
 	cl.shard.Tick(cl.now, cl.wall)
 	cl.commit()
-	commands := cl.shard.TakeCommands(cl.now)
-	for _, cmd := range commands.Starts {
-		clock, err := cl.deliver(nextDelivery(), cl.workerByID(cmd.Target.ID), delayedCommand{start: &cmd})
-		cl.shard.ApplyStartResult(cmd, clock, err, cl.now)
-	}
-	for _, cmd := range commands.Stops {
-		clock, err := cl.deliver(nextDelivery(), cl.workerByID(cmd.Target.ID), delayedCommand{stop: &cmd})
-		cl.shard.ApplyStopResult(cmd, clock, err, cl.now)
-	}
+	cl.sendOwnersCommands(cl.shard, nextDelivery)
 	for _, call := range allAdviceCalls(cl.shard, cl.now) {
 		advice := agent.Advice{Tickets: make(map[model.WorkerID]string), Valid: model.Duration(2 * time.Second)}
 		for i, id := range call.Request.Workers {
@@ -530,29 +600,53 @@
 	cl.checkInvariants()
 }
 
+// sendOwnersCommands carries out the commands of the present owner or a former one.
+func (cl *cluster) sendOwnersCommands(owner *Shard, nextDelivery func() string) {
+	commands := owner.TakeCommands(cl.now)
+	for _, cmd := range commands.Starts {
+		d := delayedCommand{start: &cmd, answer: func(clock time.Duration, err error) {
+			owner.ApplyStartResult(cmd, clock, err, cl.now)
+		}}
+		cl.deliver(owner, nextDelivery(), cl.workerByID(cmd.Target.ID), d)
+	}
+	for _, cmd := range commands.Stops {
+		d := delayedCommand{stop: &cmd, answer: func(clock time.Duration, err error) {
+			owner.ApplyStopResult(cmd, clock, err, cl.now)
+		}}
+		cl.deliver(owner, nextDelivery(), cl.workerByID(cmd.Target.ID), d)
+	}
+}
+
 // deliver carries out a command at once, or, as the delivery says, never ("lost"), later ("late") or with its answer lost
-// ("unanswered").
-func (cl *cluster) deliver(delivery string, w *simWorker, d delayedCommand) (time.Duration, error) {
-	if w.unreachable {
-		return 0, agent.ErrNoAnswer
+// ("unanswered"). The answer, or that there is none, may reach the owner later than those to newer commands.
+func (cl *cluster) deliver(owner *Shard, delivery string, w *simWorker, d delayedCommand) {
+	if w.unreachable && owner == cl.shard {
+		delivery = cl.deliveryInSilence()
 	}
+	clock, err := time.Duration(0), agent.ErrNoAnswer
 	switch delivery {
 	case "lost":
-		return 0, agent.ErrNoAnswer
 	case "late":
-		cl.delay(w, d)
-		return 0, agent.ErrNoAnswer
+		late := d
+		late.answer = nil
+		cl.delay(w, late)
+	default:
+		if cl.answersSlowly(w, d, delivery) {
+			return
+		}
+		if clock, err = cl.carryOut(d); delivery == "unanswered" {
+			clock, err = 0, agent.ErrNoAnswer
+		}
 	}
-	clock, err := time.Duration(0), error(nil)
+	cl.answer(d, clock, err)
+}
+
+// carryOut carries out a start or a stop on time.
+func (cl *cluster) carryOut(d delayedCommand) (time.Duration, error) {
 	if d.start != nil {
-		clock, err = cl.applyStart(*d.start, false)
-	} else {
-		clock, err = cl.applyStop(*d.stop)
-	}
-	if delivery == "unanswered" {
-		return 0, agent.ErrNoAnswer
+		return cl.applyStart(*d.start, false)
 	}
-	return clock, err
+	return cl.applyStop(*d.stop)
 }
 
 // checkIndexes fails the test if what the shard keeps besides its workers doesn't match them.
@@ -597,9 +691,7 @@
 	// usage and strayUsage are what the limited team has running; with stray starts it may be over its limit by one task.
 	var usage, strayUsage, largest model.MilliCores
 	for _, w := range cl.workers {
-		used := model.Resources{}
 		for _, run := range w.sortedRuns() {
-			used = used.Plus(run.size)
 			switch {
 			case cl.jobs[run.key.task.Job].Team != "capped":
 				continue
@@ -610,7 +702,7 @@
 			}
 			largest = max(largest, run.size.Cores)
 		}
-		if !used.Fits(model.Resources{Cores: 4000, Memory: 4000}) {
+		if used := w.used(); !used.Fits(simCapacity) {
 			cl.t.Fatalf("%s is over its capacity: %+v, runs %v, owner's view %+v",
 				w.id, used, w.describe(), cl.shard.workers[w.id].describe())
 		}
