--- a/internal/shard/failures_test.go
+++ b/internal/shard/failures_test.go
@@ -54,6 +54,8 @@
 	assert.Equal(t, len(progress), 1)
 	job := h.shard.jobs["j"].spec
 	h.takeOver(RecordedState{Jobs: []work.Job{job}, Progress: map[model.JobID]work.Progress{"j": progress[0].Progress}})
+	// Starts of the former owner may arrive until then.
+	h.advance(3*time.Second + maxCommandDelay)
 	h.report("w1", agent.Report{Ended: []agent.EndedRun{failed}})
 	assert.Equal(t, len(h.confirmStarts()), 1)
 	h.requireState(work.StateRunning)
@@ -102,7 +104,11 @@
 						h.report(id, agent.Report{})
 					}
 				}
-				started = len(h.confirmStarts())
+				commands := h.nextCommands()
+				for _, cmd := range commands.Stops {
+					h.shard.ApplyStopResult(cmd, 0, agent.ErrNoAnswer, h.now)
+				}
+				started = len(commands.Starts)
 			}
 			assert.Equal(t, started, 2)
 			assert.Assert(t, h.now > presumed)
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -153,7 +153,7 @@
 	cl.token++
 	cl.noteFormerOwner()
 	cl.shard = New(Config{
-		Token: cl.token, Lease: testLease, MaxLease: simMaxLease, RenewLimit: 3 * time.Second,
+		Epoch: cl.token, Lease: testLease, MaxLease: simMaxLease, RenewLimit: 3 * time.Second,
 		KillGrace: simKillGrace, GangTimeout: simGangTimeout,
 		Retention: simRetention, TasksPerRecord: simTasksPerRecord,
 	})
