test(shard): tickets of one life, heartbeats that fail, attempts acknowledged later

Cause: the model accepted a start with placement advice in any life of its worker if it was sent on time, and late ones in the same life however old the ticket, which the platform refuses. Owners were never told that a heartbeat had failed. A start after the last failure that the queue allows counted only if all failures had been acknowledged before.

Change: tickets name their worker's life and end, and each start is checked against both. A heartbeat without an answer is passed on with HeartbeatFailed, or with slow answers left to the next heartbeat. A start also fails the test if the failures before it are acknowledged later.

--- a/internal/shard/faultmodel_test.go
+++ b/internal/shard/faultmodel_test.go
@@ -108,8 +108,7 @@
 		d.answer(cl.carryOut(d))
 	case !w.up:
 	case d.start != nil:
-		// Tickets are valid during one life of the worker.
-		if other && (!cl.options.lateStarts || cl.jobs[d.start.Start.Task.Job].Queue == "advised") {
+		if other && !cl.options.lateStarts {
 			return
 		}
 		start := *d.start
@@ -216,7 +215,7 @@
 	for _, r := range cl.reports {
 		if r.owner != cl.shard || cl.now > r.until {
 			if r.owner == cl.shard {
-				delete(r.worker.connections, cl.shard)
+				cl.failHeartbeat(cl.shard, r.worker)
 			}
 			continue
 		}
@@ -418,7 +417,7 @@
 	heartbeat = cl.onConnection(f.shard, w, heartbeat)
 	delivery := cl.formerDelivery()
 	if delivery == "lost" || delivery == "late" {
-		delete(w.connections, f.shard)
+		cl.failHeartbeat(f.shard, w)
 		if delivery == "late" {
 			cl.delay(w, delayedCommand{heartbeat: &heartbeat})
 		}
@@ -427,7 +426,7 @@
 	report, ok := cl.applyHeartbeat(w, heartbeat)
 	switch {
 	case delivery == "unanswered":
-		delete(w.connections, f.shard)
+		cl.failHeartbeat(f.shard, w)
 	case !ok:
 		return false
 	default:
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -19,6 +19,8 @@
 	simKillGrace   = 400 * time.Millisecond
 	simGangTimeout = 3 * time.Second
 	simRetention   = 4 * time.Second
+	// simTicketValidity is how long a placement ticket is valid on its worker's clock.
+	simTicketValidity = 2 * time.Second
 	// simTasksPerRecord lets most jobs be recorded in parts.
 	simTasksPerRecord = 2
 )
@@ -106,9 +108,10 @@
 	drops       []string
 	expired     map[model.JobID]bool
 	// acknowledgedDone holds the tasks with an acknowledged success, succeeded those with any success.
-	acknowledgedDone     map[work.TaskRef]bool
-	succeeded            map[work.TaskRef]bool
-	acknowledgedFailures map[work.TaskRef]map[int]bool
+	acknowledgedDone map[work.TaskRef]bool
+	succeeded        map[work.TaskRef]bool
+	// acknowledgedFailures holds, for each task, the moments of the acknowledged failures by run.
+	acknowledgedFailures map[work.TaskRef]map[int]int
 	// moments counts the starts and ends on all workers, and lastStart holds the moment at which a run of a task last started.
 	moments   int
 	lastStart map[work.TaskRef]int
@@ -133,7 +136,7 @@
 		submissions: make(map[model.JobID]bool), cancelled: make(map[model.JobID]bool),
 		progress: make(map[string]work.Progress), expired: make(map[model.JobID]bool),
 		acknowledgedDone: make(map[work.TaskRef]bool),
-		succeeded:        make(map[work.TaskRef]bool), acknowledgedFailures: make(map[work.TaskRef]map[int]bool),
+		succeeded:        make(map[work.TaskRef]bool), acknowledgedFailures: make(map[work.TaskRef]map[int]int),
 		shownCompleted: make(map[model.JobID]bool), lastStart: make(map[work.TaskRef]int),
 	}
 	for i := range 4 {
@@ -349,6 +352,24 @@
 	w.leaseEnd = max(w.leaseEnd, min(end, w.clock+simMaxLease))
 }
 
+// newTicket returns a placement ticket, which is valid for a while during one life of the worker.
+func (w *simWorker) newTicket() string {
+	return fmt.Sprintf("%d %d", w.incarnation, w.clock+simTicketValidity)
+}
+
+// acceptsTicket reports whether the worker accepts the ticket of a start, if the start needs one.
+func (cl *cluster) acceptsTicket(w *simWorker, start agent.Start) bool {
+	if cl.jobs[start.Task.Job].Queue != "advised" {
+		return true
+	}
+	var incarnation int64
+	var until time.Duration
+	if _, err := fmt.Sscan(start.Ticket, &incarnation, &until); err != nil {
+		cl.t.Fatalf("start of %v with ticket %q: %v", start.Task, start.Ticket, err)
+	}
+	return incarnation == w.incarnation && w.clock <= until
+}
+
 // applyStart carries out a start and checks the invariants that apply to it. A stray start was meant for another incarnation.
 func (cl *cluster) applyStart(cmd StartCommand, stray bool) (time.Duration, error) {
 	w := cl.workerByID(cmd.Target.ID)
@@ -366,6 +387,8 @@
 		return w.clock, agent.ErrRunSuperseded
 	case cmd.Start.LeaseEnd <= w.clock:
 		return w.clock, agent.ErrDeadlinePassed
+	case !cl.acceptsTicket(w, cmd.Start):
+		return w.clock, agent.ErrTicket
 	case cl.options.guardedCapacity && !w.used().Plus(cl.stageOf(key.task).Size).Fits(simCapacity):
 		w.extendLease(cmd.Start.LeaseEnd)
 		return w.clock, agent.ErrNoCapacity
@@ -468,7 +491,7 @@
 	}
 	heartbeat = cl.onConnection(cl.shard, w, heartbeat)
 	if !w.up || delivery == "lost" || delivery == "late" {
-		delete(w.connections, cl.shard)
+		cl.failHeartbeat(cl.shard, w)
 		if w.up && delivery == "late" {
 			cl.delay(w, delayedCommand{heartbeat: &heartbeat})
 		}
@@ -479,7 +502,7 @@
 		cl.t.Fatalf("%s has seen a higher token than the owner's", w.id)
 	}
 	if delivery == "unanswered" {
-		delete(w.connections, cl.shard)
+		cl.failHeartbeat(cl.shard, w)
 		return
 	}
 	report.Connection = w.connections[cl.shard]
@@ -490,6 +513,15 @@
 	cl.shard.ApplyReport(w.id, report, cl.now)
 }
 
+// failHeartbeat ends the connection over which a heartbeat got no answer. With slow answers the owner learns of it only when it
+// sends the next one.
+func (cl *cluster) failHeartbeat(owner *Shard, w *simWorker) {
+	delete(w.connections, owner)
+	if !cl.options.slowAnswers {
+		owner.HeartbeatFailed(w.id, agent.ErrNoAnswer, cl.now)
+	}
+}
+
 // onConnection returns a heartbeat as an owner sends it over its connection, which is a new one if it has none.
 func (cl *cluster) onConnection(owner *Shard, w *simWorker, heartbeat agent.Heartbeat) agent.Heartbeat {
 	if w.connections[owner] == 0 {
@@ -526,8 +558,8 @@
 	return report, true
 }
 
-// recordAcknowledged notes an acknowledged end. It fails the test if a run of the task has started since a success that is
-// acknowledged only now.
+// recordAcknowledged notes an acknowledged end. It fails the test if a run of the task has started since a success, or since the last
+// failure that the queue allows, that is acknowledged only now.
 func (cl *cluster) recordAcknowledged(w *simWorker, e agent.EndedRun) {
 	switch e.Outcome {
 	case agent.OutcomeDone:
@@ -536,10 +568,15 @@
 			cl.t.Fatalf("%v started after the success of run %d on %s, which is acknowledged now", e.Task, e.Run, w.id)
 		}
 	case agent.OutcomeFailed:
-		if cl.acknowledgedFailures[e.Task] == nil {
-			cl.acknowledgedFailures[e.Task] = make(map[int]bool)
+		failures := cl.acknowledgedFailures[e.Task]
+		if failures == nil {
+			failures = make(map[int]int)
+			cl.acknowledgedFailures[e.Task] = failures
+		}
+		failures[e.Run] = w.endedAt[e.Number]
+		if moments := slices.Sorted(maps.Values(failures)); len(moments) >= 2 && cl.lastStart[e.Task] > moments[1] {
+			cl.t.Fatalf("%v started after %d failures, of which that of run %d is acknowledged now", e.Task, len(moments), e.Run)
 		}
-		cl.acknowledgedFailures[e.Task][e.Run] = true
 	case agent.OutcomeStopped, agent.OutcomeLeaseExpired, agent.OutcomeGangBroken, agent.OutcomeGangIncomplete:
 	}
 }
@@ -589,10 +626,10 @@
 	cl.commit()
 	cl.sendOwnersCommands(cl.shard, nextDelivery)
 	for _, call := range allAdviceCalls(cl.shard, cl.now) {
-		advice := agent.Advice{Tickets: make(map[model.WorkerID]string), Valid: model.Duration(2 * time.Second)}
+		advice := agent.Advice{Tickets: make(map[model.WorkerID]string), Valid: model.Duration(simTicketValidity)}
 		for i, id := range call.Request.Workers {
 			if (i+len(call.Request.Stage.Job))%3 > 0 || i == 0 {
-				advice.Tickets[id] = "ticket"
+				advice.Tickets[id] = cl.workerByID(id).newTicket()
 			}
 		}
 		cl.shard.ApplyAdvice(call, advice, nil, cl.now)
