fix(shard): count the success of a run that was given up

Symptom: a task starts again after its success has been acknowledged (TWICE, second form), and work that has run is run again.

Cause: a worker's report of a success counted only if the owner still had the run. That of a run which it had given up was acknowledged and forgotten, while such a failure was counted.

Change: a late success counts like any other: the task, or its gang, is done, other runs of it are stopped, and no run follows.

TestLateSuccessIsNotRunAgain failed before: two starts instead of none.

--- a/internal/shard/failures_test.go
+++ b/internal/shard/failures_test.go
@@ -277,3 +277,50 @@
 	}
 	assert.Assert(t, started)
 }
+
+// TestLateSuccessIsNotRunAgain guards against a run after an acknowledged success: the worker reports the success of a run that
+// was given up.
+func TestLateSuccessIsNotRunAgain(t *testing.T) {
+	tests := []struct {
+		name string
+		gang bool
+		// again tells that the task was started again before the report.
+		again bool
+	}{
+		{"before another run", false, false},
+		{"beside another run", false, true},
+		{"gang beside another run", true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, "w1", "w2", "w3", "w4")
+			stage := sized(2, 3000, time.Second)
+			stage.Gang = tt.gang
+			h.submitJob(stage)
+			first := h.confirmStarts()
+			assert.Equal(t, len(first), 2)
+			for _, cmd := range first {
+				a := h.shard.jobs["j"].stages[0].tasks[cmd.Start.Task.Index].attempts[0]
+				h.shard.endUnreported(a, goneNotListed, agent.OutcomeLeaseExpired, h.now)
+			}
+			var again []StartCommand
+			if tt.again {
+				again = h.confirmStarts()
+				assert.Equal(t, len(again), 2)
+			}
+			for _, cmd := range first {
+				report := agent.Report{Ended: []agent.EndedRun{firstEnd(cmd, agent.OutcomeDone)}}
+				for _, other := range again {
+					if other.Target.ID == cmd.Target.ID {
+						report.Running = append(report.Running, agent.ActiveRun{Task: other.Start.Task, Run: other.Start.Run})
+					}
+				}
+				h.report(cmd.Target.ID, report)
+			}
+			commands := h.nextCommands()
+			assert.Equal(t, len(commands.Starts), 0)
+			assert.Equal(t, len(commands.Stops), len(again))
+			h.requireState(work.StateCompleted)
+		})
+	}
+}
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -165,8 +165,8 @@
 		if a, ok := w.attempts[key]; ok {
 			notBefore = a.reachesNextIncarnationUntil()
 			s.endRun(a, end.Outcome, end.Checkpoint, now)
-		} else if end.Outcome == agent.OutcomeFailed {
-			s.countLateFailure(end, now)
+		} else {
+			s.countLateEnd(end, now)
 		}
 		w.pendingAcks = append(w.pendingAcks, pendingAck{end.Number, s.nextCommit, notBefore})
 	}
@@ -196,11 +196,11 @@
 	}
 }
 
-// countLateFailure counts the failure of a run that was already presumed to have ended. The ended run is about to be
-// acknowledged, and every acknowledged failure must count.
-func (s *Shard) countLateFailure(end agent.EndedRun, now time.Duration) {
+// countLateEnd counts the success or failure of a run that was already given up. The ended run is about to be acknowledged, and
+// every acknowledged success and failure must count: no run may start after it.
+func (s *Shard) countLateEnd(end agent.EndedRun, now time.Duration) {
 	j := s.jobs[end.Task.Job]
-	if j == nil || j.final != "" {
+	if j == nil || j.final != "" || (end.Outcome != agent.OutcomeDone && end.Outcome != agent.OutcomeFailed) {
 		return
 	}
 	st := j.stage(end.Task.Occurrence, end.Task.Stage)
@@ -208,6 +208,14 @@
 		return
 	}
 	s.markTaskDirty(st, end.Task.Index)
+	if end.Outcome == agent.OutcomeDone {
+		s.emit("late-success", string(j.spec.ID), end.Task.String(), nil, "", int64(end.Run))
+		s.recordSuccess(st, end.Task.Index, now)
+		if st.spec.Gang {
+			s.stopStage(st, now)
+		}
+		return
+	}
 	failures := st.countFailure(end.Task.Index, end.Run)
 	s.emit("late-failure", string(j.spec.ID), end.Task.String(), nil, "", int64(failures))
 	if st.left > 0 && failures >= max(j.queue.Attempts, 1) && !st.tasks[end.Task.Index].done {
@@ -215,6 +223,15 @@
 	}
 }
 
+// stopStage stops all runs of a stage.
+func (s *Shard) stopStage(st *stage, now time.Duration) {
+	for i := range st.tasks {
+		for _, a := range slices.Clone(st.tasks[i].attempts) {
+			s.stopRun(a, now)
+		}
+	}
+}
+
 // markStarted records that a task of the job has started.
 func (s *Shard) markStarted(a *attempt, now time.Duration) {
 	j := a.stage.job
@@ -262,7 +279,7 @@
 	switch outcome {
 	case agent.OutcomeDone:
 		w.consecutiveFailures = 0
-		s.recordSuccess(a, now)
+		s.recordSuccess(st, a.index, now)
 	case agent.OutcomeFailed:
 		s.recordFailure(a, now)
 	case agent.OutcomeStopped, agent.OutcomeLeaseExpired, agent.OutcomeGangBroken, agent.OutcomeGangIncomplete:
@@ -280,24 +297,23 @@
 }
 
 // recordSuccess marks the task, or all tasks of a gang, as done.
-func (s *Shard) recordSuccess(a *attempt, now time.Duration) {
-	st, j := a.stage, a.stage.job
+func (s *Shard) recordSuccess(st *stage, index int, now time.Duration) {
 	if st.spec.Service {
 		return
 	}
 	for i := range st.tasks {
-		if (i == a.index || st.spec.Gang) && !st.tasks[i].done {
+		if (i == index || st.spec.Gang) && !st.tasks[i].done {
 			st.tasks[i].done = true
 			st.left--
 		}
 	}
 	if !st.spec.Gang {
-		// Other copies of a speculative task are no longer needed.
-		for _, other := range a.task().attempts {
+		// Other runs of the task are no longer needed.
+		for _, other := range slices.Clone(st.tasks[index].attempts) {
 			s.stopRun(other, now)
 		}
 	}
-	s.finishIfDone(j, now)
+	s.finishIfDone(st.job, now)
 }
 
 // finishIfDone makes a job final once all its tasks are done.
--- a/internal/shard/restore.go
+++ b/internal/shard/restore.go
@@ -89,11 +89,7 @@
 	if !st.spec.Gang || st.left == 0 || !slices.ContainsFunc(st.tasks, func(t task) bool { return len(t.attempts) == 0 }) {
 		return
 	}
-	for i := range st.tasks {
-		for _, a := range st.tasks[i].attempts {
-			s.stopRun(a, now)
-		}
-	}
+	s.stopStage(st, now)
 }
 
 // dropFinalSubmissions requests the deletion of the submissions that a former owner had yet to delete.
