fix(owner): give up a takeover that can't finish

Cause: a takeover repeats its fences and reads for as long as its node is a member of the group. If its group calls are answered but the appends or reads of one topic aren't, it stays a member with the partition, and nobody else takes over.

A takeover now fences within renew-limit plus the longest lease, both settings, and gives up when a read that has taken that long fails. By then each lease of the former owner has ended, so that nothing runs which another node's takeover could lose. A read that is under way isn't interrupted, because many records take long over a slow link. The node then leaves the group for 2 s, as after each failed ownership. Waiting for the registry stays unbounded: its mirror reads on by itself.

TestTakeoverThatCannotFinishIsGivenUp failed before in all five cases (claim, either fence, either read): no second owner after 18 s.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -185,7 +185,7 @@
 			ow.noteAppend(begun)
 			return nil
 		case ctx.Err() != nil:
-			return ctx.Err()
+			return context.Cause(ctx)
 		case errors.Is(err, ledger.ErrRefused), errors.Is(err, ledger.ErrNoAnswer):
 			if !logged {
 				logged = true
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -23,8 +23,12 @@
 const (
 	testQueue      = "batch"
 	testRenewLimit = 3 * time.Second
+	testMaxLease   = 10 * time.Second
 )
 
+// testShard configures the shards of the tests.
+var testShard = shard.Config{Lease: 7 * time.Second, MaxLease: testMaxLease, RenewLimit: testRenewLimit, Retention: time.Minute}
+
 // memoryStore is an in-memory store whose appends can be made to fail.
 type memoryStore struct {
 	mu      sync.Mutex
@@ -168,7 +172,7 @@
 		Self: self, Group: "owners", Store: store, Workers: workers, Directory: directory, Log: log,
 		Configuration: func() (terms.Configuration, bool) { return configuration, true },
 		Registry:      func(changed func([]agent.Entry)) Runner { return fixedRegistry{entries, changed} },
-		Shard:         shard.Config{Lease: 7 * time.Second, MaxLease: 10 * time.Second, RenewLimit: testRenewLimit, Retention: time.Minute},
+		Shard:         testShard,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -17,6 +18,15 @@
 	"arbutuswing.example/internal/work"
 )
 
+// errStuck reports that a takeover can't finish because the store leaves its calls unanswered or refuses them.
+var errStuck = errors.New("takeover can't finish")
+
+// takeoverLimit returns how long a takeover tries to fence the former owner, or to read a topic, before it is given up. By then
+// each lease of the former owner has ended, so that nothing runs which another node's takeover, begun anew, could lose.
+func (ow *ownership) takeoverLimit() time.Duration {
+	return ow.cfg.Shard.RenewLimit + ow.cfg.Shard.MaxLease
+}
+
 // runRegistry follows the workers' registry entries.
 func (ow *ownership) runRegistry(ctx context.Context) {
 	defer ow.group.Done()
@@ -37,11 +47,13 @@
 	var current terms.Configuration
 	progressFenced := make(chan struct{})
 	group, groupCtx := errgroup.WithContext(ctx)
+	fenceCtx, cancel := context.WithTimeoutCause(groupCtx, ow.takeoverLimit(), errStuck)
+	defer cancel()
 	group.Go(func() error {
-		return ow.append(groupCtx, TopicOwner, []ledger.Record{{Key: claimantKey, Value: self}})
+		return ow.append(fenceCtx, TopicOwner, []ledger.Record{{Key: claimantKey, Value: self}})
 	})
 	group.Go(func() (err error) {
-		if err = ow.append(groupCtx, TopicProgress, nil); err != nil {
+		if err = ow.append(fenceCtx, TopicProgress, nil); err != nil {
 			return err
 		}
 		close(progressFenced)
@@ -49,7 +61,7 @@
 		return err
 	})
 	group.Go(func() (err error) {
-		if err = ow.append(groupCtx, TopicInbox, nil); err != nil {
+		if err = ow.append(fenceCtx, TopicInbox, nil); err != nil {
 			return err
 		}
 		select {
@@ -66,6 +78,9 @@
 		return err
 	})
 	if err := group.Wait(); err != nil {
+		if errors.Is(err, errStuck) {
+			ow.fence("a takeover that can't finish")
+		}
 		return 0, err
 	}
 	restored := shard.RecordedState{Progress: make(map[model.JobID]work.Progress, len(progress.Records))}
@@ -121,12 +136,16 @@
 	}
 }
 
-// newest reads the newest records of a topic and repeats the call until the store answers.
+// newest reads the newest records of a topic and repeats the call until the store answers. It returns errStuck if that takes longer
+// than the limit of a takeover, but doesn't interrupt a call, because many records take long over a slow link.
 func (ow *ownership) newest(ctx context.Context, topic ledger.Topic) (ledger.Page, error) {
-	for {
+	for begun := time.Now(); ; {
 		page, err := ow.cfg.Store.Newest(ctx, topic, Partition)
-		if err == nil || ctx.Err() != nil {
+		switch {
+		case err == nil || ctx.Err() != nil:
 			return page, err
+		case time.Since(begun) > ow.takeoverLimit():
+			return page, fmt.Errorf("%w: reading %s: %w", errStuck, topic, err)
 		}
 		ow.cfg.Log.Info("reading newest records failed", zap.String("topic", string(topic)), zap.Error(err))
 		pause.For(ctx, storeRetryDelay)
--- a/internal/owner/takeover_test.go
+++ b/internal/owner/takeover_test.go
@@ -14,7 +14,6 @@
 	"arbutuswing.example/internal/ledger"
 	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/peers"
-	"arbutuswing.example/internal/shard"
 	"arbutuswing.example/internal/terms"
 	"arbutuswing.example/internal/work"
 )
@@ -69,7 +68,7 @@
 					}
 				}
 				ow := newOwnership(Config{
-					Store: store, Log: zap.NewNop(), Shard: shard.Config{Retention: time.Minute},
+					Store: store, Log: zap.NewNop(), Shard: testShard,
 					Configuration: func() (terms.Configuration, bool) { return terms.New(terms.Params{Version: 1}), true },
 				}, 2, nil)
 				ow.setRegistry([]agent.Entry{})
@@ -103,7 +102,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := &slowReadStore{newMemoryStore(), maxInboxAge + time.Second}
 		ow := newOwnership(Config{
-			Store: store, Log: zap.NewNop(), Shard: shard.Config{Retention: time.Minute},
+			Store: store, Log: zap.NewNop(), Shard: testShard,
 			Configuration: func() (terms.Configuration, bool) { return terms.New(terms.Params{Version: 1}), true },
 		}, 2, nil)
 		ow.setRegistry([]agent.Entry{})
@@ -113,3 +112,35 @@
 		assert.ErrorIs(t, err, peers.ErrNotOwner)
 	})
 }
+
+// TestTakeoverThatCannotFinishIsGivenUp guards against a node that remains a member of the group while its takeover can't finish:
+// nobody else takes over.
+func TestTakeoverThatCannotFinishIsGivenUp(t *testing.T) {
+	tests := []struct {
+		name string
+		cut  func(*simConnection)
+	}{
+		{"claim", func(c *simConnection) { c.cutAppends[TopicOwner] = true }},
+		{"fence of the progress", func(c *simConnection) { c.cutAppends[TopicProgress] = true }},
+		{"fence of the jobs", func(c *simConnection) { c.cutAppends[TopicInbox] = true }},
+		{"read of the progress", func(c *simConnection) { c.cutReads[TopicProgress] = true }},
+		{"read of the jobs", func(c *simConnection) { c.cutReads[TopicInbox] = true }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newSimStore()
+				stuck := newSimConnection(store, 1)
+				stuck.set(tt.cut)
+				first := startNode(stuck, "n0")
+				time.Sleep(time.Second)
+				assert.Assert(t, first.owner.current() != nil)
+				second := startNode(newSimConnection(store, 2), "n1")
+				time.Sleep(testRenewLimit + testMaxLease + 5*time.Second)
+				assert.Check(t, second.serves())
+				first.stop()
+				second.stop()
+			})
+		})
+	}
+}
