fix(owner): one takeover for each epoch, whatever the group says

Cause: that no two nodes own under one epoch rested on the group alone, which was trusted never to name a generation twice with the same partition. If it did, the second claim would have the epoch and sequence number of the first one, so that the store would answer it as its repeat, and both would fence, restore and start tasks.

Each ownership counts its appends from a random number. A claim under an epoch that has one is refused for its sequence number, and its takeover ends. No call is added. Fences carry the number before that of the first records, so that it holds whether or not a fence takes a number.

TestOneTakeoverForEachEpoch failed before: three of three takeovers under one epoch succeeded.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -126,7 +126,7 @@
 	if records {
 		ow.sequence[topic]++
 	}
-	return ow.sequence[topic]
+	return ow.firstSequence + ow.sequence[topic]
 }
 
 // runServing records that this node serves, so that other nodes call it, and repeats the record to prove the ownership while
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -21,6 +22,9 @@
 const (
 	// producer is the owner's name as a producer in the store; its epoch is the epoch of the ownership.
 	producer = "owner"
+	// maxFirstSequence bounds the random number from which an ownership counts its appends. If two ownerships had one epoch, the
+	// store would take the appends of one for repeats of the other's if they had the same numbers; so it refuses the second claim.
+	maxFirstSequence = 1 << 40
 	// tickInterval bounds the time between two ticks of the shard.
 	tickInterval = 50 * time.Millisecond
 	// loadLogInterval is the interval between log lines that sum up the load.
@@ -75,13 +79,15 @@
 	// inboxRead is when the last successful read of the inbox began.
 	inboxRead time.Time
 
-	// sequence holds the last sequence number of each topic; a topic has only one append under way at a time.
-	sequenceMu sync.Mutex
-	sequence   map[ledger.Topic]int64
-	deletions  chan []string
-	dispatcher *adviceDispatcher
-	nodes      *nodeTable
-	group      sync.WaitGroup
+	// sequence holds the number of appends to each topic, which count from firstSequence; a topic has only one append under way at
+	// a time.
+	sequenceMu    sync.Mutex
+	sequence      map[ledger.Topic]int64
+	firstSequence int64
+	deletions     chan []string
+	dispatcher    *adviceDispatcher
+	nodes         *nodeTable
+	group         sync.WaitGroup
 }
 
 func newOwnership(cfg Config, epoch int64, members []Member) *ownership {
@@ -89,8 +95,8 @@
 		cfg: cfg, epoch: epoch, start: time.Now(), decideSignal: make(chan struct{}, 1), commitSignal: make(chan struct{}, 1),
 		done:     make(chan struct{}),
 		sessions: make(map[model.WorkerID]*workerSession), sequence: make(map[ledger.Topic]int64),
-		permission: permission{limit: cfg.Shard.RenewLimit, epoch: epoch},
-		deletions:  make(chan []string, deletionQueueSize), nodes: newNodeTable(cfg.Self, members, time.Now()),
+		firstSequence: rand.Int64N(maxFirstSequence), permission: permission{limit: cfg.Shard.RenewLimit, epoch: epoch},
+		deletions: make(chan []string, deletionQueueSize), nodes: newNodeTable(cfg.Self, members, time.Now()),
 	}
 	shardCfg := cfg.Shard
 	shardCfg.Token = epoch
--- a/internal/owner/simstore_test.go
+++ b/internal/owner/simstore_test.go
@@ -28,8 +28,9 @@
 	mu     sync.Mutex
 	topics map[ledger.Topic]*simTopic
 	groups map[string]*simGroup
-	// fencesTakeNumbers tells that an append without records takes a sequence number.
-	fencesTakeNumbers bool
+	// fencesTakeNumbers tells that an append without records takes a sequence number, and repeatsGenerations that a group whose
+	// partitions are dealt anew keeps its generation.
+	fencesTakeNumbers, repeatsGenerations bool
 }
 
 type simTopic struct {
@@ -205,7 +206,11 @@
 func (s *simStore) reassign(name string, shift int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.group(name).assign(shift)
+	g := s.group(name)
+	g.assign(shift)
+	if s.repeatsGenerations {
+		g.generation--
+	}
 }
 
 // simConnection is a node's connection to the store.
--- a/internal/owner/takeover_test.go
+++ b/internal/owner/takeover_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -144,3 +146,30 @@
 		})
 	}
 }
+
+// TestOneTakeoverForEachEpoch guards against two owners under one epoch, which the store can't tell apart, if the group names a
+// generation twice.
+func TestOneTakeoverForEachEpoch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newSimStore()
+		var done sync.WaitGroup
+		var mu sync.Mutex
+		takeovers := 0
+		for i := range 3 {
+			ow := newOwnership(Config{
+				Self: peers.NodeInfo{Node: fmt.Sprint(i)}, Store: newSimConnection(store, int64(i)), Log: zap.NewNop(), Shard: testShard,
+				Configuration: func() (terms.Configuration, bool) { return terms.New(terms.Params{Version: 1}), true },
+			}, 2, nil)
+			ow.setRegistry([]agent.Entry{})
+			done.Go(func() {
+				if _, err := ow.takeOver(t.Context()); err == nil {
+					mu.Lock()
+					defer mu.Unlock()
+					takeovers++
+				}
+			})
+		}
+		done.Wait()
+		assert.Equal(t, takeovers, 1)
+	})
+}
--- a/internal/owner/takeoversim_test.go
+++ b/internal/owner/takeoversim_test.go
@@ -44,8 +44,8 @@
 	// partitions dealt anew, history that is dropped, workers that are silent or that only one node reaches, and nodes that stop
 	// and start again.
 	freezes, losses, cuts, isolations, reassigns, trims, silences, restarts bool
-	// fencesTakeNumbers is a property of the store.
-	fencesTakeNumbers bool
+	// fencesTakeNumbers and repeatsGenerations are properties of the store.
+	fencesTakeNumbers, repeatsGenerations bool
 }
 
 // simNode is a node of the simulated system.
@@ -72,7 +72,7 @@
 	s := &simSystem{
 		t: t, random: rand.New(rand.NewSource(seed)), troubles: troubles, store: newSimStore(), fleet: newSimFleet(simWorkerNum),
 	}
-	s.store.fencesTakeNumbers = troubles.fencesTakeNumbers
+	s.store.fencesTakeNumbers, s.store.repeatsGenerations = troubles.fencesTakeNumbers, troubles.repeatsGenerations
 	for i := range s.nodes {
 		s.startNode(i)
 	}
@@ -331,3 +331,10 @@
 	troubles.fencesTakeNumbers = true
 	checkTakeovers(t, troubles)
 }
+
+// TestTakeoversWithRepeatedGenerations plays all troubles at a store that deals partitions anew within one generation of the group.
+func TestTakeoversWithRepeatedGenerations(t *testing.T) {
+	troubles := allTroubles
+	troubles.repeatsGenerations = true
+	checkTakeovers(t, troubles)
+}
