fix(owner): keep progress whose job a takeover has not read

Cause: a job is stored before its progress, and the jobs are read after the progress, so that each progress should have its job. Where it hasn't, because a read was answered with an older state or its pages left out a key that had changed its place, the progress was dropped with a line in the log. The job was then taken for a new one when it was read from the log, or submitted again, and its tasks ran twice.

Such a takeover now reads the jobs again, and holds the jobs that are still missing: their state stays, nothing of them starts. That costs nothing while each progress has its job.

TestProgressOfUnreadJobIsKept failed before with one and with only stale answers (state queued, to be started from run 1).

--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -231,6 +231,9 @@
 	ow.group.Add(1)
 	go ow.runRegistry(ctx)
 	next, err := ow.takeOver(ctx)
+	if errors.Is(err, errStuck) {
+		ow.fence("a takeover that can't finish")
+	}
 	if err != nil {
 		cancel()
 		ow.group.Wait()
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -78,13 +80,37 @@
 		return err
 	})
 	if err := group.Wait(); err != nil {
-		if errors.Is(err, errStuck) {
-			ow.fence("a takeover that can't finish")
-		}
 		return 0, err
 	}
-	restored := shard.RecordedState{Progress: make(map[model.JobID]work.Progress, len(progress.Records))}
-	for _, r := range progress.Records {
+	restored := ow.recordedProgress(progress)
+	ow.addJobs(&restored, inbox)
+	if ids := progressWithoutJob(restored); len(ids) > 0 {
+		// A job is stored before its progress, so that the read has missed it. If it can't be found, it must not run again.
+		ow.cfg.Log.Warn("progress without a job, reading the jobs again", zap.Int("jobs", len(ids)))
+		inboxRead = time.Now()
+		var err error
+		if inbox, err = ow.newest(ctx, TopicInbox); err != nil {
+			return 0, err
+		}
+		ow.addJobs(&restored, inbox)
+		restored.Unreadable = append(restored.Unreadable, progressWithoutJob(restored)...)
+	}
+	ow.mu.Lock()
+	ow.shard.SetConfiguration(current)
+	ow.shard.Restore(restored, ow.now(), time.Now())
+	ow.shard.SetRegistry(ow.entries)
+	ow.restored, ow.inboxRead = true, inboxRead
+	ow.mu.Unlock()
+	takeoverSeconds.UpdateDuration(begun)
+	ow.cfg.Log.Info("takeover done", zap.Int64("epoch", ow.epoch), zap.Int("jobs", len(restored.Jobs)),
+		zap.Int("progress", len(restored.Progress)), zap.Duration("took", time.Since(begun)))
+	return inbox.Next, nil
+}
+
+// recordedProgress returns the progress that a former owner recorded.
+func (ow *ownership) recordedProgress(page ledger.Page) shard.RecordedState {
+	restored := shard.RecordedState{Progress: make(map[model.JobID]work.Progress, len(page.Records))}
+	for _, r := range page.Records {
 		id, _, err := work.ParseProgressKey(r.Key)
 		if err != nil {
 			ow.cfg.Log.Warn("progress record with unknown key", zap.Error(err))
@@ -100,23 +126,37 @@
 		}
 		restored.Progress[id] = restored.Progress[id].Join(p)
 	}
-	for _, r := range inbox.Records {
+	return restored
+}
+
+// addJobs replaces the jobs and cancellations by those of a read of the inbox.
+func (ow *ownership) addJobs(restored *shard.RecordedState, page ledger.Page) {
+	restored.Jobs, restored.Cancelled = nil, nil
+	for _, r := range page.Records {
 		ow.dispatchRecord(r, inboxHandler{
 			submit: func(j work.Job) { restored.Jobs = append(restored.Jobs, j) },
 			cancel: func(id model.JobID) { restored.Cancelled = append(restored.Cancelled, id) },
 			hold:   func(id model.JobID) { restored.Unreadable = append(restored.Unreadable, id) },
 		})
 	}
-	ow.mu.Lock()
-	ow.shard.SetConfiguration(current)
-	ow.shard.Restore(restored, ow.now(), time.Now())
-	ow.shard.SetRegistry(ow.entries)
-	ow.restored, ow.inboxRead = true, inboxRead
-	ow.mu.Unlock()
-	takeoverSeconds.UpdateDuration(begun)
-	ow.cfg.Log.Info("takeover done", zap.Int64("epoch", ow.epoch), zap.Int("jobs", len(restored.Jobs)),
-		zap.Int("progress", len(restored.Progress)), zap.Duration("took", time.Since(begun)))
-	return inbox.Next, nil
+}
+
+// progressWithoutJob returns the jobs that have progress, but no final state, submission or unreadable record.
+func progressWithoutJob(restored shard.RecordedState) []model.JobID {
+	known := make(map[model.JobID]bool, len(restored.Jobs))
+	for _, job := range restored.Jobs {
+		known[job.ID] = true
+	}
+	for _, id := range restored.Unreadable {
+		known[id] = true
+	}
+	var ids []model.JobID
+	for _, id := range slices.Sorted(maps.Keys(restored.Progress)) {
+		if restored.Progress[id].Final == "" && !known[id] {
+			ids = append(ids, id)
+		}
+	}
+	return ids
 }
 
 // waitForInputs waits until the configuration and the workers' registry have been read, and returns the configuration.
--- a/internal/owner/takeover_test.go
+++ b/internal/owner/takeover_test.go
@@ -173,3 +173,51 @@
 		assert.Equal(t, takeovers, 1)
 	})
 }
+
+// staleStore is a store that leaves out all jobs in the first answers to reads of the newest ones.
+type staleStore struct {
+	*memoryStore
+	stale int
+}
+
+func (s *staleStore) Newest(ctx context.Context, topic ledger.Topic, partition int) (ledger.Page, error) {
+	if topic == TopicInbox && s.stale > 0 {
+		s.stale--
+		return ledger.Page{}, nil
+	}
+	return s.memoryStore.Newest(ctx, topic, partition)
+}
+
+// TestProgressOfUnreadJobIsKept guards against a job that a takeover finds only after its progress, and that starts from its
+// beginning then.
+func TestProgressOfUnreadJobIsKept(t *testing.T) {
+	for _, stale := range []int{0, 1, 100} {
+		t.Run(fmt.Sprintf("%d stale answers", stale), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				job := work.Job{ID: "j", Queue: testQueue, Team: "north", Accepted: time.Now(), Stages: []work.Stage{
+					{Count: 1, Size: model.Resources{Cores: 1}, RunTime: model.Duration(time.Second)},
+				}}
+				submission, err := job.Encode()
+				assert.NilError(t, err)
+				progress, err := work.Progress{Begun: true, Tasks: []work.TaskProgress{
+					{LastRun: 1, Bindings: []work.Binding{{Run: 1, Worker: "w", Incarnation: 1}}},
+				}}.Encode()
+				assert.NilError(t, err)
+				store := &staleStore{newMemoryStore(), stale}
+				store.newest[TopicInbox] = map[string][]byte{intake.RecordKeys(string(job.ID))[0]: submission}
+				store.newest[TopicProgress] = map[string][]byte{work.ProgressKey(job.ID, 0): progress}
+				ow := newOwnership(Config{
+					Store: store, Log: zap.NewNop(), Shard: testShard,
+					Configuration: func() (terms.Configuration, bool) { return terms.New(terms.Params{Version: 1}), true },
+				}, 2, nil)
+				ow.setRegistry([]agent.Entry{})
+				_, err = ow.takeOver(t.Context())
+				assert.NilError(t, err)
+				assert.NilError(t, ow.submit(job))
+				state, err := ow.state(job.ID)
+				assert.NilError(t, err)
+				assert.Equal(t, state, work.StateRunning)
+			})
+		})
+	}
+}
