--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,6 +20,15 @@
 	"arbutuswing.example/internal/work"
 )
 
+// errStuck reports that a takeover can't finish because the store leaves its calls unanswered or refuses them.
+var errStuck = errors.New("takeover can't finish")
+
+// takeoverLimit returns how long a takeover tries to fence the former owner, or to read a topic, before it is given up. By then
+// each lease of the former owner has ended, so that nothing runs which another node's takeover, begun anew, could lose.
+func (ow *ownership) takeoverLimit() time.Duration {
+	return ow.cfg.Shard.RenewLimit + ow.cfg.Shard.MaxLease
+}
+
 // runRegistry follows the workers' registry entries.
 func (ow *ownership) runRegistry(ctx context.Context) {
 	defer ow.group.Done()
@@ -37,11 +49,13 @@
 	var current terms.Configuration
 	progressFenced := make(chan struct{})
 	group, groupCtx := errgroup.WithContext(ctx)
+	fenceCtx, cancel := context.WithTimeoutCause(groupCtx, ow.takeoverLimit(), errStuck)
+	defer cancel()
 	group.Go(func() error {
-		return ow.append(groupCtx, TopicOwner, []ledger.Record{{Key: claimantKey, Value: self}})
+		return ow.append(fenceCtx, TopicOwner, []ledger.Record{{Key: claimantKey, Value: self}})
 	})
 	group.Go(func() (err error) {
-		if err = ow.append(groupCtx, TopicProgress, nil); err != nil {
+		if err = ow.append(fenceCtx, TopicProgress, nil); err != nil {
 			return err
 		}
 		close(progressFenced)
@@ -49,7 +63,7 @@
 		return err
 	})
 	group.Go(func() (err error) {
-		if err = ow.append(groupCtx, TopicInbox, nil); err != nil {
+		if err = ow.append(fenceCtx, TopicInbox, nil); err != nil {
 			return err
 		}
 		select {
@@ -68,8 +82,35 @@
 	if err := group.Wait(); err != nil {
 		return 0, err
 	}
-	restored := shard.RecordedState{Progress: make(map[model.JobID]work.Progress, len(progress.Records))}
-	for _, r := range progress.Records {
+	restored := ow.recordedProgress(progress)
+	ow.addJobs(&restored, inbox)
+	if ids := progressWithoutJob(restored); len(ids) > 0 {
+		// A job is stored before its progress, so that the read has missed it. If it can't be found, it must not run again.
+		ow.cfg.Log.Warn("progress without a job, reading the jobs again", zap.Int("jobs", len(ids)))
+		inboxRead = time.Now()
+		var err error
+		if inbox, err = ow.newest(ctx, TopicInbox); err != nil {
+			return 0, err
+		}
+		ow.addJobs(&restored, inbox)
+		restored.Unreadable = append(restored.Unreadable, progressWithoutJob(restored)...)
+	}
+	ow.mu.Lock()
+	ow.shard.SetConfiguration(current)
+	ow.shard.Restore(restored, ow.now(), time.Now())
+	ow.shard.SetRegistry(ow.entries)
+	ow.restored, ow.inboxRead = true, inboxRead
+	ow.mu.Unlock()
+	takeoverSeconds.UpdateDuration(begun)
+	ow.cfg.Log.Info("takeover done", zap.Int64("epoch", ow.epoch), zap.Int("jobs", len(restored.Jobs)),
+		zap.Int("progress", len(restored.Progress)), zap.Duration("took", time.Since(begun)))
+	return inbox.Next, nil
+}
+
+// recordedProgress returns the progress that a former owner recorded.
+func (ow *ownership) recordedProgress(page ledger.Page) shard.RecordedState {
+	restored := shard.RecordedState{Progress: make(map[model.JobID]work.Progress, len(page.Records))}
+	for _, r := range page.Records {
 		id, _, err := work.ParseProgressKey(r.Key)
 		if err != nil {
 			ow.cfg.Log.Warn("progress record with unknown key", zap.Error(err))
@@ -85,23 +126,37 @@
 		}
 		restored.Progress[id] = restored.Progress[id].Join(p)
 	}
-	for _, r := range inbox.Records {
+	return restored
+}
+
+// addJobs replaces the jobs and cancellations by those of a read of the inbox.
+func (ow *ownership) addJobs(restored *shard.RecordedState, page ledger.Page) {
+	restored.Jobs, restored.Cancelled = nil, nil
+	for _, r := range page.Records {
 		ow.dispatchRecord(r, inboxHandler{
 			submit: func(j work.Job) { restored.Jobs = append(restored.Jobs, j) },
 			cancel: func(id model.JobID) { restored.Cancelled = append(restored.Cancelled, id) },
 			hold:   func(id model.JobID) { restored.Unreadable = append(restored.Unreadable, id) },
 		})
 	}
-	ow.mu.Lock()
-	ow.shard.SetConfiguration(current)
-	ow.shard.Restore(restored, ow.now(), time.Now())
-	ow.shard.SetRegistry(ow.entries)
-	ow.restored, ow.inboxRead = true, inboxRead
-	ow.mu.Unlock()
-	takeoverSeconds.UpdateDuration(begun)
-	ow.cfg.Log.Info("takeover done", zap.Int64("epoch", ow.epoch), zap.Int("jobs", len(restored.Jobs)),
-		zap.Int("progress", len(restored.Progress)), zap.Duration("took", time.Since(begun)))
-	return inbox.Next, nil
+}
+
+// progressWithoutJob returns the jobs that have progress, but no final state, submission or unreadable record.
+func progressWithoutJob(restored shard.RecordedState) []model.JobID {
+	known := make(map[model.JobID]bool, len(restored.Jobs))
+	for _, job := range restored.Jobs {
+		known[job.ID] = true
+	}
+	for _, id := range restored.Unreadable {
+		known[id] = true
+	}
+	var ids []model.JobID
+	for _, id := range slices.Sorted(maps.Keys(restored.Progress)) {
+		if restored.Progress[id].Final == "" && !known[id] {
+			ids = append(ids, id)
+		}
+	}
+	return ids
 }
 
 // waitForInputs waits until the configuration and the workers' registry have been read, and returns the configuration.
@@ -121,12 +176,16 @@
 	}
 }
 
-// newest reads the newest records of a topic and repeats the call until the store answers.
+// newest reads the newest records of a topic and repeats the call until the store answers. It returns errStuck if that takes longer
+// than the limit of a takeover, but doesn't interrupt a call, because many records take long over a slow link.
 func (ow *ownership) newest(ctx context.Context, topic ledger.Topic) (ledger.Page, error) {
-	for {
+	for begun := time.Now(); ; {
 		page, err := ow.cfg.Store.Newest(ctx, topic, Partition)
-		if err == nil || ctx.Err() != nil {
+		switch {
+		case err == nil || ctx.Err() != nil:
 			return page, err
+		case time.Since(begun) > ow.takeoverLimit():
+			return page, fmt.Errorf("%w: reading %s: %w", errStuck, topic, err)
 		}
 		ow.cfg.Log.Info("reading newest records failed", zap.String("topic", string(topic)), zap.Error(err))
 		pause.For(ctx, storeRetryDelay)
--- a/internal/owner/takeover_test.go
+++ b/internal/owner/takeover_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,7 +16,6 @@
 	"arbutuswing.example/internal/ledger"
 	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/peers"
-	"arbutuswing.example/internal/shard"
 	"arbutuswing.example/internal/terms"
 	"arbutuswing.example/internal/work"
 )
@@ -69,7 +70,7 @@
 					}
 				}
 				ow := newOwnership(Config{
-					Store: store, Log: zap.NewNop(), Shard: shard.Config{Retention: time.Minute},
+					Store: store, Log: zap.NewNop(), Shard: testShard,
 					Configuration: func() (terms.Configuration, bool) { return terms.New(terms.Params{Version: 1}), true },
 				}, 2, nil)
 				ow.setRegistry([]agent.Entry{})
@@ -103,7 +104,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := &slowReadStore{newMemoryStore(), maxInboxAge + time.Second}
 		ow := newOwnership(Config{
-			Store: store, Log: zap.NewNop(), Shard: shard.Config{Retention: time.Minute},
+			Store: store, Log: zap.NewNop(), Shard: testShard,
 			Configuration: func() (terms.Configuration, bool) { return terms.New(terms.Params{Version: 1}), true },
 		}, 2, nil)
 		ow.setRegistry([]agent.Entry{})
@@ -113,3 +114,110 @@
 		assert.ErrorIs(t, err, peers.ErrNotOwner)
 	})
 }
+
+// TestTakeoverThatCannotFinishIsGivenUp guards against a node that remains a member of the group while its takeover can't finish:
+// nobody else takes over.
+func TestTakeoverThatCannotFinishIsGivenUp(t *testing.T) {
+	tests := []struct {
+		name string
+		cut  func(*simConnection)
+	}{
+		{"claim", func(c *simConnection) { c.cutAppends[TopicOwner] = true }},
+		{"fence of the progress", func(c *simConnection) { c.cutAppends[TopicProgress] = true }},
+		{"fence of the jobs", func(c *simConnection) { c.cutAppends[TopicInbox] = true }},
+		{"read of the progress", func(c *simConnection) { c.cutReads[TopicProgress] = true }},
+		{"read of the jobs", func(c *simConnection) { c.cutReads[TopicInbox] = true }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newSimStore()
+				stuck := newSimConnection(store, 1)
+				stuck.set(tt.cut)
+				first := startNode(stuck, "n0")
+				time.Sleep(time.Second)
+				assert.Assert(t, first.owner.current() != nil)
+				second := startNode(newSimConnection(store, 2), "n1")
+				time.Sleep(testRenewLimit + testMaxLease + 5*time.Second)
+				assert.Check(t, second.serves())
+				first.stop()
+				second.stop()
+			})
+		})
+	}
+}
+
+// TestOneTakeoverForEachEpoch guards against two owners under one epoch, which the store can't tell apart, if the group names a
+// generation twice.
+func TestOneTakeoverForEachEpoch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newSimStore()
+		var done sync.WaitGroup
+		var mu sync.Mutex
+		takeovers := 0
+		for i := range 3 {
+			ow := newOwnership(Config{
+				Self: peers.NodeInfo{Node: fmt.Sprint(i)}, Store: newSimConnection(store, int64(i)), Log: zap.NewNop(), Shard: testShard,
+				Configuration: func() (terms.Configuration, bool) { return terms.New(terms.Params{Version: 1}), true },
+			}, 2, nil)
+			ow.setRegistry([]agent.Entry{})
+			done.Go(func() {
+				if _, err := ow.takeOver(t.Context()); err == nil {
+					mu.Lock()
+					defer mu.Unlock()
+					takeovers++
+				}
+			})
+		}
+		done.Wait()
+		assert.Equal(t, takeovers, 1)
+	})
+}
+
+// staleStore is a store that leaves out all jobs in the first answers to reads of the newest ones.
+type staleStore struct {
+	*memoryStore
+	stale int
+}
+
+func (s *staleStore) Newest(ctx context.Context, topic ledger.Topic, partition int) (ledger.Page, error) {
+	if topic == TopicInbox && s.stale > 0 {
+		s.stale--
+		return ledger.Page{}, nil
+	}
+	return s.memoryStore.Newest(ctx, topic, partition)
+}
+
+// TestProgressOfUnreadJobIsKept guards against a job that a takeover finds only after its progress, and that starts from its
+// beginning then.
+func TestProgressOfUnreadJobIsKept(t *testing.T) {
+	for _, stale := range []int{0, 1, 100} {
+		t.Run(fmt.Sprintf("%d stale answers", stale), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				job := work.Job{ID: "j", Queue: testQueue, Team: "north", Accepted: time.Now(), Stages: []work.Stage{
+					{Count: 1, Size: model.Resources{Cores: 1}, RunTime: model.Duration(time.Second)},
+				}}
+				submission, err := job.Encode()
+				assert.NilError(t, err)
+				progress, err := work.Progress{Begun: true, Tasks: []work.TaskProgress{
+					{LastRun: 1, Bindings: []work.Binding{{Run: 1, Worker: "w", Incarnation: 1}}},
+				}}.Encode()
+				assert.NilError(t, err)
+				store := &staleStore{newMemoryStore(), stale}
+				store.newest[TopicInbox] = map[string][]byte{intake.RecordKeys(string(job.ID))[0]: submission}
+				store.newest[TopicProgress] = map[string][]byte{work.ProgressKey(job.ID, 0): progress}
+				ow := newOwnership(Config{
+					Store: store, Log: zap.NewNop(), Shard: testShard,
+					Configuration: func() (terms.Configuration, bool) { return terms.New(terms.Params{Version: 1}), true },
+				}, 2, nil)
+				ow.setRegistry([]agent.Entry{})
+				_, err = ow.takeOver(t.Context())
+				assert.NilError(t, err)
+				assert.NilError(t, ow.submit(job))
+				state, err := ow.state(job.ID)
+				assert.NilError(t, err)
+				assert.Equal(t, state, work.StateRunning)
+			})
+		})
+	}
+}
