test(fakes): workers that carry out starts, stops and heartbeats late

Cause: the fakes delayed starts and stops alone, by 1 to 3 s. A platform may carry out any command without an answer seconds later, after newer ones, also on the worker's next incarnation, and may count the lease that it names from then on.

Change: LateCommands, set by Worker.SetLateCommands, replaces SetDelayedCommands: share and kinds of the commands that get no answer and are carried out 2 to 12 s late, and whether their leases count from then. Queues are with or without placement advice, as a ticket keeps late starts off; tickets end with the incarnation. A start that is refused as old, or that is there already, extends the lease too. Fleet.Counts, LateCommands and HeldRun tell how much of that a run of the soak has exercised.

The judge: two runs of one task on one worker are told apart by their numbers and both kept; a start between a success and its acknowledgement counts; one acknowledged member of a gang stands for all, and members end at the same tick; runs whose lease is over are ended before a start is judged, instead of at the next tick. Two checks were wrong. A success whose worker's lease expired before the acknowledgement counted as acknowledged, though the platform's rule leaves it out for good: an owner that waited for the lease has started the task elsewhere by then (seen in the soak with silences of 10 s). And the limit for starts after a cancellation, a bound on what an owner asks for, counted to the time at which a late start was carried out instead of to its arrival.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -102,7 +102,7 @@
 	})
 	assert.NilError(t, err)
 	t.Cleanup(d.fleet.Close)
-	d.store.PutConfig(fakes.Config(d.version, queueHost, queuePath, teamKey))
+	d.store.PutConfig(fakes.Config(d.version, teamKey, fakes.Queue{Name: "batch", Host: queueHost, Path: queuePath, Advice: true}))
 	d.putOddEntries()
 	for i := range s.nodes {
 		d.nodes = append(d.nodes, newNode(t, dir, i, dataCentres[i%len(dataCentres)], s.retention, d.store, d.fleet))
@@ -118,7 +118,7 @@
 
 // randomJob returns a job of one or two stages whose tasks run for at least the given time.
 func randomJob(random *rand.Rand, id string, taskTime time.Duration) fakes.Job {
-	job := fakes.Job{Payload: "payload of " + id}
+	job := fakes.Job{Payload: "payload of " + id, Advice: true}
 	for i := range 1 + random.IntN(2) {
 		stage := fakes.Stage{
 			Count: 1 + random.IntN(4), CPU: int64(500 + random.IntN(2500)), Memory: int64(256 + random.IntN(2048)),
@@ -245,14 +245,16 @@
 			worker.Crash()
 		}
 	case faultDelayedCommands:
-		worker.SetDelayedCommands(0.5 * float64(boolToInt(e.start)))
+		worker.SetLateCommands(fakes.LateCommands{
+			Share: 0.5 * float64(boolToInt(e.start)), Kinds: []fakes.CommandKind{fakes.Start, fakes.Stop},
+		})
 	case faultWorkerDrain:
 		worker.SetDraining(e.start)
 	case faultDataCentreOut:
 		d.store.SetOutOfService(dataCentres[e.fault.Target%len(dataCentres)], e.start)
 	case faultConfig:
 		d.version++
-		d.store.PutConfig(fakes.Config(d.version, queueHost, queuePath, teamKey))
+		d.store.PutConfig(fakes.Config(d.version, teamKey, fakes.Queue{Name: "batch", Host: queueHost, Path: queuePath, Advice: true}))
 	}
 }
 
@@ -320,7 +322,7 @@
 		link.set(linkHealthy)
 	}
 	for _, worker := range d.fleet.Workers() {
-		worker.SetDelayedCommands(0)
+		worker.SetLateCommands(fakes.LateCommands{})
 		worker.SetDraining(false)
 	}
 	for _, dc := range dataCentres {
@@ -405,7 +407,7 @@
 		violations = append(violations, n.ownEnds()...)
 	}
 	t.Logf("seed %d, %d nodes: %d faults, %d jobs accepted, %d refused, %d in doubt, %d starts", s.seed, s.nodes, len(s.plan),
-		len(d.accepted), d.refused, d.jobsInDoubt, d.fleet.Starts())
+		len(d.accepted), d.refused, d.jobsInDoubt, d.fleet.Counts().Starts)
 	assert.Assert(t, len(d.accepted) > 0, "no job was accepted")
 	if len(violations) > 0 {
 		printed, err := json.Marshal(s.plan)
