test(soak): late commands, silent workers and changes of owner in one sequence

Cause: the soak's workers were late by 1 to 3 s, all queues had placement advice, whose tickets are over by then, and tasks ended by themselves before their run was presumed gone. A second run could hardly be seen.

Change: plans play commands that are 2 to 12 s late in all forms, silences of 8 to 14 s, and faults of the owner instead of any node. There is a queue without advice, and a share of jobs has tasks of 30 to 40 s, which are cancelled at the end unless they have ended; the run ends once no command is outstanding. It logs the runs that lapsed, those that the nodes presumed gone, and how many of these a worker still held. TestSoakLateCommandsAndSilentWorkers plays two rounds of all that in about 35 s.

Seen in the logs: late heartbeats that reach the next incarnation prolong its leases (presumed gone after 9.4 s while held) and acknowledge ends there that the owner hasn't seen; late starts and heartbeats whose leases count from their arrival; late starts of a former owner on a restarted worker.

--- a/soak/main_test.go
+++ b/soak/main_test.go
@@ -18,6 +18,8 @@
 	soakLength = flag.Duration("soak.length", 8*time.Second, "how long faults are injected")
 	soakNodes  = flag.Int("soak.nodes", 5, "number of nodes")
 	soakPlan   = flag.String("soak.plan", "", "file with a fault plan to replay instead of a plan from the seed")
+
+	soakRegressions = flag.Bool("soak.regressions", false, "replay the plans in testdata under which guarantees were once violated")
 )
 
 func TestMain(m *testing.M) { os.Exit(runMain(m)) }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,9 +19,7 @@
 )
 
 const (
-	queueHost = "batch.example"
-	queuePath = "/batch/"
-	teamKey   = "team-key"
+	teamKey = "team-key"
 	// workerCount is the number of fake workers.
 	workerCount = 9
 	// clientCount is the number of clients that submit jobs; each waits clientPause before the next job or attempt.
@@ -53,6 +51,11 @@
 
 var dataCentres = []string{"dc1", "dc2", "dc3"}
 
+var queues = []fakes.Queue{
+	{Name: "advised", Host: "batch.example", Path: "/advised/", Advice: true},
+	{Name: "plain", Host: "batch.example", Path: "/plain/"},
+}
+
 // scenario configures a run of the soak.
 type scenario struct {
 	seed   uint64
@@ -64,6 +67,24 @@
 	// pause is that of each client before the next job, and taskTime the shortest time that a task runs.
 	pause    time.Duration
 	taskTime time.Duration
+	// longShare is the fraction (0 to 1) of jobs with tasks that outlast every bound on the time after which a run is presumed gone.
+	longShare float64
+}
+
+// minLongTask and maxLongTask bound the time that the tasks of a long job run: longer than the latest command plus the longest
+// lease.
+const (
+	minLongTask = 30 * time.Second
+	maxLongTask = 40 * time.Second
+)
+
+// job is a job of a client, with the client that submits it to its queue.
+type job struct {
+	id     string
+	spec   fakes.Job
+	client *fakes.Client
+	// long tells whether the tasks of the job run for minLongTask or longer.
+	long bool
 }
 
 // deployment is a set of nodes and fakes of the platform, with proxies that inject faults, and the results of its clients.
@@ -73,21 +94,25 @@
 	nodes    []*node
 	links    []*proxy
 	version  int64
-	client   *fakes.Client
+	clients  []*fakes.Client
 	scenario scenario
+	// storeFaults are the faults of the store that last, and owners the nodes that faults of the owner affect.
+	storeFaults []fault
+	owners      map[fault]*node
 
 	mu          sync.Mutex
-	accepted    []string
+	accepted    []job
 	jobsInDoubt int
 	refused     int
-	// storeFaults are the faults of the store that last.
-	storeFaults []fault
 	violations  []string
 }
 
 func newDeployment(t *testing.T, dir string, s scenario) *deployment {
 	t.Helper()
-	d := &deployment{version: 1, client: fakes.NewClient(queueHost, queuePath, teamKey), scenario: s}
+	d := &deployment{version: 1, scenario: s, owners: make(map[fault]*node)}
+	for _, q := range queues {
+		d.clients = append(d.clients, fakes.NewClient(q.Host, q.Path, teamKey))
+	}
 	var err error
 	d.store, err = fakes.NewStore()
 	assert.NilError(t, err)
@@ -102,7 +127,7 @@
 	})
 	assert.NilError(t, err)
 	t.Cleanup(d.fleet.Close)
-	d.store.PutConfig(fakes.Config(d.version, teamKey, fakes.Queue{Name: "batch", Host: queueHost, Path: queuePath, Advice: true}))
+	d.store.PutConfig(fakes.Config(d.version, teamKey, queues...))
 	d.putOddEntries()
 	for i := range s.nodes {
 		d.nodes = append(d.nodes, newNode(t, dir, i, dataCentres[i%len(dataCentres)], s.retention, d.store, d.fleet))
@@ -118,7 +143,7 @@
 
 // randomJob returns a job of one or two stages whose tasks run for at least the given time.
 func randomJob(random *rand.Rand, id string, taskTime time.Duration) fakes.Job {
-	job := fakes.Job{Payload: "payload of " + id, Advice: true}
+	job := fakes.Job{Payload: "payload of " + id}
 	for i := range 1 + random.IntN(2) {
 		stage := fakes.Stage{
 			Count: 1 + random.IntN(4), CPU: int64(500 + random.IntN(2500)), Memory: int64(256 + random.IntN(2048)),
@@ -132,15 +157,36 @@
 	return job
 }
 
+// randomLongJob returns a job of one stage whose tasks outlast every bound.
+func randomLongJob(random *rand.Rand, id string) fakes.Job {
+	return fakes.Job{Payload: "payload of " + id, Stages: []fakes.Stage{{
+		Count: 1 + random.IntN(3), CPU: 400, Memory: 256, Estimate: between(random, minLongTask, maxLongTask).Milliseconds(),
+		Gang: random.IntN(4) == 0, Checkpoints: random.IntN(2) == 0,
+	}}}
+}
+
+// newJob returns a random job of a random queue.
+func (d *deployment) newJob(random *rand.Rand, id string) job {
+	j := job{id: id, long: random.Float64() < d.scenario.longShare}
+	if j.long {
+		j.spec = randomLongJob(random, id)
+	} else {
+		j.spec = randomJob(random, id, d.scenario.taskTime)
+	}
+	queue := random.IntN(len(queues))
+	j.client, j.spec.Advice = d.clients[queue], queues[queue].Advice
+	return j
+}
+
 // runClient submits jobs until the time end and cancels some of them.
 func (d *deployment) runClient(number int, seed uint64, end time.Time, done *sync.WaitGroup) {
 	defer done.Done()
 	random := rand.New(rand.NewPCG(seed, uint64(number)))
 	for count := 0; time.Now().Before(end); count++ {
 		id := fmt.Sprintf("%04x%04x%08x", number, count, random.Uint32())
-		job := randomJob(random, id, d.scenario.taskTime)
-		d.fleet.RegisterJob(id, job)
-		accepted := d.submit(random, id, job)
+		j := d.newJob(random, id)
+		d.fleet.RegisterJob(id, j.spec)
+		accepted := d.submit(random, j)
 		cancels := count%jobsPerCancel == jobsPerCancel-1
 		if accepted && (cancels || count%jobsPerRepeat == 0) {
 			address := d.anyAddr(random)
@@ -148,11 +194,11 @@
 			time.AfterFunc(time.Duration(random.Int64N(int64(maxRepeatDelay))), func() {
 				defer done.Done()
 				// The repeat may fail; it must not have an effect in any case.
-				_, _ = d.client.Submit(address, id, job)
+				_, _ = j.client.Submit(address, id, j.spec)
 			})
 		}
 		if cancels {
-			d.cancel(random, id)
+			d.cancel(random, j)
 		}
 		time.Sleep(d.scenario.pause)
 	}
@@ -162,18 +208,18 @@
 func (d *deployment) anyAddr(r *rand.Rand) string { return d.nodes[r.IntN(len(d.nodes))].address }
 
 // submit submits a job and reports whether it was accepted.
-func (d *deployment) submit(random *rand.Rand, id string, job fakes.Job) bool {
+func (d *deployment) submit(random *rand.Rand, j job) bool {
 	inDoubt := false
 	for range maxAttempts {
-		outcome, err := d.client.Submit(d.anyAddr(random), id, job)
+		outcome, err := j.client.Submit(d.anyAddr(random), j.id, j.spec)
 		if err != nil {
-			d.addViolation("%s: %v", id, err)
+			d.addViolation("%s: %v", j.id, err)
 			return false
 		}
 		switch outcome {
 		case fakes.Accepted:
 			d.mu.Lock()
-			d.accepted = append(d.accepted, id)
+			d.accepted = append(d.accepted, j)
 			d.mu.Unlock()
 			return true
 		case fakes.NoAnswer:
@@ -189,29 +235,38 @@
 		return false
 	}
 	d.refused++
-	d.fleet.MarkRefused(id)
+	d.fleet.MarkRefused(j.id)
 	return false
 }
 
-// cancel tries to cancel a job. Whether that succeeds or not, the job need not be completed.
-func (d *deployment) cancel(random *rand.Rand, id string) {
-	if d.client.Cancel(d.anyAddr(random), id) == fakes.Accepted {
-		d.fleet.MarkCancelled(id)
+// cancel tries to cancel a job and reports whether it was acknowledged. Whether or not, the job need not be completed.
+func (d *deployment) cancel(random *rand.Rand, j job) bool {
+	acknowledged := j.client.Cancel(d.anyAddr(random), j.id) == fakes.Accepted
+	if acknowledged {
+		d.fleet.MarkCancelled(j.id)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for i, accepted := range d.accepted {
-		if accepted == id {
-			d.accepted = append(d.accepted[:i], d.accepted[i+1:]...)
-			return
-		}
+	d.accepted = slices.DeleteFunc(d.accepted, func(other job) bool { return other.id == j.id })
+	return acknowledged
+}
+
+// node returns the node that a fault affects, which for a fault of the owner is settled when the fault starts.
+func (d *deployment) node(e faultEvent) *node {
+	if e.fault.Target != ownerTarget {
+		return d.nodes[e.fault.Target%len(d.nodes)]
+	}
+	if e.start {
+		name, _, _ := strings.Cut(string(d.store.Newest("owner", "serving")), "|")
+		d.owners[e.fault] = d.nodes[max(0, slices.IndexFunc(d.nodes, func(n *node) bool { return n.name == name }))]
 	}
+	return d.owners[e.fault]
 }
 
 // apply starts or ends a fault.
 func (d *deployment) apply(e faultEvent) {
-	n := d.nodes[e.fault.Target%len(d.nodes)]
-	worker := d.fleet.Workers()[e.fault.Target%workerCount]
+	n := d.node(e)
+	worker := d.fleet.Workers()[max(0, e.fault.Target)%workerCount]
 	switch e.fault.Kind {
 	case faultKillNode:
 		n.setStayDown(e.start)
@@ -244,17 +299,19 @@
 		if e.start {
 			worker.Crash()
 		}
-	case faultDelayedCommands:
-		worker.SetLateCommands(fakes.LateCommands{
-			Share: 0.5 * float64(boolToInt(e.start)), Kinds: []fakes.CommandKind{fakes.Start, fakes.Stop},
-		})
+	case faultLateCommands:
+		if e.start {
+			worker.SetLateCommands(*e.fault.Late)
+		} else {
+			worker.SetLateCommands(fakes.LateCommands{})
+		}
 	case faultWorkerDrain:
 		worker.SetDraining(e.start)
 	case faultDataCentreOut:
 		d.store.SetOutOfService(dataCentres[e.fault.Target%len(dataCentres)], e.start)
 	case faultConfig:
 		d.version++
-		d.store.PutConfig(fakes.Config(d.version, teamKey, fakes.Queue{Name: "batch", Host: queueHost, Path: queuePath, Advice: true}))
+		d.store.PutConfig(fakes.Config(d.version, teamKey, queues...))
 	}
 }
 
@@ -302,13 +359,6 @@
 	return linkHealthy
 }
 
-func boolToInt(condition bool) int {
-	if condition {
-		return 1
-	}
-	return 0
-}
-
 // clearFaults ends all faults.
 func (d *deployment) clearFaults() {
 	d.storeFaults = nil
@@ -334,39 +384,74 @@
 func (d *deployment) awaitStart(t *testing.T) {
 	t.Helper()
 	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		if _, outcome := d.client.State(d.nodes[0].address, "none"); outcome == fakes.NotFound {
+		if _, outcome := d.clients[0].State(d.nodes[0].address, "none"); outcome == fakes.NotFound {
 			return
 		}
 	}
 	t.Fatalf("no node served within %s", startTimeout)
 }
 
-// awaitCompletion waits until all accepted jobs are completed and records a violation for each that is not in time.
+// awaitCompletion waits until all accepted jobs but the long ones are completed and records a violation for each that is not in
+// time.
 func (d *deployment) awaitCompletion() {
 	random := rand.New(rand.NewPCG(1, 1))
 	limit := completionTimeout + maxRunsInRow*d.scenario.taskTime
-	pending := append([]string(nil), d.accepted...)
+	pending := slices.DeleteFunc(slices.Clone(d.accepted), func(j job) bool { return j.long })
 	for end := time.Now().Add(limit); time.Now().Before(end) && len(pending) > 0; time.Sleep(100 * time.Millisecond) {
-		var left []string
-		for _, id := range pending {
-			state, outcome := d.client.State(d.anyAddr(random), id)
-			switch {
-			case outcome == fakes.Accepted && state == "completed":
-			case outcome == fakes.NotFound && d.scenario.retention < longRetention && d.fleet.Succeeded(id):
-				// The job's retention time is over.
-			case outcome == fakes.NotFound:
-				d.addViolation("accepted job %s was reported as not found", id)
-				left = append(left, id)
-			default:
-				left = append(left, id)
+		pending = slices.DeleteFunc(pending, func(j job) bool {
+			state, outcome := j.client.State(d.anyAddr(random), j.id)
+			if outcome == fakes.NotFound {
+				// Otherwise, the job's retention time is over.
+				if d.scenario.retention >= longRetention || !d.fleet.Succeeded(j.id) {
+					d.addViolation("accepted job %s was reported as not found", j.id)
+					return false
+				}
+				return true
 			}
+			return outcome == fakes.Accepted && state == stateCompleted
+		})
+	}
+	for _, j := range pending {
+		state, outcome := j.client.State(d.anyAddr(random), j.id)
+		d.addViolation("accepted job %s is not completed %s after the last fault: state %q, outcome %d", j.id, limit, state, outcome)
+	}
+}
+
+// stateCompleted is the state of a job whose tasks have all succeeded, and stateFailed that of one that has failed.
+const (
+	stateCompleted = "completed"
+	stateFailed    = "failed"
+)
+
+// cancelLongJobs cancels the accepted long jobs, which would take too long to complete. It records a violation for each that was
+// lost.
+func (d *deployment) cancelLongJobs() {
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, j := range slices.Clone(d.accepted) {
+		if !j.long {
+			continue
+		}
+		state, outcome := j.client.State(d.anyAddr(random), j.id)
+		for end := time.Now().Add(cancelTimeout); outcome != fakes.Accepted && time.Now().Before(end); time.Sleep(clientPause) {
+			state, outcome = j.client.State(d.anyAddr(random), j.id)
+		}
+		if outcome != fakes.Accepted || state == stateFailed {
+			d.addViolation("accepted long job %s is lost: state %q, outcome %d", j.id, state, outcome)
+		}
+		cancelled := false
+		for end := time.Now().Add(cancelTimeout); time.Now().Before(end) && !cancelled; {
+			cancelled = d.cancel(random, j)
+		}
+		if !cancelled {
+			d.addViolation("cancelling long job %s was not acknowledged within %s", j.id, cancelTimeout)
 		}
-		pending = left
 	}
-	for _, id := range pending {
-		state, outcome := d.client.State(d.anyAddr(random), id)
-		d.addViolation("accepted job %s is not completed %s after the last fault: state %q, outcome %d", id,
-			limit, state, outcome)
+}
+
+// awaitLateCommands waits until all commands that have arrived are carried out.
+func (d *deployment) awaitLateCommands() {
+	for d.fleet.LateCommands() > 0 {
+		time.Sleep(100 * time.Millisecond)
 	}
 }
 
@@ -400,15 +485,20 @@
 	}
 	clients.Wait()
 	d.clearFaults()
+	accepted := len(d.accepted)
 	d.awaitCompletion()
+	d.awaitLateCommands()
+	d.cancelLongJobs()
 	d.awaitCancelled()
 	violations := append(d.fleet.Violations(), d.violations...)
 	for _, n := range d.nodes {
 		violations = append(violations, n.ownEnds()...)
 	}
-	t.Logf("seed %d, %d nodes: %d faults, %d jobs accepted, %d refused, %d in doubt, %d starts", s.seed, s.nodes, len(s.plan),
-		len(d.accepted), d.refused, d.jobsInDoubt, d.fleet.Counts().Starts)
-	assert.Assert(t, len(d.accepted) > 0, "no job was accepted")
+	gone, held := d.presumedGone(t)
+	t.Logf("seed %d, %d nodes: %d faults, %d jobs accepted, %d refused, %d in doubt; workers: %+v; %d runs presumed gone, %d of "+
+		"them while their worker held them", s.seed, s.nodes, len(s.plan), accepted, d.refused, d.jobsInDoubt, d.fleet.Counts(),
+		gone, held)
+	assert.Assert(t, accepted > 0, "no job was accepted")
 	if len(violations) > 0 {
 		printed, err := json.Marshal(s.plan)
 		assert.NilError(t, err)
@@ -418,16 +508,51 @@
 	_ = os.RemoveAll(dir)
 }
 
+// presumedGone returns how many runs the nodes have counted as ended without a report, and how many of them their worker held at
+// that time.
+func (d *deployment) presumedGone(t *testing.T) (gone, held int) {
+	t.Helper()
+	for _, n := range d.nodes {
+		data, err := os.ReadFile(n.logPath)
+		assert.NilError(t, err)
+		for line := range strings.Lines(string(data)) {
+			fields := make(map[string]string)
+			for field := range strings.FieldsSeq(line) {
+				key, value, _ := strings.Cut(field, "=")
+				fields[key] = value
+			}
+			if fields["msg"] != "run-gone" {
+				continue
+			}
+			at, err := time.Parse("2006-01-02T15:04:05.000Z0700", fields["ts"])
+			assert.NilError(t, err, line)
+			gone++
+			if d.fleet.HeldRun(fields["worker"], strings.ReplaceAll(fields["task"], "/", "."), at) {
+				held++
+			}
+		}
+	}
+	return gone, held
+}
+
 // TestSoak guards against jobs that are lost, run twice at the same time or run where they must not, under several faults at
 // the same time.
 func TestSoak(t *testing.T) {
-	plan := newPlan(*soakSeed, *soakLength)
-	if *soakPlan != "" {
-		var err error
-		plan, err = readPlan(*soakPlan)
-		assert.NilError(t, err)
+	soak(t, scenario{
+		seed: *soakSeed, length: *soakLength, nodes: *soakNodes, retention: longRetention,
+		plan: planOr(t, newPlan(*soakSeed, *soakLength)), pause: clientPause, longShare: 0.1,
+	})
+}
+
+// planOr returns the plan in the file that the command line names, or else the given one.
+func planOr(t *testing.T, plan []fault) []fault {
+	t.Helper()
+	if *soakPlan == "" {
+		return plan
 	}
-	soak(t, scenario{seed: *soakSeed, length: *soakLength, nodes: *soakNodes, retention: longRetention, plan: plan, pause: clientPause})
+	plan, err := readPlan(*soakPlan)
+	assert.NilError(t, err)
+	return plan
 }
 
 // TestSoakForgetsEndedJobs guards against ended or cancelled jobs that run again once their records are no longer kept: owners
@@ -470,3 +595,37 @@
 		taskTime: 10 * time.Second,
 	})
 }
+
+// TestSoakLateCommandsAndSilentWorkers guards against tasks that run twice at the same time, because a command that a worker
+// carries out late starts a run, acknowledges its end or keeps it alive longer than its owner assumes.
+func TestSoakLateCommandsAndSilentWorkers(t *testing.T) {
+	length := max(*soakLength, quietStart+2*lateRound)
+	soak(t, lateScenario(*soakSeed, length, planOr(t, newLatePlan(*soakSeed, length))))
+}
+
+// lateScenario returns a scenario with the load of a plan of late commands.
+func lateScenario(seed uint64, length time.Duration, plan []fault) scenario {
+	return scenario{
+		seed: seed, length: length, nodes: *soakNodes, retention: longRetention, plan: plan, pause: 700 * time.Millisecond,
+		longShare: 0.2,
+	}
+}
+
+// TestSoakRegressions plays each plan of late commands under which a guarantee was once violated.
+func TestSoakRegressions(t *testing.T) {
+	if !*soakRegressions {
+		t.Skip("plays only with -soak.regressions, as each plan takes half a minute")
+	}
+	paths, err := filepath.Glob("testdata/late-*.json")
+	assert.NilError(t, err)
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			var seed uint64
+			_, err := fmt.Sscanf(filepath.Base(path), "late-%d.json", &seed)
+			assert.NilError(t, err)
+			plan, err := readPlan(path)
+			assert.NilError(t, err)
+			soak(t, lateScenario(seed, quietStart+2*lateRound, plan))
+		})
+	}
+}
