--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -201,7 +201,7 @@
 	}
 	waiting := slices.DeleteFunc(st.waitingTasks(), func(index int) bool { return !st.mayStart(index, now) })
 	if len(waiting) == 0 || (st.spec.Gang && len(waiting) < st.spec.Count) {
-		st.waitsFor, st.retry = waitOutcome, true
+		st.waitsFor, st.retry = waitLateStart, true
 		return
 	}
 	st.onlyAvoidedLeft = s.hasOnlyAvoidedLeft(st, now)
@@ -399,7 +399,8 @@
 	t.lastRun = run
 	a := &attempt{
 		stage: st, index: index, run: run, worker: w, commitNumber: s.nextCommit, ticket: c.ticket, visibleSince: -1,
-		checkpoint: st.startCheckpoint(index), progressAt: now, savedAt: now,
+		ticketValidUntil: st.answers[w.id].validUntil,
+		checkpoint:       st.startCheckpoint(index), progressAt: now, savedAt: now,
 	}
 	s.attach(a)
 	s.startsUnderWay++
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -16,13 +16,18 @@
 	if !ok || s.stopped {
 		return agent.Heartbeat{}, false
 	}
-	w.heartbeatSentAt = now
+	if w.heartbeat.pending {
+		s.HeartbeatFailed(id, agent.ErrNoAnswer, now)
+	}
+	w.heartbeat = sentHeartbeat{pending: true, sentAt: now, generation: w.generation}
 	heartbeat := agent.Heartbeat{
-		Token: s.cfg.Token, Acked: w.ackableEnd(s.lastCommitted), ReportConnection: w.reportConnection,
+		Token: s.token(w), Acked: w.ackableEnd(s.lastCommitted, now), ReportConnection: w.reportConnection,
 	}
 	// The lease of a silent worker is not extended, so that its runs expire at a known time.
 	if renew && now-w.lastReportAt < suspectAfter {
-		heartbeat.LeaseEnd = w.newLeaseEnd(now, s.cfg.Lease)
+		if heartbeat.LeaseEnd = w.newLeaseEnd(now, s.cfg.Lease); heartbeat.LeaseEnd > 0 {
+			w.heartbeat.grant = w.addGrant(now + maxCommandDelay)
+		}
 	}
 	return heartbeat, true
 }
@@ -33,10 +38,10 @@
 	return ok && (len(w.attempts) > 0 || len(w.pendingAcks) > 0 || !w.tokenSeen)
 }
 
-// EndsRecorded reports whether all ended runs that a worker has reported are recorded, so that they can be acknowledged.
-func (s *Shard) EndsRecorded(id model.WorkerID) bool {
+// EndsAcknowledgeable reports whether all ended runs that a worker has reported can be acknowledged.
+func (s *Shard) EndsAcknowledgeable(id model.WorkerID, now time.Duration) bool {
 	w, ok := s.workers[id]
-	return !ok || len(w.pendingAcks) == 0 || w.pendingAcks[len(w.pendingAcks)-1].commitNumber <= s.lastCommitted
+	return !ok || !slices.ContainsFunc(w.pendingAcks, func(p pendingAck) bool { return !p.due(s.lastCommitted, now) })
 }
 
 // ApplyReport applies a worker's report.
@@ -64,6 +69,9 @@
 		// MaxLease.
 		w.leaseEnd = s.longestLeaseEnd(now)
 	}
+	s.voidGrants(w, w.heartbeat.generation, now)
+	w.settleGrant(w.heartbeat.grant)
+	w.heartbeat.pending = false
 	w.tokenSeen, w.clock, w.clockReadAt, w.lastReportAt = true, r.Clock, now, now
 	w.reportConnection = r.Connection
 	listed := make(map[runKey]bool, len(r.Running)+len(r.Ended))
@@ -85,10 +93,9 @@
 	if r.Incomplete {
 		return
 	}
-	s.clearUnconfirmed(w)
 	gone := func(a *attempt) bool {
 		// The clock in the answer to a start is that of the incarnation which answered, the report may be of the one before.
-		overtaken := answeredUnlisted(a) && a.answeredAt >= w.heartbeatSentAt
+		overtaken := answeredUnlisted(a) && a.answeredAt >= w.heartbeat.sentAt
 		return a.visibleSince >= 0 && r.Clock > a.visibleSince && !a.commandPending && !listed[a.key()] && !overtaken
 	}
 	for _, a := range sortedAttempts(w, gone) {
@@ -131,12 +138,12 @@
 	}
 	for _, a := range sortedAttempts(w, anyAttempt) {
 		if reported[a.key()] {
-			a.listed, a.visibleSince, a.endedBy = false, 0, 0
+			a.listed, a.visibleSince = false, 0
 			continue
 		}
 		if a.startUnanswered || a.commandPending || now < a.startInFlightUntil || answeredUnlisted(a) {
 			s.stopRun(a, now)
-			a.listed, a.visibleSince, a.endedBy = false, -1, 0
+			a.listed, a.visibleSince = false, -1
 			continue
 		}
 		s.endUnreported(a, goneIncarnation, agent.OutcomeLeaseExpired, now)
@@ -149,15 +156,14 @@
 	key := runKey{end.Task, end.Run}
 	if end.Number > w.lastEndSeen && !s.holdEnd(w, end) {
 		w.lastEndSeen = end.Number
+		notBefore := time.Duration(0)
 		if a, ok := w.attempts[key]; ok {
-			if end.Outcome != agent.OutcomeDone {
-				s.setGangEndedBy(a, now)
-			}
+			notBefore = a.reachesNextIncarnationUntil()
 			s.endRun(a, end.Outcome, end.Checkpoint, now)
 		} else if end.Outcome == agent.OutcomeFailed {
 			s.countLateFailure(end, now)
 		}
-		w.pendingAcks = append(w.pendingAcks, pendingAck{end.Number, s.nextCommit})
+		w.pendingAcks = append(w.pendingAcks, pendingAck{end.Number, s.nextCommit, notBefore})
 	}
 }
 
@@ -204,25 +210,6 @@
 	}
 }
 
-// setGangEndedBy sets the time by which the other members of a gang's run have ended, once one member was reported as
-// ended. Members that are running end with it, and a member that starts afterwards ends when its wait for the others
-// times out. Members on unreachable workers then needn't wait for their leases to expire. A member whose start may
-// still arrive gets no such time.
-func (s *Shard) setGangEndedBy(a *attempt, now time.Duration) {
-	if !a.stage.spec.Gang {
-		return
-	}
-	limit := now + time.Duration(float64(s.cfg.GangTimeout+s.cfg.KillGrace)/(1-clockDrift)) + leaseExpiryMargin
-	for i := range a.stage.tasks {
-		for _, other := range a.stage.tasks[i].attempts {
-			if other != a && other.run == a.run && other.endedBy == 0 && other.worker.tokenSeen &&
-				!other.startUnanswered && other.visibleSince >= 0 {
-				other.endedBy = limit
-			}
-		}
-	}
-}
-
 // markStarted records that a task of the job has started.
 func (s *Shard) markStarted(a *attempt, now time.Duration) {
 	j := a.stage.job
@@ -244,6 +231,7 @@
 	}
 	delete(w.attempts, a.key())
 	w.noteInFlightStart(a, now)
+	t.notBefore = max(t.notBefore, a.reachesNextIncarnationUntil())
 	w.used = w.used.Minus(a.size())
 	s.freedWorkers[w], s.freeCoresChanged, st.retry = true, true, true
 	s.retryTeamStages(j.spec.Team)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -28,6 +28,9 @@
 	targetsVersion uint64
 	// startsUnderWay is the number of starts under way, as of the last plan and with its decisions.
 	startsUnderWay int
+	// lastGeneration is the highest generation of any worker. New workers begin with it: one that was known before may have
+	// accepted commands of a generation up to it.
+	lastGeneration int64
 	// inFlightStarts holds what workers knew that are no longer listed; see worker.inFlightStarts.
 	inFlightStarts map[model.WorkerID]map[runKey]time.Duration
 	// toCommand holds at least the workers with a run that may have to be started or stopped.
@@ -268,7 +271,7 @@
 	if w := s.workers[id]; w != nil {
 		return w
 	}
-	w := newWorker(id)
+	w := newWorker(id, s.lastGeneration)
 	if starts, ok := s.inFlightStarts[id]; ok {
 		w.inFlightStarts = starts
 		delete(s.inFlightStarts, id)
@@ -342,8 +345,7 @@
 	s.plan(now, wall)
 }
 
-// expireLeases ends runs on silent workers: all of them once the worker's lease has certainly expired, and before that
-// the gang members that must have ended with their gang.
+// expireLeases ends the runs on silent workers whose lease has certainly expired.
 func (s *Shard) expireLeases(now time.Duration) {
 	if now-s.leasesCheckedAt < leaseCheckInterval {
 		return
@@ -353,18 +355,13 @@
 		if len(w.attempts) == 0 || now-w.lastReportAt < suspectAfter {
 			continue
 		}
-		for _, a := range sortedAttempts(w, anyAttempt) {
-			if a.endedBy > 0 && now > a.endedBy {
-				s.presumeEnded(a, goneGang, agent.OutcomeGangBroken, now)
-			}
-		}
-		expired := sortedAttempts(w, func(a *attempt) bool { return now > w.leaseEndOf(a) })
+		expired := sortedAttempts(w, func(a *attempt) bool { return now > s.leaseEndOf(a) })
 		if len(expired) == 0 {
 			continue
 		}
 		s.emit("worker-lapsed", "", "", w, "", (now - w.lastReportAt).Milliseconds())
 		for _, a := range expired {
-			s.presumeEnded(a, goneLease, agent.OutcomeLeaseExpired, now)
+			s.endUnreported(a, goneLease, agent.OutcomeLeaseExpired, now)
 		}
 	}
 }
