test(soak): an address of its own for the nodes of each run

Its log: it couldn't listen on its port for clients (address already in use), which was free when the test picked it. Which process took it isn't known. A port of 127.0.0.1 that a node of another soak leaves for a moment, as killed nodes do, is free too. No fault of the node: it ends, is started again and logs the reason.

The nodes of each test process now listen on a loopback address that its process ID determines.

--- a/soak/node_test.go
+++ b/soak/node_test.go
@@ -67,13 +67,20 @@
 	maxPort = 32_000
 )
 
-// freePorts returns addresses on 127.0.0.1 whose ports were free when it checked.
+// nodeIP returns the loopback address of the nodes of this process. Other soaks have others, so that none takes the port of a
+// node that is down for the moment.
+func nodeIP() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>14&0x7f, 1+pid>>7&0x7f, 1+pid&0x7f)
+}
+
+// freePorts returns addresses of nodes whose ports were free when it checked.
 func freePorts(t *testing.T, count int) []string {
 	t.Helper()
 	addresses := make([]string, 0, count)
 	for tries := 0; len(addresses) < count; tries++ {
 		assert.Assert(t, tries < 100*count, "no free ports")
-		listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", minPort+rand.IntN(maxPort-minPort)))
+		listener, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", nodeIP(), minPort+rand.IntN(maxPort-minPort)))
 		if err != nil {
 			continue
 		}
