--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -18,10 +19,15 @@
 	simKillGrace   = 400 * time.Millisecond
 	simGangTimeout = 3 * time.Second
 	simRetention   = 4 * time.Second
+	// simTicketValidity is how long a placement ticket is valid on its worker's clock.
+	simTicketValidity = 2 * time.Second
 	// simTasksPerRecord lets most jobs be recorded in parts.
 	simTasksPerRecord = 2
 )
 
+// simCapacity is the capacity of each worker.
+var simCapacity = model.Resources{Cores: 4000, Memory: 4000}
+
 // simRun is a run on a simulated worker; it uses the worker's capacity until it has ended.
 type simRun struct {
 	key      runKey
@@ -29,8 +35,10 @@
 	gang     bool
 	stopping bool
 	// stray tells that a late start brought the run to another incarnation than the one it was meant for.
-	stray  bool
-	stopAt time.Duration
+	stray bool
+	// orphaned is how a gang member's run ends once its worker, which doesn't know yet that the gang has ended, can be reached.
+	orphaned agent.RunOutcome
+	stopAt   time.Duration
 	// waitingSince is the reading of the worker's clock when a gang member began to wait for the others; negative once
 	// all members are present.
 	waitingSince time.Duration
@@ -42,20 +50,24 @@
 	up          bool
 	unreachable bool
 	draining    bool
+	// unlisted tells that the worker's entry is gone while its processes run.
+	unlisted    bool
 	incarnation int64
-	// connection identifies the owner's connection for heartbeats. It ends with the incarnation, and with a heartbeat that
+	// connections identifies each owner's connection for heartbeats. It ends with the incarnation, and with a heartbeat that
 	// gets no answer.
-	connection uint64
-	clockRate  float64
-	clock      time.Duration
-	token      int64
-	leaseEnd   time.Duration
-	runs       map[runKey]*simRun
+	connections map[*Shard]uint64
+	clockRate   float64
+	clock       time.Duration
+	token       int64
+	leaseEnd    time.Duration
+	runs        map[runKey]*simRun
 	// superseded holds, for each task, the highest run that has ended or was stopped on the worker. The worker refuses starts
 	// of this and earlier runs.
 	superseded map[work.TaskRef]int
 	ends       []agent.EndedRun
 	lastEnd    int64
+	// endedAt holds the moments of the ends in the sequence of starts and ends on all workers.
+	endedAt map[int64]int
 	// lastUncountedEnd is the number of the last run that had ended when the lease last expired. Under the platform's
 	// rules, the acknowledgement of an ended run up to this number doesn't count.
 	lastUncountedEnd int64
@@ -72,6 +84,8 @@
 	start     *StartCommand
 	stop      *StopCommand
 	heartbeat *agent.Heartbeat
+	// answer takes the answer of a command that is only slow; it is nil for one that counts as unanswered.
+	answer func(time.Duration, error)
 }
 
 // cluster simulates the workers and a store that loses nothing for the property test, and checks the invariants at each
@@ -94,9 +108,13 @@
 	drops       []string
 	expired     map[model.JobID]bool
 	// acknowledgedDone holds the tasks with an acknowledged success, succeeded those with any success.
-	acknowledgedDone     map[work.TaskRef]bool
-	succeeded            map[work.TaskRef]bool
-	acknowledgedFailures map[work.TaskRef]map[int]bool
+	acknowledgedDone map[work.TaskRef]bool
+	succeeded        map[work.TaskRef]bool
+	// acknowledgedFailures holds, for each task, the moments of the acknowledged failures by run.
+	acknowledgedFailures map[work.TaskRef]map[int]int
+	// moments counts the starts and ends on all workers, and lastStart holds the moment at which a run of a task last started.
+	moments   int
+	lastStart map[work.TaskRef]int
 	// shownCompleted holds the jobs that clients have seen as completed.
 	shownCompleted map[model.JobID]bool
 	// storeDown is set while the store records nothing.
@@ -104,9 +122,12 @@
 	submitted int
 	// reports holds the answers to heartbeats that are under way.
 	reports []slowReport
-	// former is the owner before the present one while it goes on, and lostAt when it lost the ownership.
-	former *Shard
-	lostAt time.Duration
+	// formers holds the owners before the present one while they go on.
+	formers []formerOwner
+	// lastConnection is the number of the last connection.
+	lastConnection uint64
+	// answers holds the answers to commands that are under way.
+	answers []slowAnswer
 }
 
 func newCluster(t *rapid.T, options simOptions) *cluster {
@@ -115,14 +136,15 @@
 		submissions: make(map[model.JobID]bool), cancelled: make(map[model.JobID]bool),
 		progress: make(map[string]work.Progress), expired: make(map[model.JobID]bool),
 		acknowledgedDone: make(map[work.TaskRef]bool),
-		succeeded:        make(map[work.TaskRef]bool), acknowledgedFailures: make(map[work.TaskRef]map[int]bool),
-		shownCompleted: make(map[model.JobID]bool),
+		succeeded:        make(map[work.TaskRef]bool), acknowledgedFailures: make(map[work.TaskRef]map[int]int),
+		shownCompleted: make(map[model.JobID]bool), lastStart: make(map[work.TaskRef]int),
 	}
 	for i := range 4 {
 		cl.workers = append(cl.workers, &simWorker{
 			id: model.WorkerID(fmt.Sprintf("w%d", i)), up: true, incarnation: 1, clockRate: 0.98 + 0.01*float64(i%3),
 			clock: options.uptime,
-			runs:  make(map[runKey]*simRun), superseded: make(map[work.TaskRef]int),
+			runs:  make(map[runKey]*simRun), superseded: make(map[work.TaskRef]int), endedAt: make(map[int64]int),
+			connections: make(map[*Shard]uint64),
 		})
 	}
 	cl.takeOver()
@@ -132,12 +154,13 @@
 // takeOver starts a new owner from the recorded state; commands of the former owner may still be in flight.
 func (cl *cluster) takeOver() {
 	cl.token++
-	cl.former, cl.lostAt = cl.shard, cl.now
+	cl.noteFormerOwner()
 	cl.shard = New(Config{
 		Epoch: cl.token, Lease: testLease, MaxLease: simMaxLease, RenewLimit: 3 * time.Second,
 		KillGrace: simKillGrace, GangTimeout: simGangTimeout,
 		Retention: simRetention, TasksPerRecord: simTasksPerRecord,
 	})
+	cl.logf("owner %d takes over", cl.token)
 	cl.drops = nil
 	cl.shard.SetConfiguration(testConfiguration())
 	r := RecordedState{Progress: joinRecords(cl.t, cl.progress)}
@@ -149,13 +172,18 @@
 	cl.register()
 }
 
+// logf adds a line with the time to the output of a failing sequence.
+func (cl *cluster) logf(format string, args ...any) {
+	cl.t.Logf("%v: "+format, append([]any{cl.now}, args...)...)
+}
+
 func (cl *cluster) register() {
 	var entries []agent.Entry
 	for _, w := range cl.workers {
-		if w.up {
+		if w.up && !w.unlisted {
 			entries = append(entries, agent.Entry{
 				ID: w.id, Pool: testPool, Address: string(w.id), DataCentre: "dc1", Draining: w.draining,
-				Capacity: model.Resources{Cores: 4000, Memory: 4000},
+				Capacity: simCapacity,
 			})
 		}
 	}
@@ -168,8 +196,22 @@
 
 func (cl *cluster) stageOf(task work.TaskRef) work.Stage { return cl.jobs[task.Job].Stages[task.Stage] }
 
-// advance lets time pass: leases expire, stopped runs end, delayed commands arrive.
+// advance lets time pass, step by step from one delayed command or answer to the next.
 func (cl *cluster) advance(d time.Duration) {
+	for end := cl.now + d; cl.now < end; {
+		next := end
+		for _, at := range cl.dueTimes() {
+			if at > cl.now {
+				next = min(next, at)
+			}
+		}
+		cl.pass(next - cl.now)
+	}
+	cl.checkInvariants()
+}
+
+// pass lets time pass: leases expire, stopped runs end, delayed commands and answers arrive.
+func (cl *cluster) pass(d time.Duration) {
 	cl.now += d
 	cl.wall = cl.wall.Add(d)
 	for _, w := range cl.workers {
@@ -187,6 +229,10 @@
 				cl.endRun(w, run, agent.OutcomeLeaseExpired)
 			case run.stopping && cl.now >= run.stopAt:
 				cl.endRun(w, run, agent.OutcomeStopped)
+			case run.orphaned != "":
+				if !w.unreachable {
+					cl.listEnd(w, run, run.orphaned)
+				}
 			case run.gang && run.waitingSince >= 0 && w.clock-run.waitingSince > simGangTimeout:
 				cl.endRun(w, run, agent.OutcomeGangIncomplete)
 			}
@@ -202,7 +248,16 @@
 			cl.arrive(d)
 		}
 	}
-	cl.checkInvariants()
+	cl.applyAnswers()
+}
+
+// used returns the capacity that the worker's runs use.
+func (w *simWorker) used() model.Resources {
+	used := model.Resources{}
+	for _, run := range w.runs {
+		used = used.Plus(run.size)
+	}
+	return used
 }
 
 func (w *simWorker) sortedRuns() []*simRun {
@@ -218,10 +273,7 @@
 
 // endRun removes a run and lists its end; the other members of its gang end too.
 func (cl *cluster) endRun(w *simWorker, run *simRun, outcome agent.RunOutcome) {
-	delete(w.runs, run.key)
-	w.lastEnd++
-	w.superseded[run.key.task] = max(w.superseded[run.key.task], run.key.run)
-	w.ends = append(w.ends, agent.EndedRun{Number: w.lastEnd, Task: run.key.task, Run: run.key.run, Outcome: outcome})
+	cl.listEnd(w, run, outcome)
 	if outcome == agent.OutcomeDone {
 		cl.succeeded[run.key.task] = true
 	}
@@ -230,6 +282,17 @@
 	}
 }
 
+// listEnd removes a run and lists its end.
+func (cl *cluster) listEnd(w *simWorker, run *simRun, outcome agent.RunOutcome) {
+	cl.logf("%s ends %v run %d: %s, end %d", w.id, run.key.task, run.key.run, outcome, w.lastEnd+1)
+	delete(w.runs, run.key)
+	w.lastEnd++
+	cl.moments++
+	w.endedAt[w.lastEnd] = cl.moments
+	w.superseded[run.key.task] = max(w.superseded[run.key.task], run.key.run)
+	w.ends = append(w.ends, agent.EndedRun{Number: w.lastEnd, Task: run.key.task, Run: run.key.run, Outcome: outcome})
+}
+
 func (cl *cluster) endGangMembers(key runKey, outcome agent.RunOutcome) {
 	if outcome == agent.OutcomeDone {
 		for i := range cl.stageOf(key.task).Count {
@@ -240,22 +303,25 @@
 	}
 	for _, w := range cl.workers {
 		for _, run := range w.sortedRuns() {
-			if run.key.task.Job != key.task.Job || run.key.task.Stage != key.task.Stage || run.key.run != key.run ||
-				w.runs[run.key] != run {
+			if !run.inGang(key) || w.runs[run.key] != run {
 				continue
 			}
-			delete(w.runs, run.key)
-			w.lastEnd++
-			w.superseded[run.key.task] = max(w.superseded[run.key.task], run.key.run)
 			other := agent.OutcomeGangBroken
 			if outcome == agent.OutcomeDone {
 				other = agent.OutcomeDone
 			}
-			w.ends = append(w.ends, agent.EndedRun{Number: w.lastEnd, Task: run.key.task, Run: run.key.run, Outcome: other})
+			if cl.options.gangsOutlive && w.unreachable {
+				run.orphaned = cmp.Or(run.orphaned, other)
+				continue
+			}
+			cl.listEnd(w, run, other)
 		}
 	}
 }
 
+// GoString keeps the draws of a failing sequence short.
+func (w *simWorker) GoString() string { return string(w.id) }
+
 func (w *simWorker) describe() string {
 	text := fmt.Sprintf("(incarnation %d)", w.incarnation)
 	for _, run := range w.sortedRuns() {
@@ -286,8 +352,26 @@
 	w.leaseEnd = max(w.leaseEnd, min(end, w.clock+simMaxLease))
 }
 
-// applyStart carries out a start and checks the invariants that apply to it.
-func (cl *cluster) applyStart(cmd StartCommand) (time.Duration, error) {
+// newTicket returns a placement ticket, which is valid for a while during one life of the worker.
+func (w *simWorker) newTicket() string {
+	return fmt.Sprintf("%d %d", w.incarnation, w.clock+simTicketValidity)
+}
+
+// acceptsTicket reports whether the worker accepts the ticket of a start, if the start needs one.
+func (cl *cluster) acceptsTicket(w *simWorker, start agent.Start) bool {
+	if cl.jobs[start.Task.Job].Queue != "advised" {
+		return true
+	}
+	var incarnation int64
+	var until time.Duration
+	if _, err := fmt.Sscan(start.Ticket, &incarnation, &until); err != nil {
+		cl.t.Fatalf("start of %v with ticket %q: %v", start.Task, start.Ticket, err)
+	}
+	return incarnation == w.incarnation && w.clock <= until
+}
+
+// applyStart carries out a start and checks the invariants that apply to it. A stray start was meant for another incarnation.
+func (cl *cluster) applyStart(cmd StartCommand, stray bool) (time.Duration, error) {
 	w := cl.workerByID(cmd.Target.ID)
 	key := runKey{cmd.Start.Task, cmd.Start.Run}
 	switch {
@@ -303,13 +387,32 @@
 		return w.clock, agent.ErrRunSuperseded
 	case cmd.Start.LeaseEnd <= w.clock:
 		return w.clock, agent.ErrDeadlinePassed
+	case !cl.acceptsTicket(w, cmd.Start):
+		return w.clock, agent.ErrTicket
+	case cl.options.guardedCapacity && !w.used().Plus(cl.stageOf(key.task).Size).Fits(simCapacity):
+		w.extendLease(cmd.Start.LeaseEnd)
+		return w.clock, agent.ErrNoCapacity
 	}
 	w.extendLease(cmd.Start.LeaseEnd)
+	cl.begin(w, key, stray)
+	return w.clock, nil
+}
+
+// begin begins a run and checks the invariants that apply to its start.
+func (cl *cluster) begin(w *simWorker, key runKey, stray bool) {
+	cl.moments++
+	cl.lastStart[key.task] = cl.moments
 	stage := cl.stageOf(key.task)
-	w.runs[key] = &simRun{key: key, size: stage.Size, gang: stage.Gang, waitingSince: w.clock}
+	w.runs[key] = &simRun{key: key, size: stage.Size, gang: stage.Gang, waitingSince: w.clock, stray: stray}
+	cl.logf("%s (incarnation %d) starts %v run %d, stray %v, lease until %v of %v", w.id, w.incarnation, key.task, key.run, stray,
+		w.leaseEnd, w.clock)
 	cl.startGangIfComplete(key, stage)
-	cl.checkStart(key)
-	return w.clock, nil
+	cl.checkStart(key, stray)
+}
+
+// inGang reports whether the run belongs to the same run of a gang.
+func (run *simRun) inGang(key runKey) bool {
+	return run.gang && run.key.task.Job == key.task.Job && run.key.task.Stage == key.task.Stage && run.key.run == key.run
 }
 
 // members returns the members of a gang's run that are present on workers.
@@ -317,7 +420,7 @@
 	var list []*simRun
 	for _, w := range cl.workers {
 		for _, run := range w.sortedRuns() {
-			if run.gang && run.key.task.Job == key.task.Job && run.key.task.Stage == key.task.Stage && run.key.run == key.run {
+			if run.inGang(key) && run.orphaned == "" {
 				list = append(list, run)
 			}
 		}
@@ -334,8 +437,9 @@
 	}
 }
 
-// checkStart fails the test if the run must not start now.
-func (cl *cluster) checkStart(key runKey) {
+// checkStart fails the test if the run must not start now. A stray start is kept out of the rules with a time bound only.
+func (cl *cluster) checkStart(key runKey, stray bool) {
+	cl.checkTwice()
 	job := cl.jobs[key.task.Job]
 	for _, earlier := range job.Stages[key.task.Stage].After {
 		for i := range job.Stages[earlier].Count {
@@ -344,7 +448,7 @@
 			}
 		}
 	}
-	if cl.shownCompleted[key.task.Job] {
+	if !stray && cl.shownCompleted[key.task.Job] {
 		cl.t.Fatalf("%v run %d started after its job was shown as completed", key.task, key.run)
 	}
 	if cl.acknowledgedDone[key.task] {
@@ -364,6 +468,7 @@
 	case !w.acceptToken(cmd.Stop.Token):
 		return w.clock, agent.ErrFenced
 	}
+	cl.logf("%s stops %v run %d", w.id, cmd.Stop.Task, cmd.Stop.Run)
 	w.superseded[cmd.Stop.Task] = max(w.superseded[cmd.Stop.Task], cmd.Stop.Run)
 	if run := w.runs[runKey{cmd.Stop.Task, cmd.Stop.Run}]; run != nil && !run.stopping {
 		run.stopping, run.stopAt = true, cl.now+simKillGrace
@@ -374,19 +479,20 @@
 // exchangeHeartbeat sends a heartbeat and applies the worker's report, unless, as the delivery says, the heartbeat is lost, the
 // report is lost ("unanswered") or slow ("slow"), or the heartbeat takes effect later ("late").
 func (cl *cluster) exchangeHeartbeat(w *simWorker, delivery string) {
-	if cl.awaitsReport(w) {
+	if cl.awaitsReport(w) || !cl.reaches(cl.shard, w) {
 		return
 	}
 	heartbeat, ok := cl.shard.HeartbeatFor(w.id, cl.now, true)
-	if !ok || !w.up || w.unreachable {
+	if !ok {
 		return
 	}
-	if heartbeat.ReportConnection != w.connection {
-		heartbeat.Acked, heartbeat.LeaseEnd = 0, 0
+	if w.unreachable {
+		delivery = cl.deliveryInSilence()
 	}
-	if delivery == "lost" || delivery == "late" {
-		w.connection++
-		if delivery == "late" {
+	heartbeat = cl.onConnection(cl.shard, w, heartbeat)
+	if !w.up || delivery == "lost" || delivery == "late" {
+		cl.failHeartbeat(cl.shard, w)
+		if w.up && delivery == "late" {
 			cl.delay(w, delayedCommand{heartbeat: &heartbeat})
 		}
 		return
@@ -396,10 +502,10 @@
 		cl.t.Fatalf("%s has seen a higher token than the owner's", w.id)
 	}
 	if delivery == "unanswered" {
-		w.connection++
+		cl.failHeartbeat(cl.shard, w)
 		return
 	}
-	report.Connection = w.connection
+	report.Connection = w.connections[cl.shard]
 	if delivery == "slow" {
 		cl.reports = append(cl.reports, slowReport{cl.shard, w, report, cl.now + simReportTimeout})
 		return
@@ -407,6 +513,27 @@
 	cl.shard.ApplyReport(w.id, report, cl.now)
 }
 
+// failHeartbeat ends the connection over which a heartbeat got no answer. With slow answers the owner learns of it only when it
+// sends the next one.
+func (cl *cluster) failHeartbeat(owner *Shard, w *simWorker) {
+	delete(w.connections, owner)
+	if !cl.options.slowAnswers {
+		owner.HeartbeatFailed(w.id, agent.ErrNoAnswer, cl.now)
+	}
+}
+
+// onConnection returns a heartbeat as an owner sends it over its connection, which is a new one if it has none.
+func (cl *cluster) onConnection(owner *Shard, w *simWorker, heartbeat agent.Heartbeat) agent.Heartbeat {
+	if w.connections[owner] == 0 {
+		cl.lastConnection++
+		w.connections[owner] = cl.lastConnection
+	}
+	if heartbeat.ReportConnection != w.connections[owner] {
+		heartbeat.Acked, heartbeat.LeaseEnd = 0, 0
+	}
+	return heartbeat
+}
+
 // applyHeartbeat carries out a heartbeat and returns the worker's report, or false if the worker has seen a higher token.
 func (cl *cluster) applyHeartbeat(w *simWorker, heartbeat agent.Heartbeat) (agent.Report, bool) {
 	if !w.acceptToken(heartbeat.Token) {
@@ -418,7 +545,7 @@
 			return false
 		}
 		if e.Number > w.lastUncountedEnd {
-			cl.recordAcknowledged(e)
+			cl.recordAcknowledged(w, e)
 		}
 		return true
 	})
@@ -431,15 +558,25 @@
 	return report, true
 }
 
-func (cl *cluster) recordAcknowledged(e agent.EndedRun) {
+// recordAcknowledged notes an acknowledged end. It fails the test if a run of the task has started since a success, or since the last
+// failure that the queue allows, that is acknowledged only now.
+func (cl *cluster) recordAcknowledged(w *simWorker, e agent.EndedRun) {
 	switch e.Outcome {
 	case agent.OutcomeDone:
 		cl.acknowledgedDone[e.Task] = true
+		if cl.lastStart[e.Task] > w.endedAt[e.Number] {
+			cl.t.Fatalf("%v started after the success of run %d on %s, which is acknowledged now", e.Task, e.Run, w.id)
+		}
 	case agent.OutcomeFailed:
-		if cl.acknowledgedFailures[e.Task] == nil {
-			cl.acknowledgedFailures[e.Task] = make(map[int]bool)
+		failures := cl.acknowledgedFailures[e.Task]
+		if failures == nil {
+			failures = make(map[int]int)
+			cl.acknowledgedFailures[e.Task] = failures
+		}
+		failures[e.Run] = w.endedAt[e.Number]
+		if moments := slices.Sorted(maps.Values(failures)); len(moments) >= 2 && cl.lastStart[e.Task] > moments[1] {
+			cl.t.Fatalf("%v started after %d failures, of which that of run %d is acknowledged now", e.Task, len(moments), e.Run)
 		}
-		cl.acknowledgedFailures[e.Task][e.Run] = true
 	case agent.OutcomeStopped, agent.OutcomeLeaseExpired, agent.OutcomeGangBroken, agent.OutcomeGangIncomplete:
 	}
 }
@@ -487,20 +624,12 @@
 func (cl *cluster) sendCommands(nextDelivery func() string) {
 	cl.shard.Tick(cl.now, cl.wall)
 	cl.commit()
-	commands := cl.shard.TakeCommands(cl.now)
-	for _, cmd := range commands.Starts {
-		clock, err := cl.deliver(nextDelivery(), cl.workerByID(cmd.Target.ID), delayedCommand{start: &cmd})
-		cl.shard.ApplyStartResult(cmd, clock, err, cl.now)
-	}
-	for _, cmd := range commands.Stops {
-		clock, err := cl.deliver(nextDelivery(), cl.workerByID(cmd.Target.ID), delayedCommand{stop: &cmd})
-		cl.shard.ApplyStopResult(cmd, clock, err, cl.now)
-	}
+	cl.sendOwnersCommands(cl.shard, nextDelivery)
 	for _, call := range allAdviceCalls(cl.shard, cl.now) {
-		advice := agent.Advice{Tickets: make(map[model.WorkerID]string), Valid: model.Duration(2 * time.Second)}
+		advice := agent.Advice{Tickets: make(map[model.WorkerID]string), Valid: model.Duration(simTicketValidity)}
 		for i, id := range call.Request.Workers {
 			if (i+len(call.Request.Stage.Job))%3 > 0 || i == 0 {
-				advice.Tickets[id] = "ticket"
+				advice.Tickets[id] = cl.workerByID(id).newTicket()
 			}
 		}
 		cl.shard.ApplyAdvice(call, advice, nil, cl.now)
@@ -508,29 +637,53 @@
 	cl.checkInvariants()
 }
 
+// sendOwnersCommands carries out the commands of the present owner or a former one.
+func (cl *cluster) sendOwnersCommands(owner *Shard, nextDelivery func() string) {
+	commands := owner.TakeCommands(cl.now)
+	for _, cmd := range commands.Starts {
+		d := delayedCommand{start: &cmd, answer: func(clock time.Duration, err error) {
+			owner.ApplyStartResult(cmd, clock, err, cl.now)
+		}}
+		cl.deliver(owner, nextDelivery(), cl.workerByID(cmd.Target.ID), d)
+	}
+	for _, cmd := range commands.Stops {
+		d := delayedCommand{stop: &cmd, answer: func(clock time.Duration, err error) {
+			owner.ApplyStopResult(cmd, clock, err, cl.now)
+		}}
+		cl.deliver(owner, nextDelivery(), cl.workerByID(cmd.Target.ID), d)
+	}
+}
+
 // deliver carries out a command at once, or, as the delivery says, never ("lost"), later ("late") or with its answer lost
-// ("unanswered").
-func (cl *cluster) deliver(delivery string, w *simWorker, d delayedCommand) (time.Duration, error) {
-	if w.unreachable {
-		return 0, agent.ErrNoAnswer
+// ("unanswered"). The answer, or that there is none, may reach the owner later than those to newer commands.
+func (cl *cluster) deliver(owner *Shard, delivery string, w *simWorker, d delayedCommand) {
+	if w.unreachable && owner == cl.shard {
+		delivery = cl.deliveryInSilence()
 	}
+	clock, err := time.Duration(0), agent.ErrNoAnswer
 	switch delivery {
 	case "lost":
-		return 0, agent.ErrNoAnswer
 	case "late":
-		cl.delay(w, d)
-		return 0, agent.ErrNoAnswer
+		late := d
+		late.answer = nil
+		cl.delay(w, late)
+	default:
+		if cl.answersSlowly(w, d, delivery) {
+			return
+		}
+		if clock, err = cl.carryOut(d); delivery == "unanswered" {
+			clock, err = 0, agent.ErrNoAnswer
+		}
 	}
-	clock, err := time.Duration(0), error(nil)
+	cl.answer(d, clock, err)
+}
+
+// carryOut carries out a start or a stop on time.
+func (cl *cluster) carryOut(d delayedCommand) (time.Duration, error) {
 	if d.start != nil {
-		clock, err = cl.applyStart(*d.start)
-	} else {
-		clock, err = cl.applyStop(*d.stop)
+		return cl.applyStart(*d.start, false)
 	}
-	if delivery == "unanswered" {
-		return 0, agent.ErrNoAnswer
-	}
-	return clock, err
+	return cl.applyStop(*d.stop)
 }
 
 // checkIndexes fails the test if what the shard keeps besides its workers doesn't match them.
@@ -549,32 +702,50 @@
 	}
 }
 
+// checkTwice fails the test if two runs of one task are alive, whether a command on time or a stray start began them, and
+// whether they belong to a gang or not.
+func (cl *cluster) checkTwice() {
+	type place struct {
+		worker *simWorker
+		run    *simRun
+	}
+	where := make(map[work.TaskRef]place)
+	for _, w := range cl.workers {
+		for _, run := range w.sortedRuns() {
+			if other, twice := where[run.key.task]; twice {
+				cl.t.Fatalf("%v runs on %s (run %d, stray %v) and on %s (run %d, stray %v)", run.key.task,
+					other.worker.id, other.run.key.run, other.run.stray, w.id, run.key.run, run.stray)
+			}
+			where[run.key.task] = place{w, run}
+		}
+	}
+}
+
 // checkInvariants fails the test if the current runs or job states violate an invariant.
 func (cl *cluster) checkInvariants() {
 	cl.checkIndexes()
-	where := make(map[work.TaskRef]model.WorkerID)
-	usage := make(map[model.TeamID]model.Resources)
+	cl.checkTwice()
+	// usage and strayUsage are what the limited team has running; with stray starts it may be over its limit by one task.
+	var usage, strayUsage, largest model.MilliCores
 	for _, w := range cl.workers {
-		used := model.Resources{}
 		for _, run := range w.sortedRuns() {
-			if other, twice := where[run.key.task]; twice {
-				cl.t.Fatalf("%v runs on %s and %s", run.key.task, other, w.id)
-			}
-			where[run.key.task] = w.id
-			if run.stray {
+			switch {
+			case cl.jobs[run.key.task.Job].Team != "capped":
 				continue
+			case run.stray:
+				strayUsage += run.size.Cores
+			default:
+				usage += run.size.Cores
 			}
-			used = used.Plus(run.size)
-			team := cl.jobs[run.key.task.Job].Team
-			usage[team] = usage[team].Plus(run.size)
+			largest = max(largest, run.size.Cores)
 		}
-		if !used.Fits(model.Resources{Cores: 4000, Memory: 4000}) {
+		if used := w.used(); !used.Fits(simCapacity) {
 			cl.t.Fatalf("%s is over its capacity: %+v, runs %v, owner's view %+v",
 				w.id, used, w.describe(), cl.shard.workers[w.id].describe())
 		}
 	}
-	if usage["capped"].Cores > 2000 {
-		cl.t.Fatalf("a team is over its limit: %+v", usage["capped"])
+	if usage > 2000 || usage+strayUsage > 2000+largest {
+		cl.t.Fatalf("a team is over its limit: %d and %d by stray starts", usage, strayUsage)
 	}
 	for id, job := range cl.jobs {
 		if state, _ := cl.shard.JobState(id); state == work.StateCompleted {
