fix(shard): wait for the lease of a late start, and lift that wait

- A task was started elsewhere once a late start of it had arrived or was lost for certain, also if its worker had not reported since: the run may then hold the longest lease.
It is now waited for until the worker has reported, or else for that lease.
- A stage of which some tasks waited for late starts while others were placed wasn't considered again when the wait was over.
- The answer of an incarnation that had ended, and the report of a session that had been replaced, voided commands that the present incarnation may still carry out.
They now prove nothing.

TestInFlightStartOutlivesRegistryEntry asks for the first; TestFailureCountsOnceAcrossOwners waits for it.

--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -100,12 +100,16 @@
 			return
 		case err != nil:
 			ow.mu.Lock()
-			ow.shard.HeartbeatFailed(s.target.ID, err, ow.now())
+			if ctx.Err() == nil {
+				ow.shard.HeartbeatFailed(s.target.ID, err, ow.now())
+			}
 			ow.mu.Unlock()
 			pause.For(ctx, heartbeatRetryDelay)
 		default:
 			ow.mu.Lock()
-			ow.shard.ApplyReport(s.target.ID, report, ow.now())
+			if ctx.Err() == nil {
+				ow.shard.ApplyReport(s.target.ID, report, ow.now())
+			}
 			ow.mu.Unlock()
 			ow.signalDecide()
 			pause.For(ctx, heartbeatPause)
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -244,7 +244,7 @@
 	if !st.job.open() || st.job.queue.Advice == nil {
 		return 0
 	}
-	waiting := slices.DeleteFunc(st.waitingTasks(), func(index int) bool { return !st.mayStart(index, now) })
+	waiting := slices.DeleteFunc(st.waitingTasks(), func(index int) bool { return !s.mayStart(st, index, now) })
 	allowed := s.teamLimitSlots(st, len(waiting))
 	if st.spec.Gang && (len(waiting) < st.spec.Count || allowed < len(waiting)) {
 		return 0
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -106,7 +106,9 @@
 	case errors.Is(err, agent.ErrNoAnswer):
 		s.doubtGrant(a.worker, cmd.grant, arrivesBy)
 	case err == nil:
-		s.voidGrants(a.worker, cmd.grant.generation, now)
+		if cmd.incarnation == a.worker.incarnation {
+			s.voidGrants(a.worker, cmd.grant.generation, now)
+		}
 		a.worker.settleGrant(cmd.grant)
 	default:
 		a.worker.settleGrant(cmd.grant)
@@ -171,7 +173,7 @@
 
 // ApplyStopResult applies the result of a stop command; clock is the reading of the worker's clock in its answer.
 func (s *Shard) ApplyStopResult(cmd StopCommand, clock time.Duration, err error, now time.Duration) {
-	if err == nil {
+	if err == nil && cmd.incarnation == cmd.worker.incarnation {
 		s.voidGrants(cmd.worker, cmd.generation, now)
 	}
 	if cmd.attempt == nil {
--- a/internal/shard/incarnation_test.go
+++ b/internal/shard/incarnation_test.go
@@ -274,6 +274,10 @@
 	assert.Equal(t, commands.Stops[0].Stop.Run, start.Start.Run)
 	h.advance(maxCommandDelay)
 	h.report("w2", agent.Report{})
+	assert.Equal(t, len(h.nextCommands().Starts), 0, "the start may have reached the next incarnation")
+	h.report("w1", agent.Report{})
+	h.advance(lateRetryDelay)
+	h.report("w1", agent.Report{})
 	assert.Equal(t, len(h.nextCommands().Starts), 1)
 }
 
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -76,6 +76,8 @@
 	preemptTriedAt time.Duration
 	// onlyAvoidedLeft tells that every worker that could run the stage is avoided by its job.
 	onlyAvoidedLeft bool
+	// lateStartsDueAt is when to look again at the tasks that wait for late starts, or zero.
+	lateStartsDueAt time.Duration
 	// waitsFor is what the stage lacked when it was last considered.
 	waitsFor waitReason
 }
@@ -109,11 +111,12 @@
 	done    bool
 	lastRun int
 	// notBefore is when the starts of earlier runs have arrived or are lost for certain: until then, the next incarnation of their
-	// worker might carry one out.
-	notBefore  time.Duration
-	failedRuns []int
-	attempts   []*attempt
-	checkpoint string
+	// worker might carry one out. That worker is lateStartOn, which is empty if there may be several.
+	notBefore   time.Duration
+	lateStartOn model.WorkerID
+	failedRuns  []int
+	attempts    []*attempt
+	checkpoint  string
 }
 
 // phase is how far a run has got.
@@ -295,8 +298,41 @@
 	return found
 }
 
-// mayStart reports whether no start of an earlier run of the task may still arrive.
-func (st *stage) mayStart(index int, now time.Duration) bool { return now >= st.tasks[index].notBefore }
+// waitForLateStart keeps the task from starting until a start that may reach a worker's next incarnation has arrived or is lost.
+func (t *task) waitForLateStart(until, now time.Duration, worker model.WorkerID) {
+	if until <= now {
+		return
+	}
+	if t.notBefore > now && t.lateStartOn != worker {
+		worker = ""
+	}
+	t.notBefore, t.lateStartOn = max(t.notBefore, until), worker
+}
+
+// mayStart reports whether the start of an earlier run of the task can neither arrive any more nor have brought a run to a worker
+// that has not reported since.
+func (s *Shard) mayStart(st *stage, index int, now time.Duration) bool {
+	t := &st.tasks[index]
+	if now < t.notBefore || t.notBefore == 0 {
+		return t.notBefore == 0
+	}
+	w := s.workers[t.lateStartOn]
+	return (w != nil && w.lastReportAt >= t.notBefore) || now >= s.longestLeaseEnd(t.notBefore)
+}
+
+// nextLateStart returns when to look again at the tasks that wait for late starts, or zero if there are none.
+func (s *Shard) nextLateStart(st *stage, now time.Duration) time.Duration {
+	next := time.Duration(0)
+	for i := range st.tasks {
+		if t := &st.tasks[i]; !t.done && len(t.attempts) == 0 && !s.mayStart(st, i, now) {
+			at := max(t.notBefore, now+lateRetryDelay)
+			if next == 0 || at < next {
+				next = at
+			}
+		}
+	}
+	return next
+}
 
 // nextRun returns the number of a task's next run. The members of a gang share it.
 func (st *stage) nextRun(index int) int {
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -162,6 +162,9 @@
 		}
 		if st.hasWaitingTasks() {
 			waiting = append(waiting, st)
+			if st.lateStartsDueAt > 0 && now >= st.lateStartsDueAt {
+				st.lateStartsDueAt, st.retry = 0, true
+			}
 			if !st.advicePending && st.nextAdviceAt > 0 && now >= st.nextAdviceAt {
 				st.retry = true
 			}
@@ -199,9 +202,10 @@
 		st.waitsFor, st.retry = waitStarts, true
 		return
 	}
-	waiting := slices.DeleteFunc(st.waitingTasks(), func(index int) bool { return !st.mayStart(index, now) })
+	waiting := slices.DeleteFunc(st.waitingTasks(), func(index int) bool { return !s.mayStart(st, index, now) })
+	st.lateStartsDueAt = s.nextLateStart(st, now)
 	if len(waiting) == 0 || (st.spec.Gang && len(waiting) < st.spec.Count) {
-		st.waitsFor, st.retry = waitLateStart, true
+		st.waitsFor = waitLateStart
 		return
 	}
 	st.onlyAvoidedLeft = s.hasOnlyAvoidedLeft(st, now)
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -253,7 +253,7 @@
 	}
 	delete(w.attempts, a.key())
 	w.noteInFlightStart(a, now)
-	t.notBefore = max(t.notBefore, a.reachesNextIncarnationUntil())
+	t.waitForLateStart(a.reachesNextIncarnationUntil(), now, w.id)
 	w.used = w.used.Minus(a.size())
 	s.freedWorkers[w], s.freeCoresChanged, st.retry = true, true, true
 	s.retryTeamStages(j.spec.Team)
--- a/internal/shard/restore.go
+++ b/internal/shard/restore.go
@@ -124,7 +124,7 @@
 		t.lastRun, t.checkpoint = tp.LastRun, tp.Checkpoint
 		if tp.LastRun > 0 && j.queue.Advice == nil {
 			// A start of a run that the former owner gave up may still reach a later incarnation of its worker.
-			t.notBefore = now + s.cfg.RenewLimit + maxCommandDelay
+			t.waitForLateStart(now+s.cfg.RenewLimit+maxCommandDelay, now, "")
 		}
 		if !st.spec.Service {
 			t.failedRuns = tp.FailedRuns
