test(shard): commands left in doubt, and entries that go for a moment

Cause: the model seldom let a worker with a run answer newer commands after a late one and fall silent before that one is carried out.

Change: an action that does just that, wherever late commands count from their arrival or reach the next incarnation, and one that takes a worker's entry away while a heartbeat is under way.

--- a/internal/shard/faultmodel_test.go
+++ b/internal/shard/faultmodel_test.go
@@ -272,6 +272,9 @@
 			cl.keepSilent(pick(t), rapid.IntRange(16, longest).Draw(t, "half seconds"))
 		}
 	}
+	if o := cl.options; o.lateStarts || o.lateHeartbeats || o.heartbeatsFromArrival || o.startsFromArrival {
+		actions["doubt"] = cl.leaveInDoubt
+	}
 	if cl.options.takeoverPairs {
 		actions["owner-twice"] = func(t *rapid.T) {
 			cl.storeDown = false
@@ -293,6 +296,7 @@
 			w.unreachable = w.unreachable || (w.unlisted && rapid.Bool().Draw(t, "cut"))
 			cl.register()
 		}
+		actions["relist"] = cl.relist
 	}
 	if cl.options.gangsOutlive {
 		actions["break-gang"] = cl.breakGang
@@ -350,6 +354,62 @@
 	w.unreachable = false
 }
 
+// leaveInDoubt lets a command be carried out late at a worker that has a run, has answered newer commands and then falls silent.
+func (cl *cluster) leaveInDoubt(t *rapid.T) {
+	answered := func() string { return "answered" }
+	holdAll := func() {
+		for _, w := range cl.workers {
+			cl.exchangeHeartbeat(w, "answered")
+		}
+	}
+	cl.submit(t)
+	for range 2 {
+		holdAll()
+		cl.sendCommands(answered)
+	}
+	busy := slices.DeleteFunc(slices.Clone(cl.workers), func(w *simWorker) bool { return len(w.runs) == 0 || w.unreachable })
+	if len(busy) == 0 {
+		return
+	}
+	w := rapid.SampledFrom(busy).Draw(t, "worker")
+	cl.advance(time.Duration(rapid.IntRange(0, 25).Draw(t, "tenths")) * 100 * time.Millisecond)
+	if rapid.Bool().Draw(t, "start") {
+		cl.submit(t)
+		cl.sendCommands(func() string { return "late" })
+	} else {
+		cl.exchangeHeartbeat(w, "late")
+	}
+	for range rapid.IntRange(0, 3).Draw(t, "answers") {
+		cl.advance(time.Duration(rapid.IntRange(1, 12).Draw(t, "tenths")) * 100 * time.Millisecond)
+		holdAll()
+		if rapid.Bool().Draw(t, "send") {
+			cl.sendCommands(answered)
+		}
+	}
+	cl.keepSilent(w, rapid.IntRange(14, 30).Draw(t, "half seconds"))
+}
+
+// relist takes a worker's entry away for a moment while a heartbeat is under way, and lets the worker fall silent soon after a
+// start there.
+func (cl *cluster) relist(t *rapid.T) {
+	w := rapid.SampledFrom(cl.workers).Draw(t, "worker")
+	cl.exchangeHeartbeat(w, "answered")
+	cl.exchangeHeartbeat(w, cl.options.heartbeatDeliveries().Draw(t, "answer"))
+	w.unlisted = true
+	cl.register()
+	cl.advance(time.Duration(rapid.IntRange(1, 20).Draw(t, "tenths")) * 100 * time.Millisecond)
+	w.unlisted = false
+	cl.register()
+	for range 2 {
+		for _, other := range cl.workers {
+			cl.exchangeHeartbeat(other, "answered")
+		}
+		cl.submit(t)
+		cl.sendCommands(func() string { return "answered" })
+	}
+	cl.keepSilent(w, rapid.IntRange(16, 40).Draw(t, "half seconds"))
+}
+
 // breakGang starts a gang that needs several workers, and ends one member after another worker of the gang has fallen silent.
 func (cl *cluster) breakGang(t *rapid.T) {
 	stage := work.Stage{
