fix(shard): keep a task from starting while a run of it is reported

Found by a review of the fixes. A run that a worker reports, but that the owner doesn't know, was stopped, and its task was started elsewhere meanwhile, whether or not the stop was answered. Such a run of a task that isn't done is now added to it and stopped, so that its capacity counts and nothing of the task starts while it is there, whatever brought it there.

With it: commands in doubt that have arrived or are lost by now are folded into the end of the lease, and a heartbeat that is under way when its worker's entry goes raises the generation, so that it is void once the worker is listed and has answered again.

--- a/internal/owner/session_test.go
+++ b/internal/owner/session_test.go
@@ -7,11 +7,13 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"arbutuswing.example/internal/agent"
 	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/pause"
+	"arbutuswing.example/internal/shard"
 	"arbutuswing.example/internal/work"
 )
 
@@ -109,3 +111,59 @@
 		assert.Equal(t, w.tokens[0]>>20, w.tokens[len(w.tokens)-1]>>20, "another ownership began")
 	})
 }
+
+// blockingWorkers answers the heartbeats of each address when the test says so.
+type blockingWorkers struct {
+	mu     sync.Mutex
+	answer map[string]chan agent.Report
+	asked  chan string
+}
+
+func (b *blockingWorkers) Heartbeat(ctx context.Context, to agent.Target, _ agent.Heartbeat) (agent.Report, error) {
+	b.mu.Lock()
+	answer := b.answer[to.Address]
+	b.mu.Unlock()
+	b.asked <- to.Address
+	return <-answer, nil
+}
+
+func (b *blockingWorkers) Start(context.Context, agent.Target, agent.Start) (time.Duration, error) {
+	return 0, agent.ErrNotSent
+}
+
+func (b *blockingWorkers) Stop(context.Context, agent.Target, agent.Stop) (time.Duration, error) {
+	return 0, agent.ErrNotSent
+}
+
+// TestReplacedSessionAppliesNothing guards against a report that counts as the answer to a heartbeat of the next session: it arrived
+// before its session was replaced and is applied after that.
+func TestReplacedSessionAppliesNothing(t *testing.T) {
+	w := &blockingWorkers{
+		answer: map[string]chan agent.Report{"a": make(chan agent.Report, 1), "b": make(chan agent.Report)}, asked: make(chan string, 100),
+	}
+	ow := newOwnership(Config{Workers: w, Log: zap.NewNop(), Shard: shard.Config{
+		Lease: 7 * time.Second, MaxLease: 10 * time.Second, RenewLimit: testRenewLimit, Retention: time.Minute,
+	}}, 1, nil)
+	ow.permission.noteAppend(time.Now().Add(time.Hour))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	entry := agent.Entry{ID: "w", Pool: "pool", Address: "a", Capacity: model.Resources{Cores: 1000, Memory: 1000}}
+	ow.mu.Lock()
+	ow.shard.SetRegistry([]agent.Entry{entry})
+	ow.syncSessions(ctx)
+	ow.mu.Unlock()
+	assert.Equal(t, <-w.asked, "a")
+	ow.mu.Lock()
+	// The report arrives while another goroutine holds the lock.
+	w.answer["a"] <- agent.Report{Clock: time.Second, Incarnation: 1, Connection: 1}
+	time.Sleep(50 * time.Millisecond)
+	entry.Address = "b"
+	ow.shard.SetRegistry([]agent.Entry{entry})
+	ow.syncSessions(ctx)
+	ow.mu.Unlock()
+	assert.Equal(t, <-w.asked, "b")
+	time.Sleep(50 * time.Millisecond)
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	assert.Assert(t, ow.shard.Busy("w"), "the report of the cancelled session was applied")
+}
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -51,7 +51,7 @@
 			case a.phase == phaseBound && a.commitNumber <= s.lastCommitted && w.tokenSeen && a.visibleSince < 0:
 				a.commandPending = true
 				commands.Starts = append(commands.Starts, StartCommand{
-					target, s.startCommand(a, now), a, s.addGrant(w, a.startArrivesBy(now)), w.incarnation,
+					target, s.startCommand(a, now), a, s.addGrant(w, a.startArrivesBy(now), now), w.incarnation,
 				})
 			case a.phase == phaseStopping:
 				a.commandPending = true
--- a/internal/shard/grant.go
+++ b/internal/shard/grant.go
@@ -53,8 +53,16 @@
 	return slices.ContainsFunc(w.grants, func(g *grant) bool { return g.generation < w.generation })
 }
 
-// addGrant notes that a command which may extend the worker's lease is about to be sent.
-func (s *Shard) addGrant(w *worker, arrivesBy time.Duration) *grant {
+// addGrant notes that a command which may extend the worker's lease is sent now. Those that have arrived or are lost by now count
+// as carried out at the latest time.
+func (s *Shard) addGrant(w *worker, arrivesBy, now time.Duration) *grant {
+	w.grants = slices.DeleteFunc(w.grants, func(g *grant) bool {
+		if now < g.arrivesBy {
+			return false
+		}
+		w.leaseEnd = max(w.leaseEnd, s.longestLeaseEnd(g.arrivesBy))
+		return true
+	})
 	g := &grant{generation: w.generation, arrivesBy: arrivesBy, lease: s.cfg.Lease}
 	w.grants = append(w.grants, g)
 	return g
--- a/internal/shard/grant_test.go
+++ b/internal/shard/grant_test.go
@@ -81,7 +81,9 @@
 	h.register()
 	h.workers = []model.WorkerID{"w1", "w2"}
 	h.register()
-	assert.Assert(t, heartbeat() >= highest)
+	relisted := heartbeat()
+	assert.Assert(t, relisted > highest, "the heartbeat that was under way may still arrive")
+	highest = relisted
 	h.takeOver(RecordedState{})
 	assert.Assert(t, heartbeat() > highest)
 }
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -26,7 +26,7 @@
 	// The lease of a silent worker is not extended, so that its runs expire at a known time.
 	if renew && now-w.lastReportAt < suspectAfter && s.renewalDue(w, now) {
 		heartbeat.LeaseEnd = w.newLeaseEnd(now, s.cfg.Lease)
-		w.heartbeat.grant = s.addGrant(w, now+maxCommandDelay)
+		w.heartbeat.grant = s.addGrant(w, now+maxCommandDelay, now)
 		w.renewedAt = now
 	}
 	heartbeat.Prompt = heartbeat.LeaseEnd > 0 || !w.tokenSeen || w.hasDoubts()
@@ -176,7 +176,11 @@
 func (s *Shard) applyRunning(w *worker, key runKey, row agent.ActiveRun, now time.Duration) {
 	a, ok := w.attempts[key]
 	if !ok {
-		if !s.holdRun(w, key, now) && w.unknownRuns[key] == nil {
+		switch {
+		case s.holdRun(w, key, now):
+		case s.adoptRun(w, key, now):
+			s.emit("run-unknown", string(key.task.Job), key.task.String(), w, "adopted", int64(key.run))
+		case w.unknownRuns[key] == nil:
 			s.addUnknownRun(w, key, unknownRun{})
 			s.emit("run-unknown", string(key.task.Job), key.task.String(), w, "", int64(key.run))
 		}
@@ -196,6 +200,28 @@
 	}
 }
 
+// adoptRun adds a reported run of a task that isn't done and stops it. No other run of the task starts while it is there. It returns
+// false if no such task is known.
+func (s *Shard) adoptRun(w *worker, key runKey, now time.Duration) bool {
+	j := s.jobs[key.task.Job]
+	if j == nil || !j.open() {
+		return false
+	}
+	st := j.stage(key.task.Occurrence, key.task.Stage)
+	if st == nil || key.task.Index < 0 || key.task.Index >= len(st.tasks) || st.tasks[key.task.Index].done {
+		return false
+	}
+	delete(w.unknownRuns, key)
+	t := &st.tasks[key.task.Index]
+	t.lastRun = max(t.lastRun, key.run)
+	s.attach(&attempt{
+		stage: st, index: key.task.Index, run: key.run, worker: w, phase: phaseStopping, listed: true, notBefore: now,
+		progressAt: now, savedAt: now,
+	})
+	s.markTaskDirty(st, key.task.Index)
+	return true
+}
+
 // countLateEnd counts the success or failure of a run that was already given up. The ended run is about to be acknowledged, and
 // every acknowledged success and failure must count: no run may start after it.
 func (s *Shard) countLateEnd(end agent.EndedRun, now time.Duration) {
@@ -351,7 +377,7 @@
 	}
 	for i := range st.tasks {
 		for _, other := range st.tasks[i].attempts {
-			if other.phase == phaseStopping {
+			if other.phase == phaseStopping || other.run != a.run {
 				continue
 			}
 			s.stopRun(other, now)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -256,6 +256,8 @@
 		}
 		w.listed = false
 		if len(w.attempts) == 0 {
+			// The session ends with the entry: its heartbeat may be carried out after the worker is listed again.
+			s.HeartbeatFailed(id, agent.ErrNoAnswer, s.lastTick)
 			delete(s.workers, id)
 			s.keepInFlightStarts(w)
 			s.targetsVersion++
