fix(shard): jobs of a removed queue go on under the terms that they were accepted with

Symptom: after a configuration has removed a route, accepted jobs on it never go on (LOST): after a change of owner, or if the owner reads the job later than the configuration.

Cause: a job named its queue only; without it in the configuration the job had no pool, so that no worker suits it.

Change: the job's record holds the queue's settings at its acceptance. The configuration's apply while it has the queue.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -141,6 +141,7 @@
 		return Invalid{"malformed job identifier"}
 	}
 	job.ID, job.Queue, job.Team, job.Accepted = model.JobID(rc.id), rc.queue.Name, rc.team, time.Now()
+	job.QueueTerms = work.NewQueueTerms(rc.queue)
 	if err := job.Validate(); err != nil {
 		i.cfg.Log.Info("job refused", zap.String("job", rc.id), zap.String("queue", rc.queue.Name), zap.Error(err))
 		return Invalid{err.Error()}
--- a/internal/shard/restore.go
+++ b/internal/shard/restore.go
@@ -31,7 +31,7 @@
 		if _, ok := s.jobs[spec.ID]; ok || s.held[spec.ID] {
 			continue
 		}
-		queue, _ := s.configuration.Queue(spec.Queue)
+		queue := s.queueOf(spec)
 		age := min(max(wall.Sub(spec.Accepted), 0), maxRestoredAge)
 		j := newJob(spec, queue, now-age)
 		s.addJob(j)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -137,8 +137,7 @@
 	if s.held[spec.ID] {
 		return
 	}
-	queue, _ := s.configuration.Queue(spec.Queue)
-	j := newJob(spec, queue, now)
+	j := newJob(spec, s.queueOf(spec), now)
 	j.overShare = s.exceedsTeamShare(spec.Team, now)
 	s.addJob(j)
 	s.emit("job-taken", string(spec.ID), "", nil, spec.Queue, int64(len(s.activeStages)))
@@ -147,6 +146,18 @@
 	}
 }
 
+// queueOf returns a job's queue or, if that was removed, the settings under which the job was accepted.
+func (s *Shard) queueOf(spec work.Job) terms.Queue {
+	queue, ok := s.configuration.Queue(spec.Queue)
+	if !ok {
+		s.emit("queue-removed", string(spec.ID), "", nil, spec.Queue, 0)
+		if spec.QueueTerms != nil {
+			return spec.QueueTerms.Queue(spec.Queue)
+		}
+	}
+	return queue
+}
+
 func (s *Shard) addJob(j *job) {
 	s.jobs[j.spec.ID] = j
 	s.activeStages = append(s.activeStages, j.stages...)
--- a/internal/work/job.go
+++ b/internal/work/job.go
@@ -77,6 +77,8 @@
 	Occurrences int            `json:"occurrences,omitempty"`
 	Start       time.Time      `json:"start,omitzero"`
 	Interval    model.Duration `json:"interval,omitempty"`
+	// QueueTerms is nil for a job that an earlier version accepted.
+	QueueTerms *QueueTerms `json:"queue-terms,omitempty"`
 }
 
 // OccurrenceCount returns how often the stages run, at least 1.
@@ -103,6 +105,11 @@
 	if float64(j.Occurrences)*float64(j.Interval) > float64(maxSpan) {
 		return fmt.Errorf("%w: %d occurrences every %v last too long", ErrInvalidJob, j.Occurrences, j.Interval.Std())
 	}
+	if j.QueueTerms != nil {
+		if err := j.QueueTerms.validate(); err != nil {
+			return err
+		}
+	}
 	tasks := 0
 	for i, stage := range j.Stages {
 		if err := stage.validate(i); err != nil {
