fix(shard): judge the progress of a run by what its task is expected to take

Symptom: a sound task of more than 250 s is stopped again and again, as a run without a new whole percent for 2.5 s counted as standing still.

Change: a run may show no progress for 2.5 s, for 12% of its estimated run time, or for four times its longest gap between two percents so far, whichever is longest, and for twice that after each stop of its task. A new checkpoint is progress too. A worker is avoided for all jobs only at the first stop of a task.

Evidence: TestLongTaskIsNotStopped, TestSlowTaskEnds; TestStandingTaskIsMoved: a short task that stands still is moved after 2.5 s as before.

--- a/internal/shard/config.go
+++ b/internal/shard/config.go
@@ -38,8 +38,14 @@
 	// quarantineThreshold is the number of consecutive failures, each of a different job, that puts a worker into
 	// quarantine.
 	quarantineThreshold = 2
-	// stallTimeout is how long a run may show no progress before it is stopped and started elsewhere.
+	// stallTimeout is how long a run may at least show no progress before it is stopped and started elsewhere.
 	stallTimeout = 2500 * time.Millisecond
+	// stallPercents is for how many percent of its estimated run time a run may show no progress, and stallGaps for how many times
+	// its longest gap between two percents so far. Estimates are often far too low.
+	stallPercents = 12
+	stallGaps     = 4
+	// maxStallDoublings bounds how often the time is doubled for a task that was stopped for want of progress.
+	maxStallDoublings = 10
 	// leaseCheckInterval is the interval of checks for expired leases, which a lease's margin allows for.
 	leaseCheckInterval = 20 * time.Millisecond
 	// stallCheckInterval is the interval of checks for stalled runs, a fraction of stallTimeout.
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -115,8 +115,10 @@
 	notBefore   time.Duration
 	lateStartOn model.WorkerID
 	failedRuns  []int
-	attempts    []*attempt
-	checkpoint  string
+	// stalls counts the runs that were stopped for want of progress.
+	stalls     int
+	attempts   []*attempt
+	checkpoint string
 }
 
 // phase is how far a run has got.
@@ -161,6 +163,10 @@
 	checkpoint   string
 	percent      int
 	progressAt   time.Duration
+	// longestGap is the longest time without progress that reports have shown before there was some. unchanged tells that a report
+	// has shown none since progressAt.
+	longestGap time.Duration
+	unchanged  bool
 	// savedAt is when the run was last seen to have saved a checkpoint, or else when it was bound.
 	savedAt time.Duration
 }
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -192,12 +192,18 @@
 	}
 	a.startUnanswered, a.listed = false, true
 	a.visibleSince = max(a.visibleSince, 0)
-	if row.Percent != a.percent {
-		a.percent, a.progressAt = row.Percent, now
-	}
-	if row.Checkpoint != "" && row.Checkpoint != a.checkpoint {
+	saved := row.Checkpoint != "" && row.Checkpoint != a.checkpoint
+	if saved {
 		a.checkpoint, a.savedAt = row.Checkpoint, now
 	}
+	if row.Percent == a.percent && !saved {
+		a.unchanged = true
+		return
+	}
+	if a.unchanged {
+		a.longestGap = max(a.longestGap, now-a.progressAt)
+	}
+	a.percent, a.progressAt, a.unchanged = row.Percent, now, false
 }
 
 // adoptRun adds a reported run of a task that isn't done and stops it. No other run of the task starts while it is there. It returns
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -392,7 +392,11 @@
 		}
 		for _, a := range sortedAttempts(w, func(a *attempt) bool { return a.stalled(now) }) {
 			a.stage.job.avoidWorker(w, now)
-			w.quarantinedUntil = now + quarantineTime
+			// A task that was stopped before may only be slow.
+			if t := a.task(); t.stalls == 0 {
+				w.quarantinedUntil = now + quarantineTime
+			}
+			a.task().stalls++
 			s.emit("run-stalled", string(a.stage.job.spec.ID), a.ref().String(), w, "", int64(a.percent))
 			s.stopRun(a, now)
 		}
@@ -402,7 +406,13 @@
 // stalled reports whether a run has started and shows no progress. Services have none, and the members of a gang wait for
 // each other.
 func (a *attempt) stalled(now time.Duration) bool {
-	return a.phase == phaseStarted && !a.stage.spec.Service && !a.stage.spec.Gang && now-a.progressAt >= stallTimeout
+	return a.phase == phaseStarted && !a.stage.spec.Service && !a.stage.spec.Gang && now-a.progressAt >= a.stallLimit()
+}
+
+// stallLimit returns how long the run may show no progress. A long task takes long for each percent.
+func (a *attempt) stallLimit() time.Duration {
+	limit := max(stallTimeout, stallPercents*a.stage.spec.RunTime.Std()/100, stallGaps*a.longestGap)
+	return limit << min(a.task().stalls, maxStallDoublings)
 }
 
 func anyAttempt(*attempt) bool { return true }
