test(soak): late acknowledgements that reach the next incarnation of a worker

A worker restarts while it is silent. A late start of the incarnation before runs there and ends, and a late heartbeat with a higher token acknowledges the end by its number, which the owner never sees: it starts the task elsewhere, as the run isn't listed.

Change: TestSoakLateAcknowledgementReachesNextIncarnation plays just that on six workers.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -611,6 +611,25 @@
 	}
 }
 
+// TestSoakLateAcknowledgementReachesNextIncarnation guards against a task that starts again after an acknowledged success: workers
+// restart while they are silent, and a late start runs there and ends before a late heartbeat acknowledges its end.
+func TestSoakLateAcknowledgementReachesNextIncarnation(t *testing.T) {
+	const (
+		workers = 6
+		begin   = 3 * time.Second
+		silent  = begin + 4500*time.Millisecond
+	)
+	plan := make([]fault, 0, 3*workers)
+	for target := range workers {
+		late := &fakes.LateCommands{Share: 0.6, Kinds: []fakes.CommandKind{fakes.Start, fakes.Heartbeat}}
+		plan = append(plan,
+			fault{At: begin, Duration: 6 * time.Second, Kind: faultLateCommands, Target: target, Late: late},
+			fault{At: silent, Duration: 12 * time.Second, Kind: faultWorkerLink, Target: target, Mode: linkNoData},
+			fault{At: silent + 300*time.Millisecond, Kind: faultWorkerCrash, Target: target})
+	}
+	soak(t, lateScenario(*soakSeed, max(*soakLength, quietStart+2*lateRound), plan))
+}
+
 // TestSoakRegressions plays each plan of late commands under which a guarantee was once violated.
 func TestSoakRegressions(t *testing.T) {
 	if !*soakRegressions {
@@ -625,7 +644,11 @@
 			assert.NilError(t, err)
 			plan, err := readPlan(path)
 			assert.NilError(t, err)
-			soak(t, lateScenario(seed, quietStart+2*lateRound, plan))
+			last := plan[0].At
+			for _, f := range plan {
+				last = max(last, f.At)
+			}
+			soak(t, lateScenario(seed, max(quietStart+2*lateRound, last), plan))
 		})
 	}
 }
