fix(shard): acknowledge a gang's success once no member can start again

Cause: the wait before an acknowledgement looked at the late starts of the member that reported, while the success of one is that of all.

Change: it looks at those of all members.

--- a/internal/shard/grant.go
+++ b/internal/shard/grant.go
@@ -142,6 +142,19 @@
 	return a.startInFlightUntil
 }
 
+// lateStartsUntil is the same for the run and, of a gang, the other members of the run: the success of one is that of all.
+func (a *attempt) lateStartsUntil() time.Duration {
+	until := a.reachesNextIncarnationUntil()
+	if a.stage.spec.Gang {
+		for i := range a.stage.tasks {
+			for _, member := range a.stage.tasks[i].attempts {
+				until = max(until, member.reachesNextIncarnationUntil())
+			}
+		}
+	}
+	return until
+}
+
 // HeartbeatFailed notes that a worker's heartbeat failed, with the error that it returned.
 func (s *Shard) HeartbeatFailed(id model.WorkerID, err error, now time.Duration) {
 	w, ok := s.workers[id]
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -163,7 +163,7 @@
 		w.lastEndSeen = end.Number
 		notBefore := time.Duration(0)
 		if a, ok := w.attempts[key]; ok {
-			notBefore = a.reachesNextIncarnationUntil()
+			notBefore = a.lateStartsUntil()
 			s.endRun(a, end.Outcome, end.Checkpoint, now)
 		} else {
 			s.countLateEnd(end, now)
