fix(sched): acquire the lease anew after a start without an answer

Symptom: a start without an answer that is carried out late runs its attempt beside the task's next attempt on another worker, or once more after its end was acknowledged.

Cause: the lease was renewed under its token, so the worker accepted the start for up to 20 s, the length of a task lease. Meanwhile the attempt was given up because the worker reported it as never started, or started again, ended and acknowledged; the worker then remembered nothing that would have refused the start.

Change: once a start stays unanswered, nothing is sent under its token any more but the release of the lease. The next renewal acquires the lease anew; the new token makes the start void, and the report with it shows whether it took effect. No start is sent before the first renewal of a lease, because starts that fail again and again would otherwise keep the task leases from being extended.

Evidence: TestLateStartOfEvictedAttempt, TestLateStartAfterAcknowledgedEnd (internal/sched) and TestTokenOfUnansweredStartIsNotUsedAgain (internal/lease) fail without the change.

TestLateStartOfFormerTokenHasNoEffect plays the same sequences with the lease acquired anew after the start; it passes before, too. The longest delay of commands in the fake workers is a field now, with the same value of 2 s except in TestLateStartAfterAcknowledgedEnd, where the end is acknowledged only after that.

--- a/internal/lease/fake_test.go
+++ b/internal/lease/fake_test.go
@@ -27,6 +27,7 @@
 	token    model.Token
 	down     bool
 	err      error
+	startErr error
 	requests []ports.LeaseRequest
 	started  int
 	released []model.Token
@@ -37,6 +38,7 @@
 	connected     bool
 	isolated      bool
 	commands      []Command
+	sent          []error
 	pause         time.Duration
 	reports       []Report
 	dropped       int
@@ -115,8 +117,8 @@
 	return r.commands
 }
 
-func (r *rig) CommandSent(_ model.WorkerID, _ Command, _ error) {}
-func (r *rig) LeaseDropped(model.WorkerID)                      { r.dropped++ }
+func (r *rig) CommandSent(_ model.WorkerID, _ Command, err error) { r.sent = append(r.sent, err) }
+func (r *rig) LeaseDropped(model.WorkerID)                        { r.dropped++ }
 func (r *rig) count(match func(record.Op) bool) (count int) {
 	for _, op := range r.ops {
 		if match(op) {
@@ -154,7 +156,7 @@
 
 func (r *rig) Start(context.Context, string, model.Token, []ports.StartRequest) error {
 	r.started++
-	return nil
+	return r.startErr
 }
 
 func (r *rig) Stop(context.Context, string, model.Token, model.Outcome, []model.AttemptID) error {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -85,6 +86,52 @@
 	}
 }
 
+// Guards against commands and renewals under the token of a start without an answer, which would keep that start valid.
+func TestTokenOfUnansweredStartIsNotUsedAgain(t *testing.T) {
+	r := newRig(t)
+	r.advance(2 * time.Second)
+	r.commands, r.startErr = []Command{Start{}, Stop{}}, ports.ErrUnreachable
+	r.manager.ServeSoon("w")
+	r.manager.ServeDue(t.Context())
+	assert.Equal(t, r.started, 1)
+	assert.Equal(t, r.dropped, 1)
+	assert.Assert(t, !r.manager.Held("w"))
+	r.manager.ServeSoon("w")
+	r.manager.ServeDue(t.Context())
+	assert.Equal(t, len(r.sent), 1, "no command until the worker has issued another token")
+	asked := len(r.requests)
+	r.startErr = nil
+	r.advance(2 * time.Second)
+	assert.Equal(t, r.requests[asked].Token, model.Token(0))
+	assert.Equal(t, r.last().Token, model.Token(2))
+	assert.Assert(t, r.started > 1)
+}
+
+// Guards against task leases that are no longer extended because each start fails and the lease is acquired anew.
+func TestFailingStartsDoNotStopExtensions(t *testing.T) {
+	r := newRig(t)
+	r.commands, r.startErr = []Command{Start{}}, ports.ErrUnreachable
+	for range 5 {
+		asked := len(r.requests)
+		r.advance(4 * time.Second)
+		extends := func(req ports.LeaseRequest) bool { return req.TaskTTL > 0 }
+		assert.Assert(t, slices.ContainsFunc(r.requests[asked:], extends), "%+v", r.requests[asked:])
+	}
+	assert.Assert(t, r.started > 5)
+}
+
+// Guards against a successor that waits for a lease to expire because it wasn't released after a start without an answer.
+func TestLeaseOfUnansweredStartIsReleased(t *testing.T) {
+	r := newRig(t)
+	r.advance(2 * time.Second)
+	r.commands, r.startErr = []Command{Start{}}, ports.ErrUnreachable
+	r.manager.ServeSoon("w")
+	r.manager.ServeDue(t.Context())
+	assert.Equal(t, r.started, 1)
+	r.manager.releaseAll()
+	assert.DeepEqual(t, r.released, []model.Token{1})
+}
+
 // Guards against renewing leases after the instance stopped being the placer or lost the permission to renew.
 func TestLeaseEndsWithRoleAndPermission(t *testing.T) {
 	r := newRig(t)
--- a/internal/lease/serve.go
+++ b/internal/lease/serve.go
@@ -108,6 +108,7 @@
 		l.nextRenewal = sent
 		metrics.GetOrCreateCounter(`aw_lease_acquired_total`).Inc()
 	}
+	l.renewed = req.Token != 0 && l.token == report.Token
 	l.token, l.boot, l.reportClock = report.Token, report.Boot, report.Clock
 	l.expiresAt = sent.Add(s.m.cfg.TTL)
 	l.seenOp = record.WorkerSeen{
@@ -178,7 +179,8 @@
 }
 
 // permit returns the permission to send a command, if the lease is still held. A start gives the attempt a task lease,
-// so none is sent to a worker that is suspected or runs another boot than recorded.
+// so none is sent to a worker that is suspected or runs another boot than recorded. None is sent before the first
+// renewal either: starts that fail again and again would otherwise keep the task leases from being extended.
 func (s *shard) permit(l *workerLease, c Command) (permission, bool) {
 	now := s.m.deps.Clock.Now()
 	s.mu.Lock()
@@ -186,7 +188,7 @@
 	if !l.held(now) {
 		return permission{}, false
 	}
-	if _, starts := c.(Start); starts && (l.suspected() || l.rebooted()) {
+	if _, starts := c.(Start); starts && (l.suspected() || l.rebooted() || !l.renewed) {
 		return permission{}, false
 	}
 	return permission{address: l.address, token: l.token, basis: l.reportClock}, true
@@ -205,9 +207,22 @@
 	s.m.deps.Log.Debug("command failed", zap.String("worker", string(l.id)), zap.Any("command", c), zap.Error(err))
 	if errors.Is(err, ports.ErrStaleToken) {
 		s.recordFailure(l, err)
+		return
+	}
+	if _, ok := c.(Start); ok {
+		s.doubtStart(l)
 	}
 }
 
+// doubtStart ends the use of the lease after a start without an answer: the start may be carried out late, also after
+// its attempt was given up or has ended, until the worker has issued the next token.
+func (s *shard) doubtStart(l *workerLease) {
+	s.mu.Lock()
+	l.startInDoubt = true
+	s.mu.Unlock()
+	s.m.deps.Handler.LeaseDropped(l.id)
+}
+
 func (s *shard) send(ctx context.Context, p permission, c Command) error {
 	ctx, cancel := context.WithTimeout(ctx, ports.CommandTimeout)
 	defer cancel()
--- a/internal/lease/worker.go
+++ b/internal/lease/worker.go
@@ -22,6 +22,11 @@
 	token      model.Token
 	acquiredAt time.Time
 	expiresAt  time.Time
+	// startInDoubt is set once a start under the token stayed unanswered; it may be carried out until the worker has
+	// issued the next token.
+	startInDoubt bool
+	// renewed is set once the lease was renewed; the task leases are extended with that, unless the worker is suspected.
+	renewed bool
 	// boot and reportClock are the worker's boot and its clock reading in the last report.
 	boot        model.BootID
 	reportClock model.Duration
@@ -61,8 +66,10 @@
 	}
 }
 
-// held reports whether the lease is held at now, by the local clock.
-func (l *workerLease) held(now time.Time) bool { return l.token != 0 && now.Before(l.expiresAt) }
+// held reports whether the lease is held at now, by the local clock, and may be used.
+func (l *workerLease) held(now time.Time) bool {
+	return l.token != 0 && !l.startInDoubt && now.Before(l.expiresAt)
+}
 
 // suspected reports whether the worker is recorded as suspected or lost, so that its task leases must not be extended.
 func (l *workerLease) suspected() bool {
@@ -76,6 +83,7 @@
 func (l *workerLease) dropLease() {
 	l.token, l.reportClock = 0, 0
 	l.expiresAt = time.Time{}
+	l.startInDoubt, l.renewed = false, false
 }
 
 // setRecorded records the worker's state as the log has it.
--- a/internal/sched/fakefleet_test.go
+++ b/internal/sched/fakefleet_test.go
@@ -29,6 +29,8 @@
 	caller model.InstanceID
 	// duringCall runs once within the next call to a worker, which simulates a pause of the caller during the call.
 	duringCall func()
+	// maxCommandDelay is the longest delay with which a command to a slow worker takes effect.
+	maxCommandDelay time.Duration
 }
 
 func (f *fakeFleet) runDuringCall() {
@@ -81,11 +83,14 @@
 	throttle   float64
 }
 
-// maxCommandDelay is the longest delay of a command in these tests.
-const maxCommandDelay = 2 * time.Second
+// defaultCommandDelay is the longest delay of a command unless a test sets another.
+const defaultCommandDelay = 2 * time.Second
 
 func newFleet(clock clockwork.Clock, dc model.DataCentreID, count int, capacity model.Resources) *fakeFleet {
-	f := &fakeFleet{clock: clock, workers: make(map[string]*fakeWorker), started: make(map[model.AttemptID]bool), runTime: 10 * time.Second}
+	f := &fakeFleet{
+		clock: clock, workers: make(map[string]*fakeWorker), started: make(map[model.AttemptID]bool),
+		runTime: 10 * time.Second, maxCommandDelay: defaultCommandDelay,
+	}
 	f.peak = func(ports.StartRequest) model.Resources { return model.Resources{} }
 	f.add(dc, count, capacity)
 	return f
@@ -155,7 +160,7 @@
 		w.lateCalls = append(w.lateCalls, func() {
 			// The safety margin before a worker counts as lost covers commands delayed this long; lease renewals may be
 			// delayed longer.
-			if f.clock.Since(sent) <= maxCommandDelay {
+			if f.clock.Since(sent) <= f.maxCommandDelay {
 				_ = f.applyCommand(w, token, effect)
 			}
 		})
--- a/internal/sched/fault_test.go
+++ b/internal/sched/fault_test.go
@@ -175,3 +175,56 @@
 		f.checkSafety(r)
 	})
 }
+
+// delayStart has the first start of a job with one task carried out late, and returns the worker that it went to.
+func (c *testCluster) delayStart(t *testing.T) *fakeWorker {
+	t.Helper()
+	c.advance(5 * time.Second)
+	for _, w := range c.fleet.workers {
+		w.slow = true
+	}
+	c.log.accept(job("j", "a", "patient", 1, cores(1)))
+	c.advance(400 * time.Millisecond)
+	tasks := c.log.tasks()
+	assert.Equal(t, len(tasks), 1)
+	for _, w := range c.fleet.workers {
+		w.slow = false
+	}
+	assert.Equal(t, c.fleet.startCount, 0)
+	w := c.fleet.workers[string(tasks[0].Worker)]
+	assert.Assert(t, len(w.lateCalls) > 0)
+	return w
+}
+
+// Guards against a start without an answer that is carried out beside the task's next attempt, after the worker reported
+// that its attempt never started.
+func TestLateStartOfEvictedAttempt(t *testing.T) {
+	c := newTestCluster(t, 2, cores(4))
+	first := c.delayStart(t)
+	set := testDeclarations(testDataCentre)
+	set.DataCentres[0].Service = decl.OutOfService
+	c.log.declare(set)
+	c.advance(time.Second)
+	assert.Equal(t, c.log.tasks()[0].Phase, state.PhaseQueued)
+	c.log.declare(testDeclarations(testDataCentre))
+	c.advance(600 * time.Millisecond)
+	assert.Equal(t, c.fleet.running("j"), 1)
+	c.fleet.deliverLate(first)
+	assert.Equal(t, c.fleet.running("j"), 1)
+	c.assertSafe(t)
+}
+
+// Guards against a start without an answer that runs its attempt again after the end of the repeated start was
+// acknowledged.
+func TestLateStartAfterAcknowledgedEnd(t *testing.T) {
+	c := newTestCluster(t, 1, cores(4))
+	c.fleet.runTime, c.fleet.maxCommandDelay = 200*time.Millisecond, 5*time.Second
+	w := c.delayStart(t)
+	c.advance(3 * time.Second)
+	assert.Equal(t, c.fleet.startCount, 1)
+	assert.Equal(t, c.log.doneTasks(), 1)
+	assert.Equal(t, len(w.tasks), 0, "the end is acknowledged")
+	c.fleet.deliverLate(w)
+	assert.Equal(t, c.fleet.startCount, 1)
+	c.assertSafe(t)
+}
--- a/standin/internal/fleet/fleet_test.go
+++ b/standin/internal/fleet/fleet_test.go
@@ -282,6 +282,41 @@
 	}
 }
 
+// TestLateStartOfFormerTokenHasNoEffect guards against a start without an answer that runs its attempt after the attempt's
+// end was acknowledged, although the holder has acquired the lease anew.
+func TestLateStartOfFormerTokenHasNoEffect(t *testing.T) {
+	tests := []struct {
+		name    string
+		givesUp bool
+	}{{"stopped", true}, {"started again", false}}
+	for _, test := range tests {
+		clock := clockwork.NewFakeClock()
+		fleet := newFleet(clock, &fakeFaults{})
+		acquire := ports.LeaseRequest{Holder: "e1", TTL: leaseTTL}
+		first, err := fleet.Lease("w0", acquire)
+		assert.NilError(t, err)
+		id := attemptID(0, 1)
+		late := []ports.StartRequest{{
+			Attempt: id, DeclaredRunTime: model.Duration(time.Second), TaskTTL: taskTTL, Basis: first.Clock,
+		}}
+		second, err := fleet.Lease("w0", acquire)
+		assert.NilError(t, err)
+		if test.givesUp {
+			assert.NilError(t, fleet.Stop("w0", second.Token, model.OutcomePreempted, []model.AttemptID{id}))
+		} else {
+			assert.NilError(t, fleet.Start("w0", second.Token, late))
+		}
+		for range 4 {
+			clock.Advance(time.Second)
+			_, err = fleet.Lease("w0", ports.LeaseRequest{Holder: "e1", Token: second.Token, TTL: leaseTTL})
+			assert.NilError(t, err)
+		}
+		assert.NilError(t, fleet.Acknowledge("w0", second.Token, []model.AttemptID{id}))
+		assert.ErrorIs(t, fleet.Start("w0", first.Token, late), ports.ErrStaleToken, test.name)
+		assert.Equal(t, fleet.Audit().Running, 0, test.name)
+	}
+}
+
 func requireError(t *rapid.T, got, want error) {
 	t.Helper()
 	if !errors.Is(got, want) {
