--- a/internal/shard/failures_test.go
+++ b/internal/shard/failures_test.go
@@ -301,7 +301,7 @@
 			assert.Equal(t, len(first), 2)
 			for _, cmd := range first {
 				a := h.shard.jobs["j"].stages[0].tasks[cmd.Start.Task.Index].attempts[0]
-				h.shard.endUnreported(a, goneNotListed, agent.OutcomeLeaseExpired, h.now)
+				h.shard.endUnreported(a, goneNotListed, h.now)
 			}
 			var again []StartCommand
 			if tt.again {
--- a/internal/shard/gone.go
+++ b/internal/shard/gone.go
@@ -16,8 +16,8 @@
 )
 
 // endUnreported ends a run whose end no worker has reported. The event's value is the time since the worker's last report.
-func (s *Shard) endUnreported(a *attempt, reason goneReason, outcome agent.RunOutcome, now time.Duration) {
+func (s *Shard) endUnreported(a *attempt, reason goneReason, now time.Duration) {
 	s.emit("run-gone", string(a.stage.job.spec.ID), a.ref().String(), a.worker, string(reason),
 		(now - a.worker.lastReportAt).Milliseconds())
-	s.endRun(a, outcome, "", now)
+	s.endRun(a, agent.OutcomeLeaseExpired, "", now)
 }
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -102,7 +102,7 @@
 	for _, a := range sortedAttempts(w, gone) {
 		// The end of one member of a gang changes what the others wait for.
 		if gone(a) {
-			s.endUnreported(a, goneNotListed, agent.OutcomeLeaseExpired, now)
+			s.endUnreported(a, goneNotListed, now)
 		}
 	}
 }
@@ -151,7 +151,7 @@
 			a.listed, a.visibleSince = false, -1
 			continue
 		}
-		s.endUnreported(a, goneIncarnation, agent.OutcomeLeaseExpired, now)
+		s.endUnreported(a, goneIncarnation, now)
 	}
 }
 
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -375,7 +375,7 @@
 		}
 		s.emit("worker-lapsed", "", "", w, "", (now - w.lastReportAt).Milliseconds())
 		for _, a := range expired {
-			s.endUnreported(a, goneLease, agent.OutcomeLeaseExpired, now)
+			s.endUnreported(a, goneLease, now)
 		}
 	}
 }
--- a/internal/shard/stall_test.go
+++ b/internal/shard/stall_test.go
@@ -95,7 +95,7 @@
 		if stopped == 0 {
 			break
 		}
-		h.shard.endUnreported(h.shard.jobs["j"].stages[0].tasks[0].attempts[0], goneNotListed, agent.OutcomeLeaseExpired, h.now)
+		h.shard.endUnreported(h.shard.jobs["j"].stages[0].tasks[0].attempts[0], goneNotListed, h.now)
 		h.advance(quarantineTime)
 		for _, id := range h.workers {
 			h.clock[id] += quarantineTime
