fix(owner): forget a job only once its submission can't be read again

Symptom: finished jobs run again. An owner that can't read the inbox for longer than the retention, while its appends and notices work, forgets final jobs, and takes their submissions for new jobs when it reads them at last.

Cause: the retention counted from the end of the job alone, not from what had been read of the submissions.

Change: a final job is forgotten once the inbox has been read to its end after the retention.

The tests that let a shard forget jobs now say that the inbox was read.

--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -37,6 +37,8 @@
 	batchDelay = 3 * time.Millisecond
 	// inboxReadWait is how long a read of the inbox waits for new records.
 	inboxReadWait = time.Second
+	// maxCompletePageBytes is the size below which a read of the inbox has reached its end; the store cuts reads at 1 MB.
+	maxCompletePageBytes = 1<<20 - ledger.MaxRecordBytes
 	// maxInboxAge is the age of the last inbox read up to which an unknown job counts as never submitted.
 	maxInboxAge = 2 * time.Second
 	// storeRetryDelay is the pause after a failed call to the store.
@@ -259,6 +261,15 @@
 	cancel()
 }
 
+// pageBytes returns the size of a page's records.
+func pageBytes(page ledger.Page) int {
+	size := 0
+	for _, r := range page.Records {
+		size += r.Size()
+	}
+	return size
+}
+
 // runInbox reads new jobs and cancellations.
 func (ow *ownership) runInbox(ctx context.Context, next int64) {
 	defer ow.group.Done()
@@ -284,6 +295,9 @@
 				hold:   ow.shard.Hold,
 			})
 		}
+		if pageBytes(page) < maxCompletePageBytes {
+			ow.shard.NoteInboxRead(begun.Sub(ow.start))
+		}
 		ow.mu.Unlock()
 		if len(page.Records) > 0 {
 			ow.signalDecide()
--- a/internal/owner/takeoversim_test.go
+++ b/internal/owner/takeoversim_test.go
@@ -338,3 +338,36 @@
 	troubles.repeatsGenerations = true
 	checkTakeovers(t, troubles)
 }
+
+// TestForgottenJobIsNotTakenAgain guards against an owner that doesn't read the inbox for longer than it remembers a final job, and
+// then takes what it reads of that job for a new one.
+func TestForgottenJobIsNotTakenAgain(t *testing.T) {
+	for seed := range int64(10) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSimSystem(t, seed, simTroubles{})
+			time.Sleep(3 * time.Second)
+			for _, n := range s.nodes {
+				n.connection.set(func(c *simConnection) { c.cutReads[TopicInbox] = true })
+			}
+			// Only the commits for later jobs let the owner forget the first ones.
+			for range 4 {
+				s.submit()
+				for _, n := range s.nodes {
+					_ = n.owner.Submit(s.jobs[len(s.jobs)-1])
+				}
+				time.Sleep(60*time.Second + simRetention)
+				assert.Assert(t, s.completed(s.jobs[len(s.jobs)-1]))
+			}
+			starts := s.fleet.starts
+			for _, n := range s.nodes {
+				n.connection.heal()
+			}
+			time.Sleep(20 * time.Second)
+			for _, n := range s.nodes {
+				n.stop()
+			}
+			assert.Check(t, s.fleet.starts == starts && len(s.fleet.violations) == 0, "seed %d: %d new starts: %q", seed,
+				s.fleet.starts-starts, s.fleet.violations)
+		})
+	}
+}
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -40,7 +40,8 @@
 		c.Progress = append(c.Progress, s.progressRecords(j)...)
 	}
 	s.takeDroppable(&c, now)
-	for len(s.finalJobs) > 0 && now-s.finalJobs[0].finalAt > s.cfg.Retention && s.finalJobs[0].pendingDrops == 0 {
+	// A submission that arrives again within the retention must find its job, however late it is read.
+	for len(s.finalJobs) > 0 && s.inboxReadAt-s.finalJobs[0].finalAt > s.cfg.Retention && s.finalJobs[0].pendingDrops == 0 {
 		id := s.finalJobs[0].spec.ID
 		c.Expired = append(c.Expired, string(id))
 		delete(s.jobs, id)
@@ -55,6 +56,9 @@
 	return c
 }
 
+// NoteInboxRead notes that all submissions have been submitted that were stored by the given time.
+func (s *Shard) NoteInboxRead(at time.Duration) { s.inboxReadAt = max(s.inboxReadAt, at) }
+
 // dropSubmission requests the deletion of a final job's submission.
 func (s *Shard) dropSubmission(j *job) {
 	j.pendingDrops++
--- a/internal/shard/harness_test.go
+++ b/internal/shard/harness_test.go
@@ -116,6 +116,7 @@
 // commit records all pending changes, including those that could wait, and returns the progress records.
 func (h *harness) commit() []JobProgress {
 	h.advance(commitDelay)
+	h.shard.NoteInboxRead(h.now)
 	c := h.shard.TakeCommit(h.now)
 	if !c.Empty() {
 		h.shard.MarkCommitted(c.Number)
--- a/internal/shard/record_test.go
+++ b/internal/shard/record_test.go
@@ -169,6 +169,7 @@
 			assert.DeepEqual(t, c.Dropped, []string{"j"})
 			h.shard.MarkCommitted(c.Number)
 			h.advance(2 * time.Minute)
+			h.shard.NoteInboxRead(h.now)
 			assert.Equal(t, len(h.shard.TakeCommit(h.now).Expired), 0, "the submission may still be in the store")
 			h.shard.MarkDropped(c.Dropped)
 			assert.DeepEqual(t, h.shard.TakeCommit(h.now).Expired, []string{"j"})
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -58,8 +58,10 @@
 	lastDropAt   time.Duration
 
 	// droppable holds the jobs whose submissions can be deleted, once the checks of takeDroppable allow it.
-	droppable     []model.JobID
-	finalJobs     []*job
+	droppable []model.JobID
+	finalJobs []*job
+	// inboxReadAt is when the last read of the submissions began whose records have been submitted.
+	inboxReadAt   time.Duration
 	nextCommit    uint64
 	lastCommitted uint64
 	stopped       bool
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -586,6 +586,7 @@
 		return
 	}
 	cl.deleteSubmissions()
+	cl.shard.NoteInboxRead(cl.now)
 	c := cl.shard.TakeCommit(cl.now)
 	if c.Empty() {
 		return
