fix(inbox): give up an append that is repeated for too long

Symptom: a finished job runs again. A node that is cut off from the store for longer than the retention repeats an append for ever; its submission is stored when the job, handed in again elsewhere, is done and forgotten.

Cause: nothing bounded the repeats.

Change: an append is given up after a quarter of the retention; its callers, who were told nothing or that the outcome is unknown, may submit again. The next append is under a higher epoch, so that the store refuses the one that was given up, however late it comes.

Evidence: TestRecordOfLongOutageIsGivenUp failed before: the record was stored after the outage.

--- a/internal/inbox/inbox.go
+++ b/internal/inbox/inbox.go
@@ -41,7 +41,9 @@
 	Partition int
 	// Producer identifies this process to the store; it is different after each start.
 	Producer string
-	Log      *zap.Logger
+	// RepeatLimit is how long an append is repeated. It must be well below the time for which the state of an ended job is kept.
+	RepeatLimit time.Duration
+	Log         *zap.Logger
 }
 
 // Inbox appends records to the store in the order of the calls of Put.
@@ -51,8 +53,8 @@
 	// unansweredSince is when an attempt of the append under way first got no answer, in nanoseconds since start, or zero.
 	unansweredSince atomic.Int64
 	start           time.Time
-	// sequence is the sequence number of the next append.
-	sequence int64
+	// epoch and sequence are those of the next append.
+	epoch, sequence int64
 }
 
 type pendingRecord struct {
@@ -62,7 +64,7 @@
 
 // New returns an inbox that appends nothing until Run is called.
 func New(cfg Config) *Inbox {
-	return &Inbox{cfg: cfg, queue: make(chan *pendingRecord, queueSize), start: time.Now(), sequence: 1}
+	return &Inbox{cfg: cfg, queue: make(chan *pendingRecord, queueSize), start: time.Now(), epoch: 1, sequence: 1}
 }
 
 // Put stores a record and returns nil once the store has confirmed it, or else ErrRefused, ErrTooLarge or ErrUnknown.
@@ -116,14 +118,14 @@
 
 func (b *Inbox) append(ctx context.Context, pending []*pendingRecord) {
 	batch := ledger.Batch{
-		Topic: b.cfg.Topic, Partition: b.cfg.Partition, Producer: b.cfg.Producer, Epoch: 1, Sequence: b.sequence,
+		Topic: b.cfg.Topic, Partition: b.cfg.Partition, Producer: b.cfg.Producer, Epoch: b.epoch, Sequence: b.sequence,
 	}
 	for _, p := range pending {
 		batch.Records = append(batch.Records, p.record)
 	}
 	defer b.unansweredSince.Store(0)
 	unanswered := false
-	for ctx.Err() == nil {
+	for begun := time.Now(); ctx.Err() == nil; {
 		err := b.cfg.Store.Append(ctx, batch)
 		switch {
 		case err == nil:
@@ -141,6 +143,13 @@
 				b.cfg.Log.Warn("append without answer", zap.Int64("sequence", b.sequence), zap.Error(err))
 			}
 			b.refuseWaiting()
+			if time.Since(begun) > b.cfg.RepeatLimit {
+				// The next append is under a higher epoch, after which the store refuses what is still under way of this one.
+				b.cfg.Log.Error("append given up", zap.Int64("sequence", b.sequence), zap.Int("records", len(pending)))
+				b.answerAll(pending, ErrUnknown)
+				b.epoch, b.sequence = b.epoch+1, 1
+				return
+			}
 			pause.For(ctx, retryDelay)
 		default:
 			b.cfg.Log.Error("append failed", zap.Int64("sequence", b.sequence), zap.Error(err))
--- a/internal/inbox/inbox_test.go
+++ b/internal/inbox/inbox_test.go
@@ -46,7 +46,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeStore{script: script, stored: make(map[int64][]ledger.Record)}
-		b := New(Config{Store: f, Topic: "jobs", Producer: "node", Log: zap.NewNop()})
+		b := New(Config{Store: f, Topic: "jobs", Producer: "node", RepeatLimit: 30 * time.Second, Log: zap.NewNop()})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error)
 		go func() { done <- b.Run(ctx) }()
@@ -130,3 +130,29 @@
 		})
 	}
 }
+
+// TestRecordOfLongOutageIsGivenUp guards against a record that is stored long after its caller was told that its outcome is unknown:
+// a job that was submitted again elsewhere has run and been forgotten by then, and would run again.
+func TestRecordOfLongOutageIsGivenUp(t *testing.T) {
+	script := make([]func(func()) error, 10_000)
+	for i := range script {
+		script[i] = appendLost
+	}
+	run(t, script, func(b *Inbox, f *fakeStore) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		assert.Check(t, errors.Is(b.Put(ctx, ledger.Record{Key: "job/a"}), ErrUnknown))
+		time.Sleep(10 * time.Minute)
+		f.mu.Lock()
+		f.script = nil
+		f.mu.Unlock()
+		assert.Check(t, b.Put(context.Background(), ledger.Record{Key: "job/b"}))
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		last, first := f.batches[len(f.batches)-1], f.batches[0]
+		assert.Check(t, last.Epoch > first.Epoch, "the repeated append may still be executed")
+		for _, records := range f.stored {
+			assert.Check(t, records[0].Key != "job/a", "stored after the outage")
+		}
+	})
+}
--- a/node/internal/daemon/components.go
+++ b/node/internal/daemon/components.go
@@ -28,6 +28,8 @@
 	configurationWait = 2 * time.Second
 	// fullStrengthLinkMbps is the bandwidth in Mbit/s from which on a node's link doesn't limit its work as owner.
 	fullStrengthLinkMbps = 50
+	// repeatShare is the share of the retention, as its divisor, for which a node repeats an append of accepted jobs.
+	repeatShare = 4
 	// registryPause is the pause between reads of the workers' entries, which change all the time.
 	registryPause = 250 * time.Millisecond
 )
@@ -112,9 +114,10 @@
 	return agent.NewSerialAdvisor(service), nil
 }
 
-func newInbox(store ledger.Store, self peers.NodeInfo, log *zap.Logger) *inbox.Inbox {
+func newInbox(s config.Node, store ledger.Store, self peers.NodeInfo, log *zap.Logger) *inbox.Inbox {
 	return inbox.New(inbox.Config{
-		Store: store, Topic: owner.TopicInbox, Partition: owner.Partition, Producer: self.Node + "-" + self.BootID, Log: log,
+		Store: store, Topic: owner.TopicInbox, Partition: owner.Partition, Producer: self.Node + "-" + self.BootID,
+		RepeatLimit: s.Retention.Std() / repeatShare, Log: log,
 	})
 }
 
