fix(shard): void late acknowledgements too

Symptom: a task runs again after its success has been acknowledged (TWICE, second form).

Cause: only commands that may extend a lease raised the generation when they stayed unanswered. Since heartbeats that wait renew none, most of them didn't, though they acknowledge ends.

Change: an unanswered heartbeat with an acknowledgement raises the generation, so that a worker which has accepted a later command refuses it.

Evidence: TestLateAcknowledgementIsVoid failed before.

--- a/internal/shard/grant.go
+++ b/internal/shard/grant.go
@@ -23,12 +23,14 @@
 	lease     time.Duration
 }
 
-// sentHeartbeat is a heartbeat that is under way; its grant is nil if it extends no lease.
+// sentHeartbeat is a heartbeat that is under way; its grant is nil if it extends no lease. acknowledges tells that it acknowledges
+// ended runs: another incarnation, which counts its ends anew, would forget others.
 type sentHeartbeat struct {
-	pending    bool
-	sentAt     time.Duration
-	generation int64
-	grant      *grant
+	pending      bool
+	acknowledges bool
+	sentAt       time.Duration
+	generation   int64
+	grant        *grant
 }
 
 // token returns the fencing token of the commands to a worker. A worker that has accepted one carries out no command with a
@@ -82,9 +84,17 @@
 	g.arrivesBy = arrivesBy
 	if g.generation == w.generation {
 		s.emit("commands-in-doubt", "", "", w, "", w.generation)
-		w.generation = min(w.generation+1, maxGeneration)
-		s.lastGeneration = max(s.lastGeneration, w.generation)
 	}
+	s.raiseGeneration(w, g.generation)
+}
+
+// raiseGeneration gives the next commands to the worker a higher token than one of the given generation, which stayed unanswered.
+func (s *Shard) raiseGeneration(w *worker, unanswered int64) {
+	if unanswered != w.generation {
+		return
+	}
+	w.generation = min(w.generation+1, maxGeneration)
+	s.lastGeneration = max(s.lastGeneration, w.generation)
 }
 
 // voidGrants notes that the worker has accepted a command of a generation: it carries out no command of an earlier one from
@@ -162,12 +172,12 @@
 		return
 	}
 	w.heartbeat.pending = false
-	if w.heartbeat.grant == nil {
+	if !errors.Is(err, agent.ErrNoAnswer) {
+		w.settleGrant(w.heartbeat.grant)
 		return
 	}
-	if errors.Is(err, agent.ErrNoAnswer) {
-		s.doubtGrant(w, w.heartbeat.grant, now+maxCommandDelay)
-		return
+	s.doubtGrant(w, w.heartbeat.grant, now+maxCommandDelay)
+	if w.heartbeat.acknowledges {
+		s.raiseGeneration(w, w.heartbeat.generation)
 	}
-	w.settleGrant(w.heartbeat.grant)
 }
--- a/internal/shard/grant_test.go
+++ b/internal/shard/grant_test.go
@@ -199,3 +199,21 @@
 		})
 	}
 }
+
+// TestLateAcknowledgementIsVoid guards against a run after an acknowledged success: a heartbeat that acknowledges ends of one
+// incarnation, and renews no lease, stays unanswered and is carried out by the next one, whose ends nobody has seen.
+func TestLateAcknowledgementIsVoid(t *testing.T) {
+	h := newHarness(t, "w1")
+	h.submitJob(tasks(1))
+	start := h.confirmStarts()[0]
+	h.report("w1", agent.Report{Ended: []agent.EndedRun{firstEnd(start, agent.OutcomeDone)}})
+	h.commit()
+	h.renewal("w1")
+	h.shard.ApplyReport("w1", agent.Report{Clock: h.clock["w1"] + time.Second, Incarnation: 1}, h.now)
+	late, ok := h.shard.HeartbeatFor("w1", h.now, true)
+	assert.Assert(t, ok && late.Acked == 1 && late.LeaseEnd == 0)
+	h.shard.HeartbeatFailed("w1", agent.ErrNoAnswer, h.now)
+	next, ok := h.shard.HeartbeatFor("w1", h.now, true)
+	assert.Assert(t, ok)
+	assert.Assert(t, next.Token > late.Token, "the next incarnation carries it out after it has reported")
+}
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -23,6 +23,7 @@
 	heartbeat := agent.Heartbeat{
 		Token: s.token(w), Acked: w.ackableEnd(s.lastCommitted, now), ReportConnection: w.reportConnection,
 	}
+	w.heartbeat.acknowledges = heartbeat.Acked > 0
 	// The lease of a silent worker is not extended, so that its runs expire at a known time.
 	if renew && now-w.lastReportAt < suspectAfter && s.renewalDue(w, now) {
 		heartbeat.LeaseEnd = w.newLeaseEnd(now, s.cfg.Lease)
