test(shard): doubtful commands before a restart, and a start between them

Cause: after a command left in doubt the model sent the next start only after another heartbeat, which tells the owner that the one before has failed, and restarted the worker only in long silences.

Change: a start may follow at once, and the worker may restart before it falls silent.

--- a/internal/shard/faultmodel_test.go
+++ b/internal/shard/faultmodel_test.go
@@ -354,7 +354,8 @@
 	w.unreachable = false
 }
 
-// leaveInDoubt lets a command be carried out late at a worker that has a run, has answered newer commands and then falls silent.
+// leaveInDoubt lets a command be carried out late at a worker that has a run, has answered newer commands and then falls silent,
+// also after a restart.
 func (cl *cluster) leaveInDoubt(t *rapid.T) {
 	answered := func() string { return "answered" }
 	holdAll := func() {
@@ -379,6 +380,10 @@
 	} else {
 		cl.exchangeHeartbeat(w, "late")
 	}
+	if rapid.Bool().Draw(t, "submit") {
+		cl.submit(t)
+		cl.sendCommands(answered)
+	}
 	for range rapid.IntRange(0, 3).Draw(t, "answers") {
 		cl.advance(time.Duration(rapid.IntRange(1, 12).Draw(t, "tenths")) * 100 * time.Millisecond)
 		holdAll()
@@ -386,6 +391,9 @@
 			cl.sendCommands(answered)
 		}
 	}
+	if !cl.options.noRestarts && rapid.Bool().Draw(t, "restart") {
+		cl.restartWorker(w)
+	}
 	cl.keepSilent(w, rapid.IntRange(14, 30).Draw(t, "half seconds"))
 }
 
