--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -102,7 +102,7 @@
 	for _, a := range sortedAttempts(w, gone) {
 		// The end of one member of a gang changes what the others wait for.
 		if gone(a) {
-			s.endUnreported(a, goneNotListed, agent.OutcomeLeaseExpired, now)
+			s.endUnreported(a, goneNotListed, now)
 		}
 	}
 }
@@ -151,7 +151,7 @@
 			a.listed, a.visibleSince = false, -1
 			continue
 		}
-		s.endUnreported(a, goneIncarnation, agent.OutcomeLeaseExpired, now)
+		s.endUnreported(a, goneIncarnation, now)
 	}
 }
 
@@ -163,7 +163,7 @@
 		w.lastEndSeen = end.Number
 		notBefore := time.Duration(0)
 		if a, ok := w.attempts[key]; ok {
-			notBefore = a.reachesNextIncarnationUntil()
+			notBefore = a.lateStartsUntil()
 			s.endRun(a, end.Outcome, end.Checkpoint, now)
 		} else {
 			s.countLateEnd(end, now)
@@ -192,12 +192,18 @@
 	}
 	a.startUnanswered, a.listed = false, true
 	a.visibleSince = max(a.visibleSince, 0)
-	if row.Percent != a.percent {
-		a.percent, a.progressAt = row.Percent, now
-	}
-	if row.Checkpoint != "" && row.Checkpoint != a.checkpoint {
+	saved := row.Checkpoint != "" && row.Checkpoint != a.checkpoint
+	if saved {
 		a.checkpoint, a.savedAt = row.Checkpoint, now
 	}
+	if row.Percent == a.percent && !saved {
+		a.unchanged = true
+		return
+	}
+	if a.unchanged {
+		a.longestGap = max(a.longestGap, now-a.progressAt)
+	}
+	a.percent, a.progressAt, a.unchanged = row.Percent, now, false
 }
 
 // adoptRun adds a reported run of a task that isn't done and stops it. No other run of the task starts while it is there. It returns
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -137,8 +137,7 @@
 	if s.held[spec.ID] {
 		return
 	}
-	queue, _ := s.configuration.Queue(spec.Queue)
-	j := newJob(spec, queue, now)
+	j := newJob(spec, s.queueOf(spec), now)
 	j.overShare = s.exceedsTeamShare(spec.Team, now)
 	s.addJob(j)
 	s.emit("job-taken", string(spec.ID), "", nil, spec.Queue, int64(len(s.activeStages)))
@@ -147,6 +146,18 @@
 	}
 }
 
+// queueOf returns a job's queue or, if that was removed, the settings under which the job was accepted.
+func (s *Shard) queueOf(spec work.Job) terms.Queue {
+	queue, ok := s.configuration.Queue(spec.Queue)
+	if !ok {
+		s.emit("queue-removed", string(spec.ID), "", nil, spec.Queue, 0)
+		if spec.QueueTerms != nil {
+			return spec.QueueTerms.Queue(spec.Queue)
+		}
+	}
+	return queue
+}
+
 func (s *Shard) addJob(j *job) {
 	s.jobs[j.spec.ID] = j
 	s.activeStages = append(s.activeStages, j.stages...)
@@ -364,7 +375,7 @@
 		}
 		s.emit("worker-lapsed", "", "", w, "", (now - w.lastReportAt).Milliseconds())
 		for _, a := range expired {
-			s.endUnreported(a, goneLease, agent.OutcomeLeaseExpired, now)
+			s.endUnreported(a, goneLease, now)
 		}
 	}
 }
@@ -381,7 +392,11 @@
 		}
 		for _, a := range sortedAttempts(w, func(a *attempt) bool { return a.stalled(now) }) {
 			a.stage.job.avoidWorker(w, now)
-			w.quarantinedUntil = now + quarantineTime
+			// A task that was stopped before may only be slow.
+			if t := a.task(); t.stalls == 0 {
+				w.quarantinedUntil = now + quarantineTime
+			}
+			a.task().stalls++
 			s.emit("run-stalled", string(a.stage.job.spec.ID), a.ref().String(), w, "", int64(a.percent))
 			s.stopRun(a, now)
 		}
@@ -391,7 +406,13 @@
 // stalled reports whether a run has started and shows no progress. Services have none, and the members of a gang wait for
 // each other.
 func (a *attempt) stalled(now time.Duration) bool {
-	return a.phase == phaseStarted && !a.stage.spec.Service && !a.stage.spec.Gang && now-a.progressAt >= stallTimeout
+	return a.phase == phaseStarted && !a.stage.spec.Service && !a.stage.spec.Gang && now-a.progressAt >= a.stallLimit()
+}
+
+// stallLimit returns how long the run may show no progress. A long task takes long for each percent.
+func (a *attempt) stallLimit() time.Duration {
+	limit := max(stallTimeout, stallPercents*a.stage.spec.RunTime.Std()/100, stallGaps*a.longestGap)
+	return limit << min(a.task().stalls, maxStallDoublings)
 }
 
 func anyAttempt(*attempt) bool { return true }
