--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -30,7 +30,7 @@
 	MemoryMiB int64 `json:"memory-mib,omitempty"`
 	// LogLevel is the lowest level of the events that are logged.
 	LogLevel string `json:"log-level,omitempty" jsonschema:"enum=debug,enum=info,enum=warn,enum=error"`
-	// WorkerLease is how long a worker's lease lasts after each heartbeat. It should outlast the usual interruption of the
+	// WorkerLease is how long a worker's lease lasts after each renewal. It should outlast the usual interruption of the
 	// connection between two instances.
 	WorkerLease model.Duration `json:"worker-lease,omitempty"`
 	// WorkerLeaseMax is the longest lease that a worker accepts.
