fix(owner): a suspended owner renews no lease when it wakes up

Cause: the permission to renew leases and to send starts lasts 3 s from the last proof of the ownership, measured on the monotonic clock. That clock stands still while the machine is suspended, so that an owner that wakes up after 12 s has the permission of the moment at which it was suspended, and renews leases until its first write is fenced. The next owner waits for the end of leases that its predecessor granted up to 3 s after it was fenced. Fix: the permission is measured on a clock that counts the suspension (CLOCK_BOOTTIME).

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -149,7 +149,7 @@
 		case <-ticker.C:
 		}
 		ow.mu.Lock()
-		needed := ow.permission.needsProof(time.Now())
+		needed := ow.permission.needsProof(ow.cfg.Uptime())
 		ow.mu.Unlock()
 		if !needed {
 			continue
@@ -172,11 +172,11 @@
 		Topic: topic, Partition: Partition, Producer: producer, Epoch: ow.epoch,
 		Sequence: ow.nextSequence(topic, len(records) > 0), Records: records,
 	}
-	logged, unanswered, begun := false, false, time.Time{}
+	logged, unanswered, begun := false, false, time.Duration(0)
 	for {
 		// A repeat may get the answer to an earlier try, so it proves no more than that one.
 		if !unanswered {
-			begun = time.Now()
+			begun = ow.cfg.Uptime()
 		}
 		err := ow.cfg.Store.Append(ctx, batch)
 		unanswered = unanswered || errors.Is(err, ledger.ErrNoAnswer)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -71,7 +71,9 @@
 	Registry func(changed func([]agent.Entry)) Runner
 	// Shard configures the shard; each ownership sets Epoch and Events.
 	Shard shard.Config
-	Log   *zap.Logger
+	// Uptime returns the time since any fixed moment, including the time for which the machine was suspended.
+	Uptime func() time.Duration
+	Log    *zap.Logger
 }
 
 // Owner takes part in the group of nodes that may own jobs, and takes over the jobs when their owner has left the group.
@@ -175,7 +177,7 @@
 		if current := o.current(); current != nil && !candidate {
 			o.endOwnership(current, "another owner chose stronger nodes")
 		}
-		begun := time.Now()
+		begun := o.cfg.Uptime()
 		assignment, err := o.cfg.Store.Join(ctx, *m)
 		interval := joinInterval
 		switch {
@@ -218,12 +220,12 @@
 	}
 }
 
-// handleRenewal starts or ends an ownership after the membership has been renewed by a call that began at the given time. It
+// handleRenewal starts or ends an ownership after the membership has been renewed by a call that began at the given uptime. It
 // returns the generation up to which the recorded owner is known to be a member, and whether the node must leave the group for
 // a while: because its ownership was fenced or failed, as the others don't take over from a member, or because it would own under
 // the same epoch again.
 func (o *Owner) handleRenewal(
-	ctx context.Context, assignment ledger.Assignment, begun time.Time, checkedGeneration int64,
+	ctx context.Context, assignment ledger.Assignment, begun time.Duration, checkedGeneration int64,
 ) (int64, bool) {
 	current := o.current()
 	switch {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -29,6 +29,9 @@
 // testShard configures the shards of the tests.
 var testShard = shard.Config{Lease: 7 * time.Second, MaxLease: testMaxLease, RenewLimit: testRenewLimit, Retention: time.Minute}
 
+// testUptime is the uptime of a node that is never suspended.
+func testUptime() time.Duration { return time.Since(time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)) }
+
 // memoryStore is an in-memory store whose appends can be made to fail.
 type memoryStore struct {
 	mu      sync.Mutex
@@ -158,6 +161,11 @@
 
 // startNodeWith starts a node in a fleet of one worker, or of none.
 func startNodeWith(store ledger.Store, name string, workers agent.Workers) testNode {
+	return startNodeWithUptime(store, name, workers, testUptime)
+}
+
+// startNodeWithUptime does the same for a node with an uptime of its own.
+func startNodeWithUptime(store ledger.Store, name string, workers agent.Workers, uptime func() time.Duration) testNode {
 	var entries []agent.Entry
 	if workers != nil {
 		entries = []agent.Entry{{ID: "w", Pool: "pool", Address: "w", Capacity: model.Resources{Cores: 1000, Memory: 1000}}}
@@ -172,7 +180,7 @@
 		Self: self, Group: "owners", Store: store, Workers: workers, Directory: directory, Log: log,
 		Configuration: func() (terms.Configuration, bool) { return configuration, true },
 		Registry:      func(changed func([]agent.Entry)) Runner { return fixedRegistry{entries, changed} },
-		Shard:         testShard,
+		Shard:         testShard, Uptime: uptime,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -159,13 +159,13 @@
 	ow.stop()
 }
 
-func (ow *ownership) noteAppend(begun time.Time) {
+func (ow *ownership) noteAppend(begun time.Duration) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	ow.permission.noteAppend(begun)
 }
 
-func (ow *ownership) noteRenewal(generation int64, begun time.Time) {
+func (ow *ownership) noteRenewal(generation int64, begun time.Duration) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	ow.permission.noteRenewal(generation, begun)
--- a/internal/owner/permission_test.go
+++ b/internal/owner/permission_test.go
@@ -43,21 +43,21 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+			const start = time.Hour
 			p := permission{limit: limit, epoch: 1}
 			for _, c := range tt.calls {
 				if c.generation > 0 {
-					p.noteRenewal(c.generation, start.Add(c.begun))
+					p.noteRenewal(c.generation, start+c.begun)
 				} else {
-					p.noteAppend(start.Add(c.begun))
+					p.noteAppend(start + c.begun)
 				}
 			}
-			end := start.Add(tt.until)
+			end := start + tt.until
 			assert.Equal(t, p.valid(end), false)
-			assert.Equal(t, p.needsProof(end.Add(-limit/2)), true)
+			assert.Equal(t, p.needsProof(end-limit/2), true)
 			if tt.until > 0 {
-				assert.Equal(t, p.valid(end.Add(-1)), true)
-				assert.Equal(t, p.needsProof(end.Add(-limit/2-1)), false)
+				assert.Equal(t, p.valid(end-1), true)
+				assert.Equal(t, p.needsProof(end-limit/2-1), false)
 			}
 		})
 	}
--- a/internal/owner/renewal_test.go
+++ b/internal/owner/renewal_test.go
@@ -222,6 +222,32 @@
 	}
 }
 
+// TestSuspendedOwnerRenewsNoLease guards against an owner that was suspended, and whose monotonic clock stood still meanwhile: it
+// renews leases, or starts tasks, after the next owner has waited for the end of both.
+func TestSuspendedOwnerRenewsNoLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, w := &faultyStore{memoryStore: newMemoryStore()}, &oneWorker{start: time.Now()}
+		var suspended atomic.Int64
+		node := startNodeWithUptime(store, "n0", w, func() time.Duration { return testUptime() + time.Duration(suspended.Load()) })
+		defer node.stop()
+		time.Sleep(3 * time.Second)
+		assert.NilError(t, node.owner.Submit(work.Job{
+			ID: "j", Queue: testQueue, Team: "north", Accepted: time.Now(),
+			Stages: []work.Stage{{Count: 1, Size: model.Resources{Cores: 1}, RunTime: model.Duration(time.Second)}},
+		}))
+		store.cutOff(true, false)
+		suspended.Add(int64(testRenewLimit))
+		resumed := time.Now()
+		time.Sleep(5 * time.Second)
+		assert.Check(t, !w.lastRenewal().After(resumed), "renewed %v after the suspension", w.lastRenewal().Sub(resumed))
+		assert.Check(t, w.lastStart().IsZero(), "started")
+		store.cutOff(false, false)
+		time.Sleep(3 * time.Second)
+		assert.Check(t, time.Since(w.lastRenewal()) <= renewalPeriod)
+		assert.Check(t, !w.lastStart().IsZero())
+	})
+}
+
 // TestLateCommitStartsNothing guards against a start that an owner sends because of a commit that was answered late, when the
 // next owner starts the same task elsewhere.
 func TestLateCommitStartsNothing(t *testing.T) {
@@ -322,10 +348,10 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				begun := time.Now()
-				ow := newOwnership(Config{Store: &refusingStore{errs: tt.errs}, Log: zap.NewNop()}, 1, nil)
+				begun := testUptime()
+				ow := newOwnership(Config{Store: &refusingStore{errs: tt.errs}, Log: zap.NewNop(), Uptime: testUptime}, 1, nil)
 				assert.NilError(t, ow.append(t.Context(), TopicProgress, []ledger.Record{{Key: "k"}}))
-				assert.Equal(t, ow.permission.provedAt.Sub(begun), tt.want)
+				assert.Equal(t, ow.permission.provedAt-begun, tt.want)
 			})
 		})
 	}
@@ -365,7 +391,7 @@
 		time.Sleep(testRenewLimit + time.Second)
 		if ow := first.owner.current(); ow != nil {
 			ow.mu.Lock()
-			valid := !ow.fenced && ow.permission.valid(time.Now())
+			valid := !ow.fenced && ow.permission.valid(testUptime())
 			ow.mu.Unlock()
 			assert.Check(t, !valid, "the former owner still renews leases")
 		}
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -79,7 +79,7 @@
 	ow := s.ownership
 	for ctx.Err() == nil {
 		ow.mu.Lock()
-		heartbeat, ok := ow.shard.HeartbeatFor(s.target.ID, ow.now(), ow.permission.valid(time.Now()))
+		heartbeat, ok := ow.shard.HeartbeatFor(s.target.ID, ow.now(), ow.permission.valid(ow.cfg.Uptime()))
 		busy, workers := ow.shard.Busy(s.target.ID), len(ow.sessions)
 		ow.mu.Unlock()
 		if !ok {
@@ -138,11 +138,10 @@
 
 // takeCommands returns the commands to send now. Without permission the starts count as not sent; the lock is held.
 func (ow *ownership) takeCommands() shard.Commands {
-	// The starts' leases count from the moment at which the permission is checked, however late they are sent.
-	now := time.Now()
-	at := now.Sub(ow.start)
+	// The starts' leases count from a moment before the permission is checked, however late they are sent.
+	at := ow.now()
 	commands := ow.shard.TakeCommands(at)
-	if ow.permission.valid(now) {
+	if ow.permission.valid(ow.cfg.Uptime()) {
 		return commands
 	}
 	for _, cmd := range commands.Starts {
--- a/internal/owner/session_test.go
+++ b/internal/owner/session_test.go
@@ -141,10 +141,10 @@
 	w := &blockingWorkers{
 		answer: map[string]chan agent.Report{"a": make(chan agent.Report, 1), "b": make(chan agent.Report)}, asked: make(chan string, 100),
 	}
-	ow := newOwnership(Config{Workers: w, Log: zap.NewNop(), Shard: shard.Config{
+	ow := newOwnership(Config{Workers: w, Log: zap.NewNop(), Uptime: testUptime, Shard: shard.Config{
 		Lease: 7 * time.Second, MaxLease: 10 * time.Second, RenewLimit: testRenewLimit, Retention: time.Minute,
 	}}, 1, nil)
-	ow.permission.noteAppend(time.Now().Add(time.Hour))
+	ow.permission.noteAppend(testUptime() + time.Hour)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	entry := agent.Entry{ID: "w", Pool: "pool", Address: "a", Capacity: model.Resources{Cores: 1000, Memory: 1000}}
--- a/internal/owner/takeover_test.go
+++ b/internal/owner/takeover_test.go
@@ -70,7 +70,7 @@
 					}
 				}
 				ow := newOwnership(Config{
-					Store: store, Log: zap.NewNop(), Shard: testShard,
+					Store: store, Log: zap.NewNop(), Shard: testShard, Uptime: testUptime,
 					Configuration: func() (terms.Configuration, bool) { return terms.New(terms.Params{Version: 1}), true },
 				}, 2, nil)
 				ow.setRegistry([]agent.Entry{})
@@ -104,7 +104,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := &slowReadStore{newMemoryStore(), maxInboxAge + time.Second}
 		ow := newOwnership(Config{
-			Store: store, Log: zap.NewNop(), Shard: testShard,
+			Store: store, Log: zap.NewNop(), Shard: testShard, Uptime: testUptime,
 			Configuration: func() (terms.Configuration, bool) { return terms.New(terms.Params{Version: 1}), true },
 		}, 2, nil)
 		ow.setRegistry([]agent.Entry{})
@@ -157,7 +157,7 @@
 		takeovers := 0
 		for i := range 3 {
 			ow := newOwnership(Config{
-				Self: peers.NodeInfo{Node: fmt.Sprint(i)}, Store: newSimConnection(store, int64(i)), Log: zap.NewNop(), Shard: testShard,
+				Self: peers.NodeInfo{Node: fmt.Sprint(i)}, Store: newSimConnection(store, int64(i)), Log: zap.NewNop(), Shard: testShard, Uptime: testUptime,
 				Configuration: func() (terms.Configuration, bool) { return terms.New(terms.Params{Version: 1}), true },
 			}, 2, nil)
 			ow.setRegistry([]agent.Entry{})
@@ -207,7 +207,7 @@
 				store.newest[TopicInbox] = map[string][]byte{intake.RecordKeys(string(job.ID))[0]: submission}
 				store.newest[TopicProgress] = map[string][]byte{work.ProgressKey(job.ID, 0): progress}
 				ow := newOwnership(Config{
-					Store: store, Log: zap.NewNop(), Shard: testShard,
+					Store: store, Log: zap.NewNop(), Shard: testShard, Uptime: testUptime,
 					Configuration: func() (terms.Configuration, bool) { return terms.New(terms.Params{Version: 1}), true },
 				}, 2, nil)
 				ow.setRegistry([]agent.Entry{})
--- a/internal/owner/takeoversim_test.go
+++ b/internal/owner/takeoversim_test.go
@@ -102,6 +102,7 @@
 		Shard: shard.Config{
 			Lease: simLease, MaxLease: simMaxLease, RenewLimit: testRenewLimit, Retention: simRetention, KillGrace: time.Second,
 		},
+		Uptime: testUptime,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
--- a/node/internal/daemon/components.go
+++ b/node/internal/daemon/components.go
@@ -18,6 +18,7 @@
 	"arbutuswing.example/internal/owner"
 	"arbutuswing.example/internal/peers"
 	"arbutuswing.example/internal/shard"
+	"arbutuswing.example/internal/uptime"
 	adapt "arbutuswing.example/platform"
 )
 
@@ -137,6 +138,7 @@
 			RenewLimit: s.RenewLimit.Std(), KillGrace: s.KillGrace.Std(), RestoreTime: s.RestoreTime.Std(),
 			GangTimeout: s.GangTimeout.Std(), Retention: s.Retention.Std(),
 		},
+		Uptime: uptime.Now,
 	})
 	v.setOwner(o)
 	return o
