fix(owner): a part of the inbox doesn't count as the whole

Callers saw 410 for jobs that had been accepted seconds before (LOST), from an owner with a backlog: runInbox took the begin of each read for the time up to which it knows all jobs, also when the store had cut the read at 1 MB.

Whether a read is the last one was told by its size, which is wrong for records with short keys: 105,424 tombstones fill 1 MB and count 632 KB, so that such a part also let the owner forget final jobs. The store says in each answer where the topic ends. The adapter now tells whether records are left, and only a read that leaves none is a proof: for unknown jobs, for the count of a queue and for the retention.

The read of a takeover is sound: it goes through all pages, and its age counts from before the first.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -52,6 +52,8 @@
 	Records []Record
 	// Next is the offset from which to continue.
 	Next int64
+	// More tells that the store held further records when it answered, which the page leaves out.
+	More bool
 }
 
 // Assignment lists the partitions that a group has assigned to a member.
@@ -84,8 +86,8 @@
 	Append(ctx context.Context, batch Batch) error
 	// Newest returns the newest record of each key, and the offset from which a reader must continue to miss no record.
 	Newest(ctx context.Context, topic Topic, partition int) (Page, error)
-	// Read returns the records from an offset on and waits up to wait for the first. It returns ErrTrimmed if the store
-	// has deleted records there.
+	// Read returns the records from an offset on, or the first of them, and waits up to wait for the first. It returns ErrTrimmed
+	// if the store has deleted records there.
 	Read(ctx context.Context, topic Topic, partition int, from int64, wait time.Duration) (Page, error)
 	// Join joins a group or renews the membership.
 	Join(ctx context.Context, m Membership) (Assignment, error)
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -37,9 +37,7 @@
 	batchDelay = 3 * time.Millisecond
 	// inboxReadWait is how long a read of the inbox waits for new records.
 	inboxReadWait = time.Second
-	// maxCompletePageBytes is the size below which a read of the inbox has reached its end; the store cuts reads at 1 MB.
-	maxCompletePageBytes = 1<<20 - ledger.MaxRecordBytes
-	// maxInboxAge is the age of the last inbox read up to which an unknown job counts as never submitted.
+	// maxInboxAge is the age of the last read of the whole inbox up to which an unknown job counts as never submitted.
 	maxInboxAge = 2 * time.Second
 	// storeRetryDelay is the pause after a failed call to the store.
 	storeRetryDelay = 80 * time.Millisecond
@@ -78,7 +76,7 @@
 	entries      []agent.Entry
 	entriesKnown bool
 	permission   permission
-	// inboxRead is when the last successful read of the inbox began.
+	// inboxRead is when the last read began that reached the end of the inbox.
 	inboxRead time.Time
 
 	// sequence holds the number of appends to each topic, which count from firstSequence; a topic has only one append under way at
@@ -261,15 +259,6 @@
 	cancel()
 }
 
-// pageBytes returns the size of a page's records.
-func pageBytes(page ledger.Page) int {
-	size := 0
-	for _, r := range page.Records {
-		size += r.Size()
-	}
-	return size
-}
-
 // runInbox reads new jobs and cancellations.
 func (ow *ownership) runInbox(ctx context.Context, next int64) {
 	defer ow.group.Done()
@@ -286,7 +275,6 @@
 		}
 		next = page.Next
 		ow.mu.Lock()
-		ow.inboxRead = begun
 		now := ow.now()
 		for _, r := range page.Records {
 			ow.dispatchRecord(r, inboxHandler{
@@ -295,7 +283,8 @@
 				hold:   ow.shard.Hold,
 			})
 		}
-		if pageBytes(page) < maxCompletePageBytes {
+		if !page.More {
+			ow.inboxRead = begun
 			ow.shard.NoteInboxRead(begun.Sub(ow.start))
 		}
 		ow.mu.Unlock()
