fix(owner): an owner without new jobs answers at any moment

For some ten milliseconds of each second an owner to which no job was submitted answered as if it weren't the owner: 503 for an unknown job and for the length of a queue. A read of the inbox waits for a second for new records, its age counts from its begin, and it is trusted for two seconds; two reads in a row take longer than that. The wait is now a quarter of that time, which leaves half a second for each call of the store; an idle owner makes two long reads a second instead of one.

--- a/internal/owner/inbox_test.go
+++ b/internal/owner/inbox_test.go
@@ -18,7 +18,7 @@
 	"arbutuswing.example/internal/work"
 )
 
-// pagedStore is a store that holds records of jobs and answers each read with one of them.
+// pagedStore is a store that holds records of jobs and answers each read with one of them, after a while.
 type pagedStore struct {
 	*memoryStore
 	records []ledger.Record
@@ -28,10 +28,10 @@
 func (p *pagedStore) Read(
 	ctx context.Context, topic ledger.Topic, partition int, from int64, wait time.Duration,
 ) (ledger.Page, error) {
+	pause.For(ctx, p.latency)
 	if from >= int64(len(p.records)) {
 		return p.memoryStore.Read(ctx, topic, partition, from, wait)
 	}
-	pause.For(ctx, p.latency)
 	return ledger.Page{Records: p.records[from : from+1], Next: from + 1, More: from+1 < int64(len(p.records))}, nil
 }
 
@@ -74,3 +74,28 @@
 		ow.group.Wait()
 	})
 }
+
+// TestIdleOwnerAnswers guards against an owner without new jobs that answers as if it weren't the owner, because it waits for new jobs
+// for longer than it trusts the last read.
+func TestIdleOwnerAnswers(t *testing.T) {
+	for _, latency := range []time.Duration{time.Millisecond, 40 * time.Millisecond, 400 * time.Millisecond} {
+		t.Run(latency.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &pagedStore{memoryStore: newMemoryStore(), latency: latency}
+				ow := newOwnership(Config{Store: store, Log: zap.NewNop(), Shard: testShard}, 1, nil)
+				ow.restored, ow.inboxRead = true, time.Now()
+				ctx, cancel := context.WithCancel(t.Context())
+				ow.group.Add(1)
+				go ow.runInbox(ctx, 0)
+				for begun := time.Now(); time.Since(begun) < 10*time.Second; time.Sleep(time.Millisecond) {
+					_, err := ow.state("never-submitted")
+					assert.ErrorIs(t, err, peers.ErrUnknownJob)
+					_, err = ow.pending(testQueue)
+					assert.NilError(t, err)
+				}
+				cancel()
+				ow.group.Wait()
+			})
+		})
+	}
+}
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -35,10 +35,11 @@
 	pausePerDecision = 3
 	// batchDelay is the pause before a decision or commit, so that events that arrive together are handled together.
 	batchDelay = 3 * time.Millisecond
-	// inboxReadWait is how long a read of the inbox waits for new records.
-	inboxReadWait = time.Second
 	// maxInboxAge is the age of the last read of the whole inbox up to which an unknown job counts as never submitted.
 	maxInboxAge = 2 * time.Second
+	// inboxReadWait is how long a read of the inbox waits for new records. Its age counts from its begin, so that the last one has to
+	// outlast the wait and the calls of the next.
+	inboxReadWait = maxInboxAge / 4
 	// storeRetryDelay is the pause after a failed call to the store.
 	storeRetryDelay = 80 * time.Millisecond
 	// proofCheckInterval is the interval of checks whether the ownership has to be proved by an append, and proofRetryDelay the
