fix(owner): a takeover that a newer owner has overtaken isn't finished

Its progress and its jobs were of different moments.

A takeover now repeats the fence on the progress and on the jobs after it has read both. Each newer owner fences a topic before it writes there, so that the state is as the former owner left it if the store accepts these appends; otherwise the ownership ends before it has restored anything. The price is one more round trip in each takeover.

An append without records now has a sequence number of its own: the store answers a repeated number with what it said first, which would prove nothing. The store accepts any first number of an epoch, and both kinds of stores of the simulation accept the ones after it.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -119,13 +119,12 @@
 	}
 }
 
-// nextSequence returns the sequence number of an append to the topic; an append without records doesn't use up a number.
-func (ow *ownership) nextSequence(topic ledger.Topic, records bool) int64 {
+// nextSequence returns the sequence number of an append to the topic. An append without records has one of its own too, so that the
+// store can't answer it with what it said to an earlier one; the others follow them, and the first may have any.
+func (ow *ownership) nextSequence(topic ledger.Topic) int64 {
 	ow.sequenceMu.Lock()
 	defer ow.sequenceMu.Unlock()
-	if records {
-		ow.sequence[topic]++
-	}
+	ow.sequence[topic]++
 	return ow.firstSequence + ow.sequence[topic]
 }
 
@@ -170,7 +169,7 @@
 func (ow *ownership) appendEvery(ctx context.Context, retryDelay time.Duration, topic ledger.Topic, records []ledger.Record) error {
 	batch := ledger.Batch{
 		Topic: topic, Partition: Partition, Producer: producer, Epoch: ow.epoch,
-		Sequence: ow.nextSequence(topic, len(records) > 0), Records: records,
+		Sequence: ow.nextSequence(topic), Records: records,
 	}
 	logged, unanswered, begun := false, false, time.Time{}
 	for {
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -23,7 +23,7 @@
 // errStuck reports that a takeover can't finish because the store leaves its calls unanswered or refuses them.
 var errStuck = errors.New("takeover can't finish")
 
-// takeoverLimit returns how long a takeover tries to fence the former owner, or to read a topic, before it is given up. By then
+// takeoverLimit returns how long a takeover tries to fence other owners, or to read a topic, before it is given up. By then
 // each lease of the former owner has ended, so that nothing runs which another node's takeover, begun anew, could lose.
 func (ow *ownership) takeoverLimit() time.Duration {
 	return ow.cfg.Shard.RenewLimit + ow.cfg.Shard.MaxLease
@@ -37,8 +37,8 @@
 	}
 }
 
-// takeOver fences the former owner in the store and restores what it recorded. It returns the inbox offset at which new
-// jobs begin.
+// takeOver fences the former owner in the store and restores what it recorded, unless a newer owner has fenced this one by then. It
+// returns the inbox offset at which new jobs begin.
 func (ow *ownership) takeOver(ctx context.Context) (int64, error) {
 	begun := time.Now()
 	self := []byte(memberOf(ow.cfg.Self).String())
@@ -95,6 +95,9 @@
 		ow.addJobs(&restored, inbox)
 		restored.Unreadable = append(restored.Unreadable, progressWithoutJob(restored)...)
 	}
+	if err := ow.proveReads(ctx); err != nil {
+		return 0, err
+	}
 	ow.mu.Lock()
 	ow.shard.SetConfiguration(current)
 	ow.shard.Restore(restored, ow.now(), time.Now())
@@ -107,6 +110,18 @@
 	return inbox.Next, nil
 }
 
+// proveReads proves that no newer owner had written to the topics that a takeover reads when it had read them. Otherwise it may have
+// read the records of a job as they were at different times.
+func (ow *ownership) proveReads(ctx context.Context) error {
+	group, groupCtx := errgroup.WithContext(ctx)
+	fenceCtx, cancel := context.WithTimeoutCause(groupCtx, ow.takeoverLimit(), errStuck)
+	defer cancel()
+	for _, topic := range []ledger.Topic{TopicProgress, TopicInbox} {
+		group.Go(func() error { return ow.append(fenceCtx, topic, nil) })
+	}
+	return group.Wait()
+}
+
 // recordedProgress returns the progress that a former owner recorded.
 func (ow *ownership) recordedProgress(page ledger.Page) shard.RecordedState {
 	restored := shard.RecordedState{Progress: make(map[model.JobID]work.Progress, len(page.Records))}
