--- a/internal/owner/inbox_test.go
+++ b/internal/owner/inbox_test.go
@@ -49,7 +49,7 @@
 			assert.NilError(t, err)
 			store.records = append(store.records, ledger.Record{Key: intake.RecordKeys(string(last.ID))[0], Value: value})
 		}
-		ow := newOwnership(Config{Store: store, Log: zap.NewNop(), Shard: testShard}, 1, nil)
+		ow := newOwnership(Config{Store: store, Log: zap.NewNop(), Shard: testShard, Uptime: testUptime}, 1, nil)
 		ow.restored = true
 		ctx, cancel := context.WithCancel(t.Context())
 		ow.group.Add(1)
@@ -82,7 +82,7 @@
 		t.Run(latency.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store := &pagedStore{memoryStore: newMemoryStore(), latency: latency}
-				ow := newOwnership(Config{Store: store, Log: zap.NewNop(), Shard: testShard}, 1, nil)
+				ow := newOwnership(Config{Store: store, Log: zap.NewNop(), Shard: testShard, Uptime: testUptime}, 1, nil)
 				ow.restored, ow.inboxRead = true, time.Now()
 				ctx, cancel := context.WithCancel(t.Context())
 				ow.group.Add(1)
--- a/internal/owner/overtaken_test.go
+++ b/internal/owner/overtaken_test.go
@@ -98,7 +98,7 @@
 				}
 				store.newest[TopicProgress] = map[string][]byte{progressKey: begun}
 				ow := newOwnership(Config{
-					Store: store, Log: zap.NewNop(), Shard: testShard,
+					Store: store, Log: zap.NewNop(), Shard: testShard, Uptime: testUptime,
 					Configuration: func() (terms.Configuration, bool) { return terms.New(terms.Params{Version: 1}), true },
 				}, 2, nil)
 				ow.setRegistry([]agent.Entry{})
@@ -156,7 +156,7 @@
 				workers := &countingWorkers{}
 				entries := []agent.Entry{{ID: "w", Pool: "pool", Address: "w", Capacity: model.Resources{Cores: 1000, Memory: 1000}}}
 				ow := newOwnership(Config{
-					Store: store, Workers: workers, Log: zap.NewNop(), Shard: testShard,
+					Store: store, Workers: workers, Log: zap.NewNop(), Shard: testShard, Uptime: testUptime,
 					Configuration: func() (terms.Configuration, bool) { return terms.New(terms.Params{Version: 1}), true },
 					Registry:      func(changed func([]agent.Entry)) Runner { return fixedRegistry{entries, changed} },
 				}, 2, nil)
@@ -197,7 +197,7 @@
 func TestUnprovenTakeoverIsGivenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ow := newOwnership(Config{
-			Store: &silentProofStore{memoryStore: newMemoryStore(), fences: make(map[ledger.Topic]int)}, Log: zap.NewNop(), Shard: testShard,
+			Store: &silentProofStore{memoryStore: newMemoryStore(), fences: make(map[ledger.Topic]int)}, Log: zap.NewNop(), Shard: testShard, Uptime: testUptime,
 			Configuration: func() (terms.Configuration, bool) { return terms.New(terms.Params{Version: 1}), true },
 		}, 2, nil)
 		ow.setRegistry([]agent.Entry{})
@@ -223,7 +223,7 @@
 // append with the same number.
 func TestAppendsHaveNumbersOfTheirOwn(t *testing.T) {
 	store := &numbersStore{memoryStore: newMemoryStore()}
-	ow := newOwnership(Config{Store: store, Log: zap.NewNop(), Shard: testShard}, 2, nil)
+	ow := newOwnership(Config{Store: store, Log: zap.NewNop(), Shard: testShard, Uptime: testUptime}, 2, nil)
 	record := []ledger.Record{{Key: "k", Value: []byte("v")}}
 	for _, records := range [][]ledger.Record{nil, nil, record, nil, record} {
 		assert.NilError(t, ow.append(t.Context(), TopicProgress, records))
