fix(owner): a suspended owner denies no job when it wakes up

Cause: the age of the last read of the inbox was measured on the monotonic clock, which stands still while the machine is suspended. An owner that wakes up took its last read for a fresh one and denied jobs that were stored meanwhile. Fix: the age is measured on the clock that counts the suspension, like the permission to renew leases. Evidence: TestSuspendedOwnerDeniesNoJob fails before ('owner does not know the job').

--- a/internal/owner/inbox_test.go
+++ b/internal/owner/inbox_test.go
@@ -50,7 +50,7 @@
 			store.records = append(store.records, ledger.Record{Key: intake.RecordKeys(string(last.ID))[0], Value: value})
 		}
 		ow := newOwnership(Config{Store: store, Log: zap.NewNop(), Shard: testShard, Uptime: testUptime}, 1, nil)
-		ow.restored = true
+		ow.restored, ow.inboxRead = true, testUptime()-time.Minute
 		ctx, cancel := context.WithCancel(t.Context())
 		ow.group.Add(1)
 		go ow.runInbox(ctx, 0)
@@ -83,7 +83,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := &pagedStore{memoryStore: newMemoryStore(), latency: latency}
 				ow := newOwnership(Config{Store: store, Log: zap.NewNop(), Shard: testShard, Uptime: testUptime}, 1, nil)
-				ow.restored, ow.inboxRead = true, time.Now()
+				ow.restored, ow.inboxRead = true, testUptime()
 				ctx, cancel := context.WithCancel(t.Context())
 				ow.group.Add(1)
 				go ow.runInbox(ctx, 0)
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -77,8 +77,8 @@
 	entries      []agent.Entry
 	entriesKnown bool
 	permission   permission
-	// inboxRead is when the last read began that reached the end of the inbox.
-	inboxRead time.Time
+	// inboxRead is the uptime at which the last read began that reached the end of the inbox.
+	inboxRead time.Duration
 
 	// sequence holds the number of appends to each topic, which count from firstSequence; a topic has only one append under way at
 	// a time.
@@ -197,7 +197,7 @@
 	if state, ok := ow.shard.JobState(id); ok {
 		return state, nil
 	}
-	if time.Since(ow.inboxRead) > maxInboxAge {
+	if ow.cfg.Uptime()-ow.inboxRead > maxInboxAge {
 		return "", peers.ErrNotOwner
 	}
 	return "", peers.ErrUnknownJob
@@ -218,7 +218,7 @@
 func (ow *ownership) pending(queue string) (int, error) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
-	if !ow.restored || ow.fenced || time.Since(ow.inboxRead) > maxInboxAge {
+	if !ow.restored || ow.fenced || ow.cfg.Uptime()-ow.inboxRead > maxInboxAge {
 		return 0, peers.ErrNotOwner
 	}
 	return ow.shard.QueuedJobs(queue), nil
@@ -264,7 +264,7 @@
 func (ow *ownership) runInbox(ctx context.Context, next int64) {
 	defer ow.group.Done()
 	for ctx.Err() == nil {
-		begun := time.Now()
+		begun, begunUptime := ow.now(), ow.cfg.Uptime()
 		page, err := ow.cfg.Store.Read(ctx, TopicInbox, Partition, next, inboxReadWait)
 		if errors.Is(err, ledger.ErrTrimmed) {
 			page, err = ow.newest(ctx, TopicInbox)
@@ -285,8 +285,8 @@
 			})
 		}
 		if !page.More {
-			ow.inboxRead = begun
-			ow.shard.NoteInboxRead(begun.Sub(ow.start))
+			ow.inboxRead = begunUptime
+			ow.shard.NoteInboxRead(begun)
 		}
 		ow.mu.Unlock()
 		if len(page.Records) > 0 {
--- a/internal/owner/renewal_test.go
+++ b/internal/owner/renewal_test.go
@@ -15,6 +15,7 @@
 	"arbutuswing.example/internal/ledger"
 	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/pause"
+	"arbutuswing.example/internal/peers"
 	"arbutuswing.example/internal/work"
 )
 
@@ -248,6 +249,26 @@
 	})
 }
 
+// TestSuspendedOwnerDeniesNoJob guards against an owner that says, when it wakes up, that a job doesn't exist which another node has
+// stored meanwhile.
+func TestSuspendedOwnerDeniesNoJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &faultyStore{memoryStore: newMemoryStore()}
+		var suspended atomic.Int64
+		node := startNodeWithUptime(store, "n0", nil, func() time.Duration { return testUptime() + time.Duration(suspended.Load()) })
+		defer node.stop()
+		time.Sleep(3 * time.Second)
+		_, err := node.owner.State("j")
+		assert.ErrorIs(t, err, peers.ErrUnknownJob)
+		suspended.Add(int64(maxInboxAge))
+		_, err = node.owner.State("j")
+		assert.ErrorIs(t, err, peers.ErrNotOwner)
+		time.Sleep(time.Second)
+		_, err = node.owner.State("j")
+		assert.ErrorIs(t, err, peers.ErrUnknownJob)
+	})
+}
+
 // TestLateCommitStartsNothing guards against a start that an owner sends because of a commit that was answered late, when the
 // next owner starts the same task elsewhere.
 func TestLateCommitStartsNothing(t *testing.T) {
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -45,7 +45,7 @@
 	// Calls are made concurrently, because each takes long while the store is slow. The jobs are read only after the former owner
 	// has been fenced on the progress too: until then it takes new jobs and records runs of theirs.
 	var progress, inbox ledger.Page
-	var inboxRead time.Time
+	var inboxRead time.Duration
 	var current terms.Configuration
 	progressFenced := make(chan struct{})
 	group, groupCtx := errgroup.WithContext(ctx)
@@ -71,7 +71,7 @@
 		case <-groupCtx.Done():
 			return groupCtx.Err()
 		}
-		inboxRead = time.Now()
+		inboxRead = ow.cfg.Uptime()
 		inbox, err = ow.newest(groupCtx, TopicInbox)
 		return err
 	})
@@ -87,7 +87,7 @@
 	if ids := progressWithoutJob(restored); len(ids) > 0 {
 		// A job is stored before its progress, so that the read has missed it. If it can't be found, it must not run again.
 		ow.cfg.Log.Warn("progress without a job, reading the jobs again", zap.Int("jobs", len(ids)))
-		inboxRead = time.Now()
+		inboxRead = ow.cfg.Uptime()
 		var err error
 		if inbox, err = ow.newest(ctx, TopicInbox); err != nil {
 			return 0, err
