fix(httpc): number connections over all addresses

A heartbeat carries the lease end, the acknowledgement and the wait only over the connection of the worker's last report. Connections were numbered for each address, so that a worker that restarted under its ID at another address met the same number again: the first heartbeat there acknowledged as many ended runs as the incarnation before had reported, and named a lease end on its clock.

The new incarnation forgot successes that nobody had seen, if a start reached it before that heartbeat, and their tasks ran again. The lease end did no harm: a run that no report has listed counts as present for the longest lease.

Numbers are now unique in the process.

--- a/internal/httpc/conn.go
+++ b/internal/httpc/conn.go
@@ -64,7 +64,7 @@
 	}
 }
 
-// number returns the number of the connection in its pool, or 0 if it has none.
+// number returns the number of the connection, or 0 if it has none.
 func (c *pooledConn) number() uint64 {
 	if numbered, ok := c.conn.(numberedConn); ok {
 		return numbered.number
--- a/internal/httpc/pool.go
+++ b/internal/httpc/pool.go
@@ -83,14 +83,15 @@
 	return nil
 }
 
+// lastConnection is the number of the last connection that any pool has opened.
+var lastConnection atomic.Uint64
+
 // Pool sends requests to one host over a limited number of connections; all methods are safe for concurrent use.
 type Pool struct {
 	cfg            Config
 	host           *fasthttp.HostClient
 	timeouts       atomic.Int32
 	maxConnections atomic.Int32
-	// connections counts the connections opened so far.
-	connections atomic.Uint64
 }
 
 // New returns a pool without open connections. It returns ErrConfig for an unusable configuration.
@@ -126,10 +127,10 @@
 	if !ok {
 		return conn, nil
 	}
-	return numberedConn{tcp, p.connections.Add(1)}, nil
+	return numberedConn{tcp, lastConnection.Add(1)}, nil
 }
 
-// numberedConn is a connection with its number in the pool.
+// numberedConn is a connection with its number.
 type numberedConn struct {
 	*net.TCPConn
 	number uint64
@@ -163,7 +164,7 @@
 	// Probe requests a check of the connection if it was idle for Config.ProbeAfter.
 	Probe bool
 	// Prepare, if set, is called before the request is written, with the number of the connection that will carry it. No two
-	// connections of a pool have the same number. It may change the request; if it returns an error, nothing is sent.
+	// connections of a process have the same number. It may change the request; if it returns an error, nothing is sent.
 	Prepare func(connection uint64) error
 	// CheckResponse returns an error if the answer doesn't belong to this request. The connection is closed then, since
 	// later answers on it can't be trusted either.
