fix(owner): let a replaced session take no further heartbeat

A session that waited for the lock while it was replaced, because its worker's address had changed, took one more heartbeat from the shard. The heartbeat of the next session then counted as unanswered, and its answer as that to the later one, with a higher generation: commands of the generation between counted as void, though the worker had not accepted the higher token.

Before the fix, TestReplacedSessionSendsNothing found a heartbeat of the replaced session.

--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -79,6 +79,11 @@
 	ow := s.ownership
 	for ctx.Err() == nil {
 		ow.mu.Lock()
+		if ctx.Err() != nil {
+			// Another session has taken the place of this one, which has waited for the lock.
+			ow.mu.Unlock()
+			return
+		}
 		heartbeat, ok := ow.shard.HeartbeatFor(s.target.ID, ow.now(), ow.permission.valid(time.Now()))
 		busy, workers := ow.shard.Busy(s.target.ID), len(ow.sessions)
 		ow.mu.Unlock()
--- a/internal/owner/session_test.go
+++ b/internal/owner/session_test.go
@@ -167,3 +167,26 @@
 	defer ow.mu.Unlock()
 	assert.Assert(t, ow.shard.Busy("w"), "the report of the cancelled session was applied")
 }
+
+// TestReplacedSessionSendsNothing guards against a heartbeat of the next session that counts as unanswered, and whose answer then
+// counts as that to a later heartbeat: the replaced session was about to send its next one.
+func TestReplacedSessionSendsNothing(t *testing.T) {
+	w := &blockingWorkers{answer: map[string]chan agent.Report{"a": make(chan agent.Report, 1)}, asked: make(chan string, 100)}
+	w.answer["a"] <- agent.Report{}
+	ow := newOwnership(Config{Workers: w, Log: zap.NewNop(), Shard: testShard}, 1, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &workerSession{ownership: ow, target: agent.Target{ID: "w", Address: "a"}, cancel: cancel}
+	ended := make(chan struct{})
+	ow.mu.Lock()
+	ow.shard.SetRegistry([]agent.Entry{{ID: "w", Pool: "pool", Address: "b", Capacity: model.Resources{Cores: 1000, Memory: 1000}}})
+	go func() {
+		defer close(ended)
+		s.run(ctx)
+	}()
+	// The session waits for the lock.
+	time.Sleep(50 * time.Millisecond)
+	cancel()
+	ow.mu.Unlock()
+	<-ended
+	assert.Equal(t, len(w.asked), 0, "the replaced session has sent a heartbeat")
+}
