fix(shard): hold back an acknowledgement while any start of the task may arrive late

An end is acknowledged only once no start of its run may reach a later incarnation of the worker. That time was kept with the run, and lost with it: a worker whose entry was missing for a moment, or that reported the end to a new owner, listed the end again as that of an unknown run, and it was acknowledged at the next commit. A late start without a ticket could then run after an acknowledged success.

The time is now that of the task, and of all members of a gang, which outlives its runs and is set anew after a takeover.

--- a/internal/shard/grant.go
+++ b/internal/shard/grant.go
@@ -7,6 +7,7 @@
 
 	"arbutuswing.example/internal/agent"
 	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/work"
 )
 
 const (
@@ -152,14 +153,27 @@
 	return a.startInFlightUntil
 }
 
-// lateStartsUntil is the same for the run and, of a gang, the other members of the run: the success of one is that of all.
-func (a *attempt) lateStartsUntil() time.Duration {
-	until := a.reachesNextIncarnationUntil()
-	if a.stage.spec.Gang {
-		for i := range a.stage.tasks {
-			for _, member := range a.stage.tasks[i].attempts {
-				until = max(until, member.reachesNextIncarnationUntil())
-			}
+// lateStartsUntil returns until when a start of any run of the task may reach a later incarnation of its worker, or zero. For a gang
+// it covers all members: the success of one is that of all.
+func (s *Shard) lateStartsUntil(ref work.TaskRef) time.Duration {
+	j := s.jobs[ref.Job]
+	if j == nil {
+		return 0
+	}
+	st := j.stage(ref.Occurrence, ref.Stage)
+	if st == nil || ref.Index < 0 || ref.Index >= len(st.tasks) {
+		return 0
+	}
+	members := st.tasks[ref.Index : ref.Index+1]
+	if st.spec.Gang {
+		members = st.tasks
+	}
+	until := time.Duration(0)
+	for i := range members {
+		// Runs that were given up count too, and those of a former owner.
+		until = max(until, members[i].notBefore)
+		for _, a := range members[i].attempts {
+			until = max(until, a.reachesNextIncarnationUntil())
 		}
 	}
 	return until
--- a/internal/shard/grant_test.go
+++ b/internal/shard/grant_test.go
@@ -95,11 +95,15 @@
 		name     string
 		queue    string
 		restored bool
+		// relisted tells that the worker's entry is missing for a moment, after which the worker reports the end again.
+		relisted bool
 		held     time.Duration
 	}{
-		{"unanswered start", testQueue, false, maxCommandDelay},
-		{"start of a former owner", testQueue, true, maxCommandDelay + 3*time.Second},
-		{"start with a ticket", "advised", false, 0},
+		{"unanswered start", testQueue, false, false, maxCommandDelay},
+		{"unanswered start and missing entry", testQueue, false, true, maxCommandDelay},
+		{"start of a former owner", testQueue, true, false, maxCommandDelay + 3*time.Second},
+		{"start of a former owner and missing entry", testQueue, true, true, maxCommandDelay + 3*time.Second},
+		{"start with a ticket", "advised", false, false, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -123,6 +127,15 @@
 			h.report("w1", done)
 			h.commit()
 			h.requireState(work.StateCompleted)
+			if tt.relisted {
+				h.workers = nil
+				h.register()
+				h.workers = []model.WorkerID{"w1"}
+				h.register()
+				h.report("w1", done)
+				h.advance(dropDelay)
+				h.commit()
+			}
 			acknowledged := func() bool {
 				heartbeat, ok := h.shard.HeartbeatFor("w1", h.now, true)
 				assert.Assert(t, ok)
