fix(shard): use a worker's entry only with reports of the same incarnation

A worker that restarts under its ID and address may be of another kind. Until its next entry was read, tasks were placed by the capacity and labels of the incarnation before, though its reports had told of the restart; and once the entry told of it, starts that had been decided for the one before were still sent. Where workers don't enforce their capacity, it was exceeded.

New tasks now need an entry and a report of the same incarnation, as far as both name it; an entry of a later incarnation holds back decided starts until the first report.

Before the fix, TestEntryOfAnotherIncarnationIsNotUsed counted 2 starts of 1000 milli-cores each on a worker of 1500 (entry from before the restart) and 1 instead of 0 (report from before), and TestDecidedStartIsNotSentToRestartedWorker 1 instead of 0.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -48,7 +48,7 @@
 				continue
 			}
 			switch {
-			case a.phase == phaseBound && a.commitNumber <= s.lastCommitted && w.tokenSeen && a.visibleSince < 0:
+			case a.phase == phaseBound && a.commitNumber <= s.lastCommitted && w.tokenSeen && w.entryIsCurrent() && a.visibleSince < 0:
 				a.commandPending = true
 				commands.Starts = append(commands.Starts, StartCommand{
 					target, s.startCommand(a, now), a, s.addGrant(w, a.startArrivesBy(now), now), w.incarnation,
--- a/internal/shard/incarnation_test.go
+++ b/internal/shard/incarnation_test.go
@@ -356,3 +356,60 @@
 	waited := h.startElsewhere(id, 30*time.Second)
 	assert.Assert(t, waited > maxCommandDelay+testLease, "started elsewhere after %v", waited)
 }
+
+// TestEntryOfAnotherIncarnationIsNotUsed guards against a worker over its capacity: it restarted as a smaller one under its ID and
+// address, and tasks are placed by the entry from before, or sent before the restart shows in a report.
+func TestEntryOfAnotherIncarnationIsNotUsed(t *testing.T) {
+	entry := agent.Entry{ID: "w1", Pool: testPool, Address: "w1", Capacity: model.Resources{Cores: 4000, Memory: 4000}, Incarnation: 1}
+	tests := []struct {
+		name string
+		// inEntry and inReport tell where the restart shows.
+		inEntry, inReport bool
+		// starts is the number of starts then, and later that of those once both show the restart.
+		starts, later int
+	}{
+		{"no restart", false, false, 2, 0},
+		{"entry from before the restart", false, true, 0, 1},
+		{"report from before the restart", true, false, 0, 1},
+		{"both after the restart", true, true, 1, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, "w1")
+			before, after := entry, entry
+			after.Capacity, after.Incarnation = model.Resources{Cores: 1500, Memory: 1500}, 2
+			h.shard.SetRegistry([]agent.Entry{before})
+			h.report("w1", agent.Report{})
+			if tt.inReport {
+				h.restart("w1")
+				h.report("w1", agent.Report{})
+			}
+			if tt.inEntry {
+				h.shard.SetRegistry([]agent.Entry{after})
+			}
+			h.submitJob(tasks(2))
+			assert.Equal(t, len(h.nextCommands().Starts), tt.starts)
+			h.shard.SetRegistry([]agent.Entry{after})
+			if !tt.inReport {
+				h.restart("w1")
+			}
+			h.report("w1", agent.Report{})
+			h.advance(lateRetryDelay)
+			assert.Equal(t, len(h.nextCommands().Starts), tt.later)
+		})
+	}
+}
+
+// TestDecidedStartIsNotSentToRestartedWorker guards against a worker over its capacity: it restarted as a smaller one after a start was
+// decided, as its entry tells.
+func TestDecidedStartIsNotSentToRestartedWorker(t *testing.T) {
+	h := newHarness(t, "w1")
+	entry := agent.Entry{ID: "w1", Pool: testPool, Address: "w1", Capacity: model.Resources{Cores: 4000, Memory: 4000}, Incarnation: 1}
+	h.shard.SetRegistry([]agent.Entry{entry})
+	h.submitJob(tasks(1))
+	h.shard.Tick(h.now, h.wall)
+	h.commit()
+	entry.Capacity, entry.Incarnation = model.Resources{Cores: 500, Memory: 500}, 2
+	h.shard.SetRegistry([]agent.Entry{entry})
+	assert.Equal(t, len(h.shard.TakeCommands(h.now).Starts), 0)
+}
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -133,6 +133,7 @@
 		return
 	}
 	s.emit("worker-reborn", "", "", w, "", incarnation)
+	s.freedWorkers[w], s.replan = true, true
 	w.leaseEnd = max(w.leaseEnd, s.longestLeaseEnd(now))
 	s.forgetAdvice(w.id)
 	reported := make(map[runKey]bool, len(r.Running))
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -250,7 +250,7 @@
 		if w.entry.Draining != entry.Draining {
 			s.emit("worker-draining", "", "", w, "", entry.MinTimeLeft.Milliseconds())
 		}
-		if !w.listed || w.entry.Draining != entry.Draining {
+		if !w.listed || w.entry.Draining != entry.Draining || w.entry.Incarnation != entry.Incarnation {
 			s.freedWorkers[w] = true
 		}
 		if w.entry.Address != entry.Address {
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -126,10 +126,16 @@
 // while the registry was unavailable come back within that time.
 func (w *worker) gone(now time.Duration) bool { return !w.listed && now-w.unlistedAt > unlistedGrace }
 
+// entryIsCurrent reports whether the worker's entry and its reports are of the same incarnation. The next one may have another
+// capacity and other labels, and starts under the same ID and address.
+func (w *worker) entryIsCurrent() bool {
+	return w.entry.Incarnation == 0 || w.incarnation == 0 || w.entry.Incarnation == w.incarnation
+}
+
 // usable reports whether new tasks may be sent to the worker.
 func (w *worker) usable(now time.Duration) bool {
 	holdsRun := w.heldRunAt > 0 && w.heldRunAt >= w.lastReportAt
-	return w.listed && w.tokenSeen && !w.entry.Draining && len(w.unknownRuns) == 0 && !holdsRun &&
+	return w.listed && w.tokenSeen && w.entryIsCurrent() && !w.entry.Draining && len(w.unknownRuns) == 0 && !holdsRun &&
 		now-w.lastReportAt < suspectAfter
 }
 
