--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -133,6 +133,7 @@
 		return
 	}
 	s.emit("worker-reborn", "", "", w, "", incarnation)
+	s.freedWorkers[w], s.replan = true, true
 	w.leaseEnd = max(w.leaseEnd, s.longestLeaseEnd(now))
 	s.forgetAdvice(w.id)
 	reported := make(map[runKey]bool, len(r.Running))
@@ -162,9 +163,8 @@
 	key := runKey{end.Task, end.Run}
 	if end.Number > w.lastEndSeen && !s.holdEnd(w, end) {
 		w.lastEndSeen = end.Number
-		notBefore := time.Duration(0)
+		notBefore := s.lateStartsUntil(end.Task)
 		if a, ok := w.attempts[key]; ok {
-			notBefore = a.lateStartsUntil()
 			s.endRun(a, end.Outcome, end.Checkpoint, now)
 		} else {
 			s.countLateEnd(end, now)
