fix(shard): keep late starts and late acknowledgements of a worker apart

Trace: from 19:45:11.5 on five starts of run 1 stay unanswered at w-01, which takes commands late, on the queue without advice; heartbeats that acknowledge its ends stay unanswered too. At :13 it falls silent and at :16 it restarts. A late start runs on the next incarnation and succeeds, and a late heartbeat acknowledges that end by the numbers of the incarnation before. At :26 the worker answers again, doesn't list the run (run-gone, not-listed), and the task starts elsewhere at :44. Cause: the token voids late commands for the incarnation that has seen it only. Nobody can learn of the end after that. Change: a start without a ticket and an acknowledgement are never in flight together. An acknowledgement waits while such a start is under way or may arrive late, and is sent until it is answered instead of with each heartbeat; a start waits for the answer to an acknowledgement, and the task goes to another worker while one may arrive late (15 s). Queues with advice are not affected: a ticket is valid for one incarnation. Evidence: TestLateAcknowledgementMeetsNoLateStart fails before (acknowledged with a start in flight, started with an acknowledgement in flight). What remains: a late acknowledgement of a former owner and a late start of the new one, at a worker that restarts in between.

--- a/internal/shard/grant.go
+++ b/internal/shard/grant.go
@@ -24,14 +24,14 @@
 	lease     time.Duration
 }
 
-// sentHeartbeat is a heartbeat that is under way; its grant is nil if it extends no lease. acknowledges tells that it acknowledges
-// ended runs: another incarnation, which counts its ends anew, would forget others.
+// sentHeartbeat is a heartbeat that is under way; its grant is nil if it extends no lease. acked is the number up to which it
+// acknowledges ended runs, or zero.
 type sentHeartbeat struct {
-	pending      bool
-	acknowledges bool
-	sentAt       time.Duration
-	generation   int64
-	grant        *grant
+	pending    bool
+	acked      int64
+	sentAt     time.Duration
+	generation int64
+	grant      *grant
 }
 
 // token returns the fencing token of the commands to a worker. A worker that has accepted one carries out no command with a
@@ -191,7 +191,8 @@
 		return
 	}
 	s.doubtGrant(w, w.heartbeat.grant, now+maxCommandDelay)
-	if w.heartbeat.acknowledges {
+	if w.heartbeat.acked > 0 {
 		s.raiseGeneration(w, w.heartbeat.generation)
+		w.ackArrivesBy = now + maxCommandDelay
 	}
 }
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -15,8 +15,11 @@
 type Shard struct {
 	cfg           Config
 	configuration terms.Configuration
-	jobs          map[model.JobID]*job
-	workers       map[model.WorkerID]*worker
+	// unadvisedQueues tells that tasks of a queue of the configuration start without a ticket.
+	unadvisedQueues bool
+
+	jobs    map[model.JobID]*job
+	workers map[model.WorkerID]*worker
 	// workersByID holds the same workers sorted by ID, so that equal inputs give equal decisions.
 	workersByID []*worker
 	// byFreeCores holds the same workers sorted by free cores, as of the last call of workersByFreeCores. membersChanged and
@@ -33,6 +36,7 @@
 	lastGeneration int64
 	// inFlightStarts holds what workers knew that are no longer listed; see worker.inFlightStarts.
 	inFlightStarts map[model.WorkerID]map[runKey]time.Duration
+	lateArrivals   map[model.WorkerID]lateArrivals
 	// toCommand holds at least the workers with a run that may have to be started or stopped.
 	toCommand map[*worker]bool
 	teamUsage map[model.TeamID]model.Resources
@@ -92,8 +96,8 @@
 		cfg: cfg, jobs: make(map[model.JobID]*job), workers: make(map[model.WorkerID]*worker),
 		teamUsage: make(map[model.TeamID]model.Resources), teamRates: make(map[model.TeamID]*tokenBucket),
 		cancelled: make(map[model.JobID]bool), held: make(map[model.JobID]bool), permittedShares: make(map[string]float64), nextCommit: 1,
-		inFlightStarts: make(map[model.WorkerID]map[runKey]time.Duration),
-		freedWorkers:   make(map[*worker]bool), toCommand: make(map[*worker]bool),
+		inFlightStarts: make(map[model.WorkerID]map[runKey]time.Duration), lateArrivals: make(map[model.WorkerID]lateArrivals),
+		freedWorkers: make(map[*worker]bool), toCommand: make(map[*worker]bool),
 	}
 }
 
@@ -112,6 +116,7 @@
 // last settings.
 func (s *Shard) SetConfiguration(configuration terms.Configuration) {
 	s.configuration = configuration
+	s.unadvisedQueues = slices.ContainsFunc(configuration.Queues, func(q terms.Queue) bool { return q.Advice == nil })
 	for _, j := range s.jobs {
 		if queue, ok := configuration.Queue(j.spec.Queue); ok {
 			j.queue = queue
@@ -273,6 +278,7 @@
 			s.HeartbeatFailed(id, agent.ErrNoAnswer, s.lastTick)
 			delete(s.workers, id)
 			s.keepInFlightStarts(w)
+			s.keepLateArrivals(w)
 			s.targetsVersion++
 			s.membersChanged = true
 			s.workersByID = slices.DeleteFunc(s.workersByID, func(other *worker) bool { return other == w })
@@ -292,6 +298,10 @@
 		w.inFlightStarts = starts
 		delete(s.inFlightStarts, id)
 	}
+	if late, ok := s.lateArrivals[id]; ok {
+		w.lateStartUntil, w.ackArrivesBy = late.startUntil, late.ackArrivesBy
+		delete(s.lateArrivals, id)
+	}
 	s.workers[id], s.membersChanged = w, true
 	at, _ := slices.BinarySearchFunc(s.workersByID, id, func(w *worker, id model.WorkerID) int { return cmp.Compare(w.id, id) })
 	s.workersByID = slices.Insert(s.workersByID, at, w)
