feat(shard): compare presumed ends with what workers report later

A run whose end no worker reports counts as ended after a proof: its lease has expired, a report doesn't list it, or the worker has restarted. Whether the proof was right was not known: two runs of a task at the same time showed only outside.

The shard now remembers what had proved each presumed end and which bound was waited for, for a minute and for at most 2,000 runs, and logs and counts three things: presumed-end-refuted (a later report lists the run, or its end where the proof says that there is none), presumed-ends-confirmed with the least time between the end of the worker's lease, by its own clock, and the presumed ends (one line for each report), and runs-overlap (a run that the owner adopts while another run of the task has started). aw_lease_margin_seconds holds the margins.

--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -14,7 +14,9 @@
 	takeoverSeconds = metrics.NewHistogram(`aw_owner_takeover_seconds`)
 	// unreadableRecords counts the records of this program that a node could not decode.
 	unreadableRecords = metrics.NewCounter(`aw_unreadable_records_total`)
-	load              = newLoadGauges()
+	// leaseMarginSeconds holds the times between the expiry of workers' leases and the presumed ends of their runs.
+	leaseMarginSeconds = metrics.NewHistogram(`aw_lease_margin_seconds`)
+	load               = newLoadGauges()
 )
 
 // loadGauges show the load of a node that owns jobs; without ownership they keep their last values.
@@ -77,6 +79,9 @@
 		histogram = fmt.Sprintf(`aw_job_wait_seconds{queue=%q}`, e.Detail)
 	case shard.EventJobCompleted:
 		histogram = fmt.Sprintf(`aw_job_total_seconds{queue=%q}`, e.Detail)
+	case shard.EventPresumedEndsConfirmed:
+		leaseMarginSeconds.Update(max(0, time.Duration(e.Value)*time.Millisecond).Seconds())
+		return
 	default:
 		return
 	}
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -84,8 +84,9 @@
 
 func (s *Shard) startCommand(a *attempt, now time.Duration) agent.Start {
 	return agent.Start{
-		Task: a.ref(), Run: a.run, Payload: a.stage.job.spec.Payload, LeaseEnd: a.worker.newLeaseEnd(now, s.cfg.Lease),
-		Token: s.token(a.worker), Checkpoint: a.checkpoint, Ticket: a.ticket,
+		Task: a.ref(), Run: a.run, Payload: a.stage.job.spec.Payload,
+		LeaseEnd: s.presumed.noteLease(a.worker, a.worker.newLeaseEnd(now, s.cfg.Lease)),
+		Token:    s.token(a.worker), Checkpoint: a.checkpoint, Ticket: a.ticket,
 	}
 }
 
--- a/internal/shard/config.go
+++ b/internal/shard/config.go
@@ -120,6 +120,14 @@
 	EventJobCompleted = "job-completed"
 )
 
+// Events about runs that counted as ended though no worker had reported their end. The value is a time in milliseconds: from the
+// presumed end to the report that refutes it, and from the expiry of a worker's lease to the presumed ends that its report
+// confirms.
+const (
+	EventPresumedEndRefuted    = "presumed-end-refuted"
+	EventPresumedEndsConfirmed = "presumed-ends-confirmed"
+)
+
 // Event describes a decision or an observed change, for the log and the metrics.
 type Event struct {
 	Name   string
--- a/internal/shard/gone.go
+++ b/internal/shard/gone.go
@@ -1,9 +1,19 @@
 package shard
 
 import (
+	"fmt"
 	"time"
 
 	"arbutuswing.example/internal/agent"
+	"arbutuswing.example/internal/model"
+)
+
+const (
+	// presumedEndRetention is how long a presumed end is compared with the worker's later reports. It outlasts the longest wait
+	// for a late command and the lease that it may grant.
+	presumedEndRetention = time.Minute
+	// maxPresumedEnds bounds the number of presumed ends that are kept; the oldest go first.
+	maxPresumedEnds = 2000
 )
 
 // goneReason is what proves that a run is gone whose end no worker has reported.
@@ -15,9 +25,204 @@
 	goneIncarnation goneReason = "worker-restarted"
 )
 
+// leaseBound is the term of leaseEndOf that a lease's expiry was waited for.
+type leaseBound string
+
+const (
+	boundNone            leaseBound = "none"
+	boundOwnLease        leaseBound = "own-lease"
+	boundFormerLease     leaseBound = "former-lease"
+	boundFormerLate      leaseBound = "former-late-command"
+	boundUnreported      leaseBound = "unreported-incarnation"
+	boundCommandInFlight leaseBound = "command-in-flight"
+)
+
+// presumedEnd is a run that counts as ended though no worker has reported its end.
+type presumedEnd struct {
+	worker model.WorkerID
+	// incarnation is that of the worker's last report, or zero if it has not reported to this owner.
+	incarnation int64
+	reason      goneReason
+	bound       leaseBound
+	// inherited tells that a former owner bound the run.
+	inherited bool
+	at        time.Duration
+	// silence is the time since the worker's last report.
+	silence time.Duration
+	// leaseEnd is the latest lease end on the worker's clock that this owner has named to the incarnation, or zero.
+	leaseEnd time.Duration
+}
+
+// onOther reports whether the run was presumed to be on another incarnation than this one.
+func (e presumedEnd) onOther(incarnation int64) bool {
+	return e.incarnation != 0 && e.incarnation != incarnation
+}
+
+// presumedEnds keeps the latest presumed ends, to compare them with what the workers report later.
+type presumedEnds struct {
+	byRun map[runKey]presumedEnd
+	// order lists them by time. It may name some that were reported or replaced since.
+	order []presumedRun
+	// leases holds the latest lease end that was named to each worker.
+	leases map[model.WorkerID]namedLease
+}
+
+type presumedRun struct {
+	key runKey
+	at  time.Duration
+}
+
+// namedLease is a lease end on the clock of an incarnation of a worker.
+type namedLease struct {
+	incarnation int64
+	end         time.Duration
+}
+
+func newPresumedEnds() presumedEnds {
+	return presumedEnds{byRun: make(map[runKey]presumedEnd), leases: make(map[model.WorkerID]namedLease)}
+}
+
+// add adds a presumed end and drops those that are too old or too many.
+func (p *presumedEnds) add(key runKey, end presumedEnd) {
+	p.byRun[key] = end
+	p.order = append(p.order, presumedRun{key, end.at})
+	for len(p.order) > maxPresumedEnds || p.order[0].at+presumedEndRetention < end.at {
+		if oldest := p.order[0]; p.byRun[oldest.key].at == oldest.at {
+			delete(p.byRun, oldest.key)
+		}
+		p.order = p.order[1:]
+	}
+}
+
+// noteLease notes a lease end that a command to the worker names, and returns it.
+func (p *presumedEnds) noteLease(w *worker, end time.Duration) time.Duration {
+	named := p.leases[w.id]
+	if named.incarnation != w.incarnation {
+		named = namedLease{incarnation: w.incarnation}
+	}
+	named.end = max(named.end, end)
+	p.leases[w.id] = named
+	return end
+}
+
+// leaseOf returns the latest lease end that was named to the worker's incarnation, or zero.
+func (p *presumedEnds) leaseOf(w *worker) time.Duration {
+	if named := p.leases[w.id]; named.incarnation == w.incarnation {
+		return named.end
+	}
+	return 0
+}
+
 // endUnreported ends a run whose end no worker has reported. The event's value is the time since the worker's last report.
 func (s *Shard) endUnreported(a *attempt, reason goneReason, now time.Duration) {
-	s.emit("run-gone", string(a.stage.job.spec.ID), a.ref().String(), a.worker, string(reason),
-		(now - a.worker.lastReportAt).Milliseconds())
+	w := a.worker
+	silence := now - w.lastReportAt
+	s.emit("run-gone", string(a.stage.job.spec.ID), a.ref().String(), w, string(reason), silence.Milliseconds())
+	end := presumedEnd{
+		worker: w.id, incarnation: w.incarnation, reason: reason, bound: boundNone, inherited: a.commitNumber == 0, at: now,
+		silence: silence, leaseEnd: s.presumed.leaseOf(w),
+	}
+	if reason == goneLease {
+		end.bound = s.leaseBoundOf(a, now)
+	}
+	s.presumed.add(a.key(), end)
 	s.endRun(a, agent.OutcomeLeaseExpired, "", now)
 }
+
+// leaseBoundOf returns which bound the run's lease end is.
+func (s *Shard) leaseBoundOf(a *attempt, now time.Duration) leaseBound {
+	w := a.worker
+	switch end := s.leaseEndOf(a, now); {
+	case end == w.leaseEnd && w.tokenSeen:
+		return boundOwnLease
+	case end == w.leaseEnd:
+		return boundFormerLease
+	case end == w.formerLeaseEnd:
+		return boundFormerLate
+	case end == w.unreportedLeaseEnd:
+		return boundUnreported
+	default:
+		return boundCommandInFlight
+	}
+}
+
+// lapseMargin sums up the presumed ends that one report confirms.
+type lapseMargin struct {
+	runs  int
+	least time.Duration
+	bound leaseBound
+}
+
+// checkPresumedRun reports a run that a worker still has though its end was presumed. The event's value is the time since then.
+func (s *Shard) checkPresumedRun(w *worker, key runKey, now time.Duration) {
+	if end, ok := s.takePresumedEnd(key, now); ok {
+		s.emitRefuted(w, key, end, "running", now)
+	}
+}
+
+// checkPresumedEnd compares the end of a run that a worker lists with the one that was presumed. A run that was counted as gone
+// because its lease had expired may have ended in any way before; of the other proofs each says that the worker has no such run.
+func (s *Shard) checkPresumedEnd(w *worker, key runKey, outcome agent.RunOutcome, margin *lapseMargin, now time.Duration) {
+	end, ok := s.takePresumedEnd(key, now)
+	switch {
+	case !ok:
+	case end.reason != goneLease || end.worker != w.id || end.onOther(w.incarnation):
+		s.emitRefuted(w, key, end, string(outcome), now)
+	case end.leaseEnd > 0:
+		// The reading of the worker's clock was taken now or earlier, so that the margin is at least this long.
+		left := end.at - (now - (w.clock - end.leaseEnd))
+		if margin.runs == 0 || left < margin.least {
+			margin.least, margin.bound = left, end.bound
+		}
+		margin.runs++
+	}
+}
+
+// takePresumedEnd removes the run's presumed end and returns it, or false if there is none.
+func (s *Shard) takePresumedEnd(key runKey, now time.Duration) (presumedEnd, bool) {
+	end, ok := s.presumed.byRun[key]
+	delete(s.presumed.byRun, key)
+	return end, ok && now-end.at <= presumedEndRetention
+}
+
+// emitRefuted reports a presumed end that the worker's report contradicts; seen is how it lists the run.
+func (s *Shard) emitRefuted(w *worker, key runKey, end presumedEnd, seen string, now time.Duration) {
+	detail := fmt.Sprintf("proof=%s bound=%s silence=%v run=%d inherited=%t seen=%s", end.reason, end.bound,
+		end.silence.Round(time.Millisecond), key.run, end.inherited, seen)
+	if end.worker != w.id {
+		detail += " presumed-on=" + string(end.worker)
+	}
+	if end.onOther(w.incarnation) {
+		detail += " restarted=true"
+	} else if end.leaseEnd > 0 {
+		detail += fmt.Sprintf(" lease-left=%v", end.leaseEnd-w.clock)
+	}
+	if w.heartbeat.sentAt < end.at {
+		// The worker may have answered before the end was presumed.
+		detail += " asked-before=true"
+	}
+	s.emit(EventPresumedEndRefuted, string(key.task.Job), key.task.String(), w, detail, (now - end.at).Milliseconds())
+}
+
+// emitMargin reports how long before the presumed ends that a report confirms the worker's lease had expired.
+func (s *Shard) emitMargin(w *worker, margin lapseMargin) {
+	if margin.runs == 0 {
+		return
+	}
+	detail := fmt.Sprintf("bound=%s runs=%d", margin.bound, margin.runs)
+	s.emit(EventPresumedEndsConfirmed, "", "", w, detail, margin.least.Milliseconds())
+}
+
+// checkOverlap reports that a worker lists a run of a task of which another run has started too. The event's detail is the worker
+// of that run and its value the run's number.
+func (s *Shard) checkOverlap(w *worker, key runKey) {
+	st := s.jobs[key.task.Job].stage(key.task.Occurrence, key.task.Stage)
+	if st.spec.Speculative {
+		return
+	}
+	for _, other := range st.tasks[key.task.Index].attempts {
+		if other.key() != key && (other.listed || other.phase == phaseStarted) {
+			s.emit("runs-overlap", string(key.task.Job), key.task.String(), w, string(other.worker.id), int64(other.run))
+		}
+	}
+}
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -26,7 +26,7 @@
 	w.heartbeat.acknowledges = heartbeat.Acked > 0
 	// The lease of a silent worker is not extended, so that its runs expire at a known time.
 	if renew && now-w.lastReportAt < suspectAfter && s.renewalDue(w, now) {
-		heartbeat.LeaseEnd = w.newLeaseEnd(now, s.cfg.Lease)
+		heartbeat.LeaseEnd = s.presumed.noteLease(w, w.newLeaseEnd(now, s.cfg.Lease))
 		w.heartbeat.grant = s.addGrant(w, now+maxCommandDelay, now)
 		w.renewedAt = now
 	}
@@ -77,10 +77,12 @@
 	w.tokenSeen, w.clock, w.clockReadAt, w.lastReportAt = true, r.Clock, now, now
 	w.reportConnection = r.Connection
 	listed := make(map[runKey]bool, len(r.Running)+len(r.Ended))
+	var margin lapseMargin
 	for _, end := range r.Ended {
 		listed[runKey{end.Task, end.Run}] = true
-		s.applyEnd(w, end, now)
+		s.applyEnd(w, end, &margin, now)
 	}
+	s.emitMargin(w, margin)
 	for _, row := range r.Running {
 		key := runKey{row.Task, row.Run}
 		listed[key] = true
@@ -158,7 +160,7 @@
 
 // applyEnd applies an ended run of a report unless it was processed before, and has it acknowledged after the next
 // commit.
-func (s *Shard) applyEnd(w *worker, end agent.EndedRun, now time.Duration) {
+func (s *Shard) applyEnd(w *worker, end agent.EndedRun, margin *lapseMargin, now time.Duration) {
 	key := runKey{end.Task, end.Run}
 	if end.Number > w.lastEndSeen && !s.holdEnd(w, end) {
 		w.lastEndSeen = end.Number
@@ -167,6 +169,7 @@
 			notBefore = a.lateStartsUntil()
 			s.endRun(a, end.Outcome, end.Checkpoint, now)
 		} else {
+			s.checkPresumedEnd(w, key, end.Outcome, margin, now)
 			s.countLateEnd(end, now)
 		}
 		w.pendingAcks = append(w.pendingAcks, pendingAck{end.Number, s.nextCommit, notBefore})
@@ -177,10 +180,12 @@
 func (s *Shard) applyRunning(w *worker, key runKey, row agent.ActiveRun, now time.Duration) {
 	a, ok := w.attempts[key]
 	if !ok {
+		s.checkPresumedRun(w, key, now)
 		switch {
 		case s.holdRun(w, key, now):
 		case s.adoptRun(w, key, now):
 			s.emit("run-unknown", string(key.task.Job), key.task.String(), w, "adopted", int64(key.run))
+			s.checkOverlap(w, key)
 		case w.unknownRuns[key] == nil:
 			s.addUnknownRun(w, key, unknownRun{})
 			s.emit("run-unknown", string(key.task.Job), key.task.String(), w, "", int64(key.run))
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -33,6 +33,7 @@
 	lastGeneration int64
 	// inFlightStarts holds what workers knew that are no longer listed; see worker.inFlightStarts.
 	inFlightStarts map[model.WorkerID]map[runKey]time.Duration
+	presumed       presumedEnds
 	// toCommand holds at least the workers with a run that may have to be started or stopped.
 	toCommand map[*worker]bool
 	teamUsage map[model.TeamID]model.Resources
@@ -92,8 +93,8 @@
 		cfg: cfg, jobs: make(map[model.JobID]*job), workers: make(map[model.WorkerID]*worker),
 		teamUsage: make(map[model.TeamID]model.Resources), teamRates: make(map[model.TeamID]*tokenBucket),
 		cancelled: make(map[model.JobID]bool), held: make(map[model.JobID]bool), permittedShares: make(map[string]float64), nextCommit: 1,
-		inFlightStarts: make(map[model.WorkerID]map[runKey]time.Duration),
-		freedWorkers:   make(map[*worker]bool), toCommand: make(map[*worker]bool),
+		inFlightStarts: make(map[model.WorkerID]map[runKey]time.Duration), presumed: newPresumedEnds(),
+		freedWorkers: make(map[*worker]bool), toCommand: make(map[*worker]bool),
 	}
 }
 
@@ -272,6 +273,7 @@
 			// The session ends with the entry: its heartbeat may be carried out after the worker is listed again.
 			s.HeartbeatFailed(id, agent.ErrNoAnswer, s.lastTick)
 			delete(s.workers, id)
+			delete(s.presumed.leases, id)
 			s.keepInFlightStarts(w)
 			s.targetsVersion++
 			s.membersChanged = true
