fix(shard): an answer from before a presumed end neither refutes nor confirms it

The owner had been suspended for 10.7 s, counted runs as gone when it woke up, and read answers that had waited in its sockets from before. Reports count only if the worker was asked after the presumed end. A run that such an answer lists is compared again at the next report, also if the owner has adopted it meanwhile.

--- a/internal/shard/gone.go
+++ b/internal/shard/gone.go
@@ -58,6 +58,10 @@
 	return e.incarnation != 0 && e.incarnation != incarnation
 }
 
+// precedes reports whether the worker was asked for its last report after the end was presumed. It may have given an earlier answer
+// before that, which an owner that stood still reads late.
+func (e presumedEnd) precedes(w *worker) bool { return w.heartbeat.sentAt >= e.at }
+
 // presumedEnds keeps the latest presumed ends, to compare them with what the workers report later.
 type presumedEnds struct {
 	byRun map[runKey]presumedEnd
@@ -155,6 +159,9 @@
 
 // checkPresumedRun reports a run that a worker still has though its end was presumed. The event's value is the time since then.
 func (s *Shard) checkPresumedRun(w *worker, key runKey, now time.Duration) {
+	if end, ok := s.presumed.byRun[key]; !ok || !end.precedes(w) {
+		return
+	}
 	if end, ok := s.takePresumedEnd(key, now); ok {
 		s.emitRefuted(w, key, end, "running", now)
 	}
@@ -168,7 +175,7 @@
 	case !ok:
 	case end.reason != goneLease || end.worker != w.id || end.onOther(w.incarnation):
 		s.emitRefuted(w, key, end, string(outcome), now)
-	case end.leaseEnd > 0:
+	case end.leaseEnd > 0 && end.precedes(w):
 		// The reading of the worker's clock was taken now or earlier, so that the margin is at least this long.
 		left := end.at - (now - (w.clock - end.leaseEnd))
 		if margin.runs == 0 || left < margin.least {
@@ -197,10 +204,6 @@
 	} else if end.leaseEnd > 0 {
 		detail += fmt.Sprintf(" lease-left=%v", end.leaseEnd-w.clock)
 	}
-	if w.heartbeat.sentAt < end.at {
-		// The worker may have answered before the end was presumed.
-		detail += " asked-before=true"
-	}
 	s.emit(EventPresumedEndRefuted, string(key.task.Job), key.task.String(), w, detail, (now - end.at).Milliseconds())
 }
 
--- a/internal/shard/gone_test.go
+++ b/internal/shard/gone_test.go
@@ -44,6 +44,15 @@
 	return Event{}
 }
 
+// runningReport and lapsedReport return reports that list the started run.
+func runningReport(cmd StartCommand) agent.Report {
+	return agent.Report{Running: []agent.ActiveRun{{Task: cmd.Start.Task, Run: cmd.Start.Run}}}
+}
+
+func lapsedReport(cmd StartCommand) agent.Report {
+	return agent.Report{Ended: []agent.EndedRun{firstEnd(cmd, agent.OutcomeLeaseExpired)}}
+}
+
 // requireWords requires that the event's detail holds these words.
 func requireWords(t *testing.T, e Event, words ...string) {
 	t.Helper()
@@ -55,9 +64,6 @@
 // TestReportAfterPresumedEnd guards against presumed ends that a later report refutes or confirms without a trace in the log.
 func TestReportAfterPresumedEnd(t *testing.T) {
 	type report func(start StartCommand) agent.Report
-	running := func(cmd StartCommand) agent.Report {
-		return agent.Report{Running: []agent.ActiveRun{{Task: cmd.Start.Task, Run: cmd.Start.Run}}}
-	}
 	ended := func(outcome agent.RunOutcome) report {
 		return func(cmd StartCommand) agent.Report {
 			return agent.Report{Ended: []agent.EndedRun{firstEnd(cmd, outcome)}}
@@ -87,17 +93,17 @@
 		words    []string
 	}{
 		{
-			"alive after its lease", lapse, false, running, EventPresumedEndRefuted,
+			"alive after its lease", lapse, false, runningReport, EventPresumedEndRefuted,
 			[]string{"proof=lease-expired", "bound=own-lease", "run=1", "inherited=false", "seen=running"},
 		},
-		{"lapsed", lapse, false, ended(agent.OutcomeLeaseExpired), EventPresumedEndsConfirmed, []string{"bound=own-lease", "runs=1"}},
+		{"lapsed", lapse, false, lapsedReport, EventPresumedEndsConfirmed, []string{"bound=own-lease", "runs=1"}},
 		{"done while silent", lapse, false, ended(agent.OutcomeDone), EventPresumedEndsConfirmed, []string{"bound=own-lease", "runs=1"}},
 		{
-			"alive after a restart", lapse, true, running, EventPresumedEndRefuted,
+			"alive after a restart", lapse, true, runningReport, EventPresumedEndRefuted,
 			[]string{"proof=lease-expired", "seen=running", "restarted=true"},
 		},
 		{
-			"alive though not listed before", notListed, false, running, EventPresumedEndRefuted,
+			"alive though not listed before", notListed, false, runningReport, EventPresumedEndRefuted,
 			[]string{"proof=not-listed", "bound=none", "seen=running"},
 		},
 		{
@@ -105,7 +111,7 @@
 			[]string{"proof=not-listed", "seen=done"},
 		},
 		{
-			"on the next incarnation", restart, false, running, EventPresumedEndRefuted,
+			"on the next incarnation", restart, false, runningReport, EventPresumedEndRefuted,
 			[]string{"proof=worker-restarted", "seen=running"},
 		},
 		{"not seen again", lapse, false, func(StartCommand) agent.Report { return agent.Report{} }, "", nil},
@@ -116,7 +122,7 @@
 			h.submitJob(tasks(1))
 			starts := h.confirmStarts()
 			assert.Equal(t, len(starts), 1)
-			h.report("w1", running(starts[0]))
+			h.report("w1", runningReport(starts[0]))
 			tt.presume(h)
 			presumedAt := h.now
 			events := h.collectEvents(EventPresumedEndRefuted, EventPresumedEndsConfirmed)
@@ -187,12 +193,8 @@
 		report func(StartCommand) agent.Report
 		want   int
 	}{
-		{"alive", func(cmd StartCommand) agent.Report {
-			return agent.Report{Running: []agent.ActiveRun{{Task: cmd.Start.Task, Run: cmd.Start.Run}}}
-		}, 1},
-		{"lapsed", func(cmd StartCommand) agent.Report {
-			return agent.Report{Ended: []agent.EndedRun{firstEnd(cmd, agent.OutcomeLeaseExpired)}}
-		}, 0},
+		{"alive", runningReport, 1},
+		{"lapsed", lapsedReport, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -215,6 +217,44 @@
 	}
 }
 
+// TestReportFromBeforePresumedEndTellsNothing guards against presumed ends that are said to be refuted, or to have a margin, by an
+// answer from before them, which an owner that stood still reads late.
+func TestReportFromBeforePresumedEndTellsNothing(t *testing.T) {
+	tests := []struct {
+		name   string
+		report func(StartCommand) agent.Report
+		// then is how the next report lists the run.
+		then func(StartCommand) agent.Report
+		want []string
+	}{
+		{"running, then running", runningReport, runningReport, []string{EventPresumedEndRefuted}},
+		{"running, then lapsed", runningReport, lapsedReport, nil},
+		{"lapsed", lapsedReport, lapsedReport, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newAgedHarness(t, "w1")
+			h.submitJob(tasks(1))
+			starts := h.confirmStarts()
+			assert.Equal(t, len(starts), 1)
+			_, ok := h.shard.HeartbeatFor("w1", h.now, true)
+			assert.Assert(t, ok)
+			early := tt.report(starts[0])
+			early.Clock, early.Incarnation = h.clock["w1"]+time.Millisecond, h.incarnation["w1"]
+			h.silence(time.Minute)
+			events := h.collectEvents(EventPresumedEndRefuted, EventPresumedEndsConfirmed)
+			h.shard.ApplyReport("w1", early, h.now)
+			assert.Equal(t, len(*events), 0)
+			h.report("w1", tt.then(starts[0]))
+			var got []string
+			for _, e := range *events {
+				got = append(got, e.Name)
+			}
+			assert.DeepEqual(t, got, tt.want)
+		})
+	}
+}
+
 // TestSecondRunBesideAdoptedOne guards against two runs of a task that the owner learns of without a trace in the log.
 func TestSecondRunBesideAdoptedOne(t *testing.T) {
 	h := newAgedHarness(t, "w1", "w2")
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -178,9 +178,9 @@
 
 // applyRunning applies a reported run: its start is confirmed, and its progress and checkpoint are updated.
 func (s *Shard) applyRunning(w *worker, key runKey, row agent.ActiveRun, now time.Duration) {
+	s.checkPresumedRun(w, key, now)
 	a, ok := w.attempts[key]
 	if !ok {
-		s.checkPresumedRun(w, key, now)
 		switch {
 		case s.holdRun(w, key, now):
 		case s.adoptRun(w, key, now):
