--- a/internal/shard/gone.go
+++ b/internal/shard/gone.go
@@ -207,12 +207,14 @@
 	s.emit(EventPresumedEndRefuted, string(key.task.Job), key.task.String(), w, detail, (now - end.at).Milliseconds())
 }
 
-// emitMargin reports how long before the presumed ends that a report confirms the worker's lease had expired.
-func (s *Shard) emitMargin(w *worker, margin lapseMargin) {
+// emitMargin reports how long, at least, before the presumed ends that a report confirms the worker's lease had expired. The reading
+// of the worker's clock may be as old as the answer took, and the margin that much longer.
+func (s *Shard) emitMargin(w *worker, margin lapseMargin, now time.Duration) {
 	if margin.runs == 0 {
 		return
 	}
-	detail := fmt.Sprintf("bound=%s runs=%d", margin.bound, margin.runs)
+	detail := fmt.Sprintf("bound=%s runs=%d answer-time=%v", margin.bound, margin.runs,
+		(now - w.heartbeat.sentAt).Round(time.Millisecond))
 	s.emit(EventPresumedEndsConfirmed, "", "", w, detail, margin.least.Milliseconds())
 }
 
--- a/internal/shard/gone_test.go
+++ b/internal/shard/gone_test.go
@@ -179,6 +179,7 @@
 			events := h.collectEvents(EventPresumedEndsConfirmed)
 			h.report("w1", agent.Report{Ended: []agent.EndedRun{firstEnd(starts[0], agent.OutcomeLeaseExpired)}})
 			assert.Equal(t, len(*events), 1)
+			requireWords(t, (*events)[0], "answer-time=0s")
 			want := presumedAt - (sent + leaseEnd - clock) - tt.slow
 			assert.Equal(t, (*events)[0].Value, want.Milliseconds())
 		})
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -82,7 +82,7 @@
 		listed[runKey{end.Task, end.Run}] = true
 		s.applyEnd(w, end, &margin, now)
 	}
-	s.emitMargin(w, margin)
+	s.emitMargin(w, margin, now)
 	for _, row := range r.Running {
 		key := runKey{row.Task, row.Run}
 		listed[key] = true
