fix(shard): margins of presumed ends follow the rate of the worker's clock

The end of a lease was counted back from the worker's first report after its silence as if its clock ran at the owner's rate. The end is now interpolated between the readings before and after the silence, and the event names the rate.

--- a/internal/shard/gone.go
+++ b/internal/shard/gone.go
@@ -51,6 +51,9 @@
 	silence time.Duration
 	// leaseEnd is the latest lease end on the worker's clock that this owner has named to the incarnation, or zero.
 	leaseEnd time.Duration
+	// clock is the last reading of that clock, read at clockReadAt.
+	clock       time.Duration
+	clockReadAt time.Duration
 }
 
 // onOther reports whether the run was presumed to be on another incarnation than this one.
@@ -62,6 +65,16 @@
 // before that, which an owner that stood still reads late.
 func (e presumedEnd) precedes(w *worker) bool { return w.heartbeat.sentAt >= e.at }
 
+// clockRate returns how fast the worker's clock ran from the last report before the presumed end to a later reading.
+func (e presumedEnd) clockRate(clock, readAt time.Duration) float64 {
+	return float64(clock-e.clock) / float64(readAt-e.clockReadAt)
+}
+
+// lapsedAt returns when the worker's clock read the end of its lease, according to a reading before and a later one.
+func (e presumedEnd) lapsedAt(clock, readAt time.Duration) time.Duration {
+	return e.clockReadAt + time.Duration(float64(e.leaseEnd-e.clock)/e.clockRate(clock, readAt))
+}
+
 // presumedEnds keeps the latest presumed ends, to compare them with what the workers report later.
 type presumedEnds struct {
 	byRun map[runKey]presumedEnd
@@ -124,7 +137,7 @@
 	s.emit("run-gone", string(a.stage.job.spec.ID), a.ref().String(), w, string(reason), silence.Milliseconds())
 	end := presumedEnd{
 		worker: w.id, incarnation: w.incarnation, reason: reason, bound: boundNone, inherited: a.commitNumber == 0, at: now,
-		silence: silence, leaseEnd: s.presumed.leaseOf(w),
+		silence: silence, leaseEnd: s.presumed.leaseOf(w), clock: w.clock, clockReadAt: w.clockReadAt,
 	}
 	if reason == goneLease {
 		end.bound = s.leaseBoundOf(a, now)
@@ -152,9 +165,10 @@
 
 // lapseMargin sums up the presumed ends that one report confirms.
 type lapseMargin struct {
-	runs  int
-	least time.Duration
-	bound leaseBound
+	runs      int
+	least     time.Duration
+	bound     leaseBound
+	clockRate float64
 }
 
 // checkPresumedRun reports a run that a worker still has though its end was presumed. The event's value is the time since then.
@@ -176,10 +190,8 @@
 	case end.reason != goneLease || end.worker != w.id || end.onOther(w.incarnation):
 		s.emitRefuted(w, key, end, string(outcome), now)
 	case end.leaseEnd > 0 && end.precedes(w):
-		// The reading of the worker's clock was taken now or earlier, so that the margin is at least this long.
-		left := end.at - (now - (w.clock - end.leaseEnd))
-		if margin.runs == 0 || left < margin.least {
-			margin.least, margin.bound = left, end.bound
+		if left := end.at - end.lapsedAt(w.clock, now); margin.runs == 0 || left < margin.least {
+			margin.least, margin.bound, margin.clockRate = left, end.bound, end.clockRate(w.clock, now)
 		}
 		margin.runs++
 	}
@@ -213,7 +225,7 @@
 	if margin.runs == 0 {
 		return
 	}
-	detail := fmt.Sprintf("bound=%s runs=%d answer-time=%v", margin.bound, margin.runs,
+	detail := fmt.Sprintf("bound=%s runs=%d clock-rate=%.3f answer-time=%v", margin.bound, margin.runs, margin.clockRate,
 		(now - w.heartbeat.sentAt).Round(time.Millisecond))
 	s.emit(EventPresumedEndsConfirmed, "", "", w, detail, margin.least.Milliseconds())
 }
