--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -24,7 +24,7 @@
 	w.heartbeat.acked = heartbeat.Acked
 	// The lease of a silent worker is not extended, so that its runs expire at a known time.
 	if renew && now-w.lastReportAt < suspectAfter && s.renewalDue(w, now) {
-		heartbeat.LeaseEnd = w.newLeaseEnd(now, s.cfg.Lease)
+		heartbeat.LeaseEnd = s.presumed.noteLease(w, w.newLeaseEnd(now, s.cfg.Lease))
 		w.heartbeat.grant = s.addGrant(w, now+maxCommandDelay, now)
 		w.renewedAt = now
 	}
@@ -78,10 +78,12 @@
 	w.tokenSeen, w.clock, w.clockReadAt, w.lastReportAt = true, r.Clock, now, now
 	w.reportConnection = r.Connection
 	listed := make(map[runKey]bool, len(r.Running)+len(r.Ended))
+	var margin lapseMargin
 	for _, end := range r.Ended {
 		listed[runKey{end.Task, end.Run}] = true
-		s.applyEnd(w, end, now)
+		s.applyEnd(w, end, &margin, now)
 	}
+	s.emitMargin(w, margin, now)
 	for _, row := range r.Running {
 		key := runKey{row.Task, row.Run}
 		listed[key] = true
@@ -160,7 +162,7 @@
 
 // applyEnd applies an ended run of a report unless it was processed before, and has it acknowledged after the next
 // commit.
-func (s *Shard) applyEnd(w *worker, end agent.EndedRun, now time.Duration) {
+func (s *Shard) applyEnd(w *worker, end agent.EndedRun, margin *lapseMargin, now time.Duration) {
 	key := runKey{end.Task, end.Run}
 	if end.Number > w.lastEndSeen && !s.holdEnd(w, end) {
 		w.lastEndSeen = end.Number
@@ -168,6 +170,7 @@
 		if a, ok := w.attempts[key]; ok {
 			s.endRun(a, end.Outcome, end.Checkpoint, now)
 		} else {
+			s.checkPresumedEnd(w, key, end.Outcome, margin, now)
 			s.countLateEnd(end, now)
 		}
 		w.pendingAcks = append(w.pendingAcks, pendingAck{end.Number, s.nextCommit, notBefore})
@@ -176,12 +179,14 @@
 
 // applyRunning applies a reported run: its start is confirmed, and its progress and checkpoint are updated.
 func (s *Shard) applyRunning(w *worker, key runKey, row agent.ActiveRun, now time.Duration) {
+	s.checkPresumedRun(w, key, now)
 	a, ok := w.attempts[key]
 	if !ok {
 		switch {
 		case s.holdRun(w, key, now):
 		case s.adoptRun(w, key, now):
 			s.emit("run-unknown", string(key.task.Job), key.task.String(), w, "adopted", int64(key.run))
+			s.checkOverlap(w, key)
 		case w.unknownRuns[key] == nil:
 			s.addUnknownRun(w, key, unknownRun{})
 			s.emit("run-unknown", string(key.task.Job), key.task.String(), w, "", int64(key.run))
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -37,6 +37,7 @@
 	// inFlightStarts holds what workers knew that are no longer listed; see worker.inFlightStarts.
 	inFlightStarts map[model.WorkerID]map[runKey]time.Duration
 	lateArrivals   map[model.WorkerID]lateArrivals
+	presumed       presumedEnds
 	// toCommand holds at least the workers with a run that may have to be started or stopped.
 	toCommand map[*worker]bool
 	teamUsage map[model.TeamID]model.Resources
@@ -97,6 +98,7 @@
 		teamUsage: make(map[model.TeamID]model.Resources), teamRates: make(map[model.TeamID]*tokenBucket),
 		cancelled: make(map[model.JobID]bool), held: make(map[model.JobID]bool), permittedShares: make(map[string]float64), nextCommit: 1,
 		inFlightStarts: make(map[model.WorkerID]map[runKey]time.Duration), lateArrivals: make(map[model.WorkerID]lateArrivals),
+		presumed:     newPresumedEnds(),
 		freedWorkers: make(map[*worker]bool), toCommand: make(map[*worker]bool),
 	}
 }
@@ -277,6 +279,7 @@
 			// The session ends with the entry: its heartbeat may be carried out after the worker is listed again.
 			s.HeartbeatFailed(id, agent.ErrNoAnswer, s.lastTick)
 			delete(s.workers, id)
+			delete(s.presumed.leases, id)
 			s.keepInFlightStarts(w)
 			s.keepLateArrivals(w)
 			s.targetsVersion++
