test(owner): simulations that repeat, with troubles of nodes between any two steps

A seed of the takeover simulations didn't repeat: draws depended on the order in which goroutines asked, calls woke at the same moment, a call was carried out when its caller gave up, and two selects of the owner and the order of map keys left the rest to chance.

- Each draw is derived from the seed and the name of what it is for; calls take a time of their own to the nanosecond and go on when their caller gives up.
- Config.Step announces each step of an owner.
The simulation gives each a moment of its own there, and lets the node stand still for 0.05 to 12 s.
- A tick that is due goes before a signal to decide; sessions begin and end in the workers' order.
- The simulations go on after a failing seed, sum up, count which troubles met a takeover, two owners or a run presumed gone while alive, and write the trace by time of a failing seed to -sim.traces.

--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -10,6 +10,7 @@
 	"arbutuswing.example/internal/agent"
 	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/shard"
+	"arbutuswing.example/internal/work"
 )
 
 const (
@@ -145,7 +146,10 @@
 	ow := a.ownership
 	req := call.Request
 	req.Timeout = model.Duration(load + callTimeoutMargin)
+	about := work.TaskRef{Job: req.Stage.Job, Occurrence: req.Stage.Occurrence, Stage: req.Stage.Stage}
+	ow.step(Step{Name: "ask advice", Task: about})
 	advice, err := a.call(ctx, node, req)
+	ow.step(Step{Name: "apply advice", Task: about})
 	a.mu.Lock()
 	a.end(node, call.ServiceTime)
 	if err != nil && ctx.Err() == nil {
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -20,6 +20,7 @@
 func (ow *ownership) runCommits(ctx context.Context) {
 	defer ow.group.Done()
 	for ctx.Err() == nil {
+		ow.step(Step{Name: "take commit"})
 		ow.mu.Lock()
 		commit := ow.shard.TakeCommit(ow.now())
 		ow.mu.Unlock()
@@ -35,6 +36,7 @@
 			ow.cfg.Log.Info("commits stopped", zap.Int64("epoch", ow.epoch), zap.Error(err))
 			return
 		}
+		ow.step(Step{Name: "mark committed"})
 		ow.mu.Lock()
 		ow.shard.MarkCommitted(commit.Number)
 		ow.mu.Unlock()
@@ -112,6 +114,7 @@
 				ow.cfg.Log.Info("deleting submissions failed", zap.Int("jobs", len(ids)), zap.Error(err))
 				return
 			}
+			ow.step(Step{Name: "mark dropped"})
 			ow.mu.Lock()
 			ow.shard.MarkDropped(ids)
 			ow.mu.Unlock()
@@ -148,6 +151,7 @@
 			return
 		case <-ticker.C:
 		}
+		ow.step(Step{Name: "prove ownership"})
 		ow.mu.Lock()
 		needed := ow.permission.needsProof(time.Now())
 		ow.mu.Unlock()
@@ -178,7 +182,9 @@
 		if !unanswered {
 			begun = time.Now()
 		}
+		ow.step(Step{Name: "append", Topic: topic})
 		err := ow.cfg.Store.Append(ctx, batch)
+		ow.step(Step{Name: "handle append", Topic: topic})
 		unanswered = unanswered || errors.Is(err, ledger.ErrNoAnswer)
 		switch {
 		case err == nil:
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -72,6 +72,29 @@
 	// Shard configures the shard; each ownership sets Epoch and Events.
 	Shard shard.Config
 	Log   *zap.Logger
+	// Step, if set, is called without locks before each step that depends on the steps of other goroutines or processes. A
+	// simulation decides there in which order and how late they are taken.
+	Step func(Step)
+}
+
+// Step identifies a step of an owner for Config.Step; fields that don't apply are zero.
+type Step struct {
+	// Name is what is about to be done, such as "decide".
+	Name  string
+	Epoch int64
+	Topic ledger.Topic
+	// Target is the worker that the step is about.
+	Target agent.Target
+	// Task is the task, or the first one of the stage.
+	Task work.TaskRef
+	Run  int
+}
+
+// step announces a step.
+func (o *Owner) step(s Step) {
+	if o.cfg.Step != nil {
+		o.cfg.Step(s)
+	}
 }
 
 // Owner takes part in the group of nodes that may own jobs, and takes over the jobs when their owner has left the group.
@@ -175,8 +198,10 @@
 		if current := o.current(); current != nil && !candidate {
 			o.endOwnership(current, "another owner chose stronger nodes")
 		}
+		o.step(Step{Name: "renew membership"})
 		begun := time.Now()
 		assignment, err := o.cfg.Store.Join(ctx, *m)
+		o.step(Step{Name: "handle renewal"})
 		interval := joinInterval
 		switch {
 		case ctx.Err() != nil:
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -120,6 +120,14 @@
 	ow.cfg.Log.Info(e.Name, append(fields, zap.Int64("value", e.Value))...)
 }
 
+// step announces a step under the ownership's epoch.
+func (ow *ownership) step(s Step) {
+	if ow.cfg.Step != nil {
+		s.Epoch = ow.epoch
+		ow.cfg.Step(s)
+	}
+}
+
 func (ow *ownership) now() time.Duration { return time.Since(ow.start) }
 
 func (ow *ownership) signalDecide() {
@@ -285,6 +293,7 @@
 			continue
 		}
 		next = page.Next
+		ow.step(Step{Name: "take jobs"})
 		ow.mu.Lock()
 		ow.inboxRead = begun
 		now := ow.now()
@@ -328,7 +337,8 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	lastLogged := time.Now()
-	for {
+	for ctx.Err() == nil {
+		ow.step(Step{Name: "decide"})
 		ow.mu.Lock()
 		if time.Since(lastLogged) > loadLogInterval {
 			lastLogged = time.Now()
@@ -348,12 +358,22 @@
 		if decided {
 			ow.signalCommit()
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-ow.decideSignal:
-			pause.For(ctx, max(batchDelay, pausePerDecision*took))
-		}
+		ow.waitForDecision(ctx, ticker, max(batchDelay, pausePerDecision*took))
+	}
+}
+
+// waitForDecision waits until a tick is due, or until something has to be decided and a pause is over. A tick that is due goes
+// first, so that chance doesn't choose between them.
+func (ow *ownership) waitForDecision(ctx context.Context, ticker *time.Ticker, decisionPause time.Duration) {
+	select {
+	case <-ticker.C:
+		return
+	default:
+	}
+	select {
+	case <-ctx.Done():
+	case <-ticker.C:
+	case <-ow.decideSignal:
+		pause.For(ctx, decisionPause)
 	}
 }
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"arbutuswing.example/internal/agent"
@@ -46,19 +48,19 @@
 	for _, target := range targets {
 		listed[target.ID] = target
 	}
-	for id, s := range ow.sessions {
-		if listed[id] != s.target {
+	for _, id := range slices.Sorted(maps.Keys(ow.sessions)) {
+		if s := ow.sessions[id]; listed[id] != s.target {
 			s.cancel()
 			delete(ow.sessions, id)
 		}
 	}
-	for id, target := range listed {
-		if ow.sessions[id] != nil {
+	for _, target := range targets {
+		if ow.sessions[target.ID] != nil {
 			continue
 		}
 		sessionCtx, cancel := context.WithCancel(ctx)
 		s := &workerSession{ownership: ow, target: target, cancel: cancel}
-		ow.sessions[id] = s
+		ow.sessions[target.ID] = s
 		go s.run(sessionCtx)
 	}
 }
@@ -78,6 +80,7 @@
 func (s *workerSession) run(ctx context.Context) {
 	ow := s.ownership
 	for ctx.Err() == nil {
+		ow.step(Step{Name: "prepare heartbeat", Target: s.target})
 		ow.mu.Lock()
 		heartbeat, ok := ow.shard.HeartbeatFor(s.target.ID, ow.now(), ow.permission.valid(time.Now()))
 		busy, workers := ow.shard.Busy(s.target.ID), len(ow.sessions)
@@ -92,7 +95,9 @@
 		default:
 			heartbeat.Wait = idleWait
 		}
+		ow.step(Step{Name: "send heartbeat", Target: s.target})
 		report, err := ow.cfg.Workers.Heartbeat(ctx, s.target, heartbeat)
+		ow.step(Step{Name: "apply report", Target: s.target})
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -163,7 +168,9 @@
 }
 
 func (ow *ownership) runStart(ctx context.Context, cmd shard.StartCommand) {
+	ow.step(Step{Name: "send start", Target: cmd.Target, Task: cmd.Start.Task, Run: cmd.Start.Run})
 	clock, err := ow.cfg.Workers.Start(ctx, cmd.Target, cmd.Start)
+	ow.step(Step{Name: "apply start result", Target: cmd.Target, Task: cmd.Start.Task, Run: cmd.Start.Run})
 	if ow.fencedByOther(cmd.Target, cmd.Start.Token, err) {
 		return
 	}
@@ -174,7 +181,9 @@
 }
 
 func (ow *ownership) runStop(ctx context.Context, cmd shard.StopCommand) {
+	ow.step(Step{Name: "send stop", Target: cmd.Target, Task: cmd.Stop.Task, Run: cmd.Stop.Run})
 	clock, err := ow.cfg.Workers.Stop(ctx, cmd.Target, cmd.Stop)
+	ow.step(Step{Name: "apply stop result", Target: cmd.Target, Task: cmd.Stop.Task, Run: cmd.Stop.Run})
 	if ow.fencedByOther(cmd.Target, cmd.Stop.Token, err) {
 		return
 	}
--- a/internal/owner/simfleet_test.go
+++ b/internal/owner/simfleet_test.go
@@ -1,14 +1,19 @@
 package owner
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"maps"
+	"math/rand"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"arbutuswing.example/internal/agent"
+	"arbutuswing.example/internal/ledger"
 	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/pause"
 	"arbutuswing.example/internal/work"
@@ -205,7 +210,10 @@
 			w.ended = w.ended[1:]
 		}
 		report.Ended = slices.Clone(w.ended)
-		for key := range w.running {
+		runs := slices.SortedFunc(maps.Keys(w.running), func(a, b simRun) int {
+			return cmp.Or(strings.Compare(a.task.String(), b.task.String()), cmp.Compare(a.run, b.run))
+		})
+		for _, key := range runs {
 			report.Running = append(report.Running, agent.ActiveRun{Task: key.task, Run: key.run, Percent: int(clock/time.Second) % 100})
 		}
 		return nil
@@ -220,49 +228,60 @@
 	connection *simConnection
 }
 
-func (s simWorkers) call(ctx context.Context, to agent.Target, command func() error) error {
+// simAnswer is a worker's answer to a command.
+type simAnswer struct {
+	clock  time.Duration
+	report agent.Report
+}
+
+// call sends a command to a worker, which may stand still until its answer for some time of its own.
+func (s simWorkers) call(ctx context.Context, to agent.Target, name string, command func() (simAnswer, error)) (simAnswer, error) {
 	s.connection.thaw(ctx)
 	s.connection.mu.Lock()
-	cut := s.connection.cutWorkers[to.ID]
+	cut := s.connection.cutWorkers[to.ID] || s.connection.killed
 	s.connection.mu.Unlock()
-	if cut {
-		pause.For(ctx, simCallTimeout)
-		return agent.ErrNoAnswer
-	}
-	pause.For(ctx, time.Millisecond)
-	err := command()
-	pause.For(ctx, time.Millisecond)
+	r := s.connection.next(name + " " + to.Address)
+	f := fate{way: simWorkerWay(r), back: simWorkerWay(r), executed: !cut, answered: !cut}
+	answer, err := deliver(ctx, f, simCallTimeout, command)
 	s.connection.thaw(ctx)
-	return err
+	if errors.Is(err, ledger.ErrNoAnswer) {
+		err = agent.ErrNoAnswer
+	}
+	return answer, err
+}
+
+// simWorkerWay draws how long a command or its answer is on its way.
+func simWorkerWay(r *rand.Rand) time.Duration {
+	return simDuration(r, 500*time.Microsecond, 1500*time.Microsecond)
 }
 
-func (s simWorkers) Start(ctx context.Context, to agent.Target, cmd agent.Start) (clock time.Duration, err error) {
-	err = s.call(ctx, to, func() (err error) {
-		clock, err = s.fleet.start(to, cmd)
-		return err
+func (s simWorkers) Start(ctx context.Context, to agent.Target, cmd agent.Start) (time.Duration, error) {
+	a, err := s.call(ctx, to, fmt.Sprintf("start of run %d of %v", cmd.Run, cmd.Task), func() (a simAnswer, err error) {
+		a.clock, err = s.fleet.start(to, cmd)
+		return a, err
 	})
-	return clock, err
+	return a.clock, err
 }
 
-func (s simWorkers) Stop(ctx context.Context, to agent.Target, cmd agent.Stop) (clock time.Duration, err error) {
-	err = s.call(ctx, to, func() (err error) {
-		clock, err = s.fleet.stop(to, cmd)
-		return err
+func (s simWorkers) Stop(ctx context.Context, to agent.Target, cmd agent.Stop) (time.Duration, error) {
+	a, err := s.call(ctx, to, fmt.Sprintf("stop of run %d of %v", cmd.Run, cmd.Task), func() (a simAnswer, err error) {
+		a.clock, err = s.fleet.stop(to, cmd)
+		return a, err
 	})
-	return clock, err
+	return a.clock, err
 }
 
-func (s simWorkers) Heartbeat(ctx context.Context, to agent.Target, cmd agent.Heartbeat) (report agent.Report, err error) {
+func (s simWorkers) Heartbeat(ctx context.Context, to agent.Target, cmd agent.Heartbeat) (agent.Report, error) {
 	if cmd.ReportConnection == 0 {
 		cmd.LeaseEnd, cmd.Acked, cmd.Wait = 0, 0, 0
 	}
-	err = s.call(ctx, to, func() error {
-		report, err = s.fleet.heartbeat(to, cmd)
-		return err
+	a, err := s.call(ctx, to, "heartbeat", func() (a simAnswer, err error) {
+		a.report, err = s.fleet.heartbeat(to, cmd)
+		return a, err
 	})
-	report.Incarnation, report.Connection = 1, 1
-	if len(report.Ended) == 0 {
+	a.report.Incarnation, a.report.Connection = 1, 1
+	if len(a.report.Ended) == 0 {
 		pause.For(ctx, min(cmd.Wait, 200*time.Millisecond))
 	}
-	return report, err
+	return a.report, err
 }
--- a/internal/owner/simstore_test.go
+++ b/internal/owner/simstore_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
+	"math"
 	"math/rand"
 	"slices"
 	"sync"
@@ -20,6 +22,12 @@
 	// holds.
 	simPartitions = 24
 	simPageKeys   = 3
+	// simMaxStep bounds the moment that each step of a node takes.
+	simMaxStep = 100 * time.Microsecond
+	// simMinStall and simMaxStall bound how long a process stands still between two steps, and simStallShare and simFirstStallShare
+	// tell how often it does before a step that was taken often, and before one that wasn't.
+	simMinStall, simMaxStall          = 50 * time.Millisecond, 12 * time.Second
+	simStallShare, simFirstStallShare = 0.0005, 0.05
 )
 
 // simStore is a store whose appends are fenced by the epochs of their producers, topic by topic, and whose pages of newest records
@@ -213,14 +221,22 @@
 	}
 }
 
-// simConnection is a node's connection to the store.
+// simConnection is a node's connection to the store and the workers.
 type simConnection struct {
 	store *simStore
+	draws simDraws
+	trace *simTrace
 
-	mu     sync.Mutex
-	random *rand.Rand
+	mu sync.Mutex
+	// drawn counts the draws for each name.
+	drawn map[string]int
 	// frozenUntil is until when the node's process stands still.
 	frozenUntil time.Time
+	// killed tells that the process has ended: its calls go nowhere.
+	killed bool
+	// stalls tells that the process stands still between two steps at times, and atStep is called when it does, with its reason.
+	stalls bool
+	atStep func(trouble string)
 	// loss is the share of writes that go unanswered; of these a third is lost, a third executed late and a third executed.
 	loss float64
 	// refusals is the share of calls that are refused.
@@ -234,8 +250,8 @@
 
 func newSimConnection(store *simStore, seed int64) *simConnection {
 	return &simConnection{
-		store: store, random: rand.New(rand.NewSource(seed)), cutAppends: make(map[ledger.Topic]bool),
-		cutReads: make(map[ledger.Topic]bool), cutWorkers: make(map[model.WorkerID]bool),
+		store: store, draws: simDraws{seed}, trace: &simTrace{begun: time.Now()}, drawn: make(map[string]int),
+		cutAppends: make(map[ledger.Topic]bool), cutReads: make(map[ledger.Topic]bool), cutWorkers: make(map[model.WorkerID]bool),
 	}
 }
 
@@ -252,13 +268,21 @@
 // heal ends all troubles but a freeze.
 func (c *simConnection) heal() {
 	c.set(func(c *simConnection) {
-		c.loss, c.refusals, c.cutGroups = 0, 0, false
+		c.loss, c.refusals, c.cutGroups, c.stalls = 0, 0, false, false
 		clear(c.cutAppends)
 		clear(c.cutReads)
 		clear(c.cutWorkers)
 	})
 }
 
+// next returns the generator of the next draw for a name.
+func (c *simConnection) next(name string) *rand.Rand {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drawn[name]++
+	return c.draws.rand(name, c.drawn[name])
+}
+
 // thaw waits until the process runs.
 func (c *simConnection) thaw(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -272,57 +296,136 @@
 	}
 }
 
-// fate is what happens to a call: its way to the store and back, whether it is executed, how late, and whether it is answered.
+// thawFor does the same, and takes a moment of its own if the process stood still.
+func (c *simConnection) thawFor(ctx context.Context, name string) {
+	begun := time.Now()
+	if c.thaw(ctx); time.Now().After(begun) {
+		pause.For(ctx, time.Duration(1+c.next("thaw for "+name).Int63n(int64(simMaxStep))))
+	}
+}
+
+// step takes a moment of its own, so that the seed decides in which order the goroutines of a node go on, and longer while the
+// process stands still.
+func (c *simConnection) step(name string) {
+	r := c.next("step " + name)
+	time.Sleep(time.Duration(1 + r.Int63n(int64(simMaxStep))))
+	c.mu.Lock()
+	share := 0.0
+	if c.stalls {
+		// Steps that are taken once stand still more often than those that are taken again and again.
+		share = max(simStallShare, simFirstStallShare/float64(c.drawn["step "+name]))
+	}
+	c.mu.Unlock()
+	if r.Float64() < share {
+		length := time.Duration(float64(simMinStall) * math.Pow(float64(simMaxStall)/float64(simMinStall), r.Float64()))
+		c.trace.add("stands still for %v before %s", length, name)
+		c.freeze(length)
+		if c.atStep != nil {
+			c.atStep("stall")
+		}
+	}
+	for {
+		c.mu.Lock()
+		left := time.Until(c.frozenUntil)
+		c.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		time.Sleep(left + time.Duration(1+r.Int63n(int64(simMaxStep))))
+	}
+}
+
+// fate is what happens to a call: its ways to the other side and back, whether it is executed, how late, and whether it is
+// answered.
 type fate struct {
-	way                         time.Duration
+	way, back                   time.Duration
 	refused, executed, answered bool
 	late                        time.Duration
 }
 
-func (c *simConnection) draw(write, cut bool) fate {
+// draw draws the fate of a call; a cut one gets lost.
+func (c *simConnection) draw(name string, write, cut bool) fate {
+	r := c.next(name)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	f := fate{way: time.Duration(1+c.random.Intn(20)) * time.Millisecond, executed: true, answered: true}
+	f := fate{way: simWay(r), back: simWay(r), executed: true, answered: true}
 	switch {
-	case cut:
+	case cut || c.killed:
 		f.executed, f.answered = false, false
-	case c.random.Float64() < c.refusals:
+	case r.Float64() < c.refusals:
 		f.refused = true
-	case write && c.random.Float64() < c.loss:
+	case write && r.Float64() < c.loss:
 		f.answered = false
-		switch c.random.Intn(3) {
+		switch r.Intn(3) {
 		case 0:
 			f.executed = false
 		case 1:
-			f.late = time.Duration(1000+c.random.Intn(5000)) * time.Millisecond
+			f.late = simDuration(r, time.Second, 6*time.Second)
 		}
 	}
 	return f
 }
 
-// call makes a call; the process may stand still before and after it.
-func (c *simConnection) call(ctx context.Context, write, cut bool, execute func() error) error {
-	c.thaw(ctx)
-	f := c.draw(write, cut)
-	pause.For(ctx, f.way)
-	var err error
-	switch {
-	case f.refused:
-		err = ledger.ErrRefused
-	case f.late > 0:
-		time.AfterFunc(f.late, func() { _ = execute() })
-	case f.executed:
-		err = execute()
-	}
-	if !f.answered {
-		pause.For(ctx, simCallTimeout)
-		err = ledger.ErrNoAnswer
-	}
-	pause.For(ctx, f.way)
-	c.thaw(ctx)
-	return err
+// simWay draws how long a call is on its way.
+func simWay(r *rand.Rand) time.Duration { return simDuration(r, time.Millisecond, 20*time.Millisecond) }
+
+// simDuration draws a duration to the nanosecond, so that hardly ever two calls arrive at the same moment.
+func simDuration(r *rand.Rand, from, to time.Duration) time.Duration {
+	return from + time.Duration(r.Int63n(int64(to-from)))
 }
 
+// deliver sends a call on its way and waits for its answer. The call goes on if the caller gives up.
+func deliver[T any](ctx context.Context, f fate, timeout time.Duration, execute func() (T, error)) (T, error) {
+	type answer struct {
+		value T
+		err   error
+	}
+	var none T
+	if ctx.Err() != nil {
+		return none, ledger.ErrNoAnswer
+	}
+	answers := make(chan answer, 1)
+	if f.executed || f.refused {
+		time.AfterFunc(f.way+f.late, func() {
+			a := answer{err: ledger.ErrRefused}
+			if !f.refused {
+				a.value, a.err = execute()
+			}
+			if f.answered {
+				time.AfterFunc(f.back, func() { answers <- a })
+			}
+		})
+	}
+	timer := time.NewTimer(timeout + f.way)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case a := <-answers:
+		return a.value, a.err
+	}
+	return none, ledger.ErrNoAnswer
+}
+
+// simCall calls the store; the process may stand still before and after it.
+func simCall[T any](ctx context.Context, c *simConnection, name string, write, cut bool, execute func() (T, error)) (T, error) {
+	if caller, ok := ctx.Value(simCaller{}).(string); ok {
+		name = caller + " " + name
+	}
+	c.thawFor(ctx, name)
+	if ctx.Err() != nil {
+		var none T
+		return none, ledger.ErrNoAnswer
+	}
+	value, err := deliver(ctx, c.draw(name, write, cut), simCallTimeout, execute)
+	c.trace.add("%s: %v", name, err)
+	c.thawFor(ctx, name)
+	return value, err
+}
+
+// simCaller is the key of the caller's name in a context. Callers that may make the same call at the same moment have one.
+type simCaller struct{}
+
 func (c *simConnection) cutTopic(topic ledger.Topic, read bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -340,76 +443,73 @@
 
 func (c *simConnection) Append(ctx context.Context, b ledger.Batch) error {
 	b.Records = slices.Clone(b.Records)
-	return c.call(ctx, true, c.cutTopic(b.Topic, false), func() error { return c.store.append(b) })
+	name := fmt.Sprintf("append of %d to %s", b.Epoch, b.Topic)
+	_, err := simCall(ctx, c, name, true, c.cutTopic(b.Topic, false), func() (struct{}, error) {
+		return struct{}{}, c.store.append(b)
+	})
+	return err
+}
+
+// simPage is a page of newest records and the end of their topic.
+type simPage struct {
+	records []ledger.Record
+	end     int64
 }
 
 func (c *simConnection) Newest(ctx context.Context, topic ledger.Topic, _ int) (ledger.Page, error) {
 	var page ledger.Page
 	for after, first := "", true; ; first = false {
-		var records []ledger.Record
-		var end int64
-		err := c.call(ctx, false, c.cutTopic(topic, true), func() error {
-			records, end = c.store.page(topic, after)
-			return nil
+		part, err := simCall(ctx, c, "newest of "+string(topic), false, c.cutTopic(topic, true), func() (simPage, error) {
+			records, end := c.store.page(topic, after)
+			return simPage{records, end}, nil
 		})
 		if err != nil {
 			return ledger.Page{}, err
 		}
 		if first {
-			page.Next = end
+			page.Next = part.end
 		}
-		page.Records = append(page.Records, records...)
-		if len(records) < simPageKeys {
+		page.Records = append(page.Records, part.records...)
+		if len(part.records) < simPageKeys {
 			return page, nil
 		}
-		after = records[len(records)-1].Key
+		after = part.records[len(part.records)-1].Key
 	}
 }
 
 func (c *simConnection) Read(
 	ctx context.Context, topic ledger.Topic, _ int, from int64, wait time.Duration,
-) (page ledger.Page, err error) {
+) (ledger.Page, error) {
 	for begun := time.Now(); ; pause.For(ctx, 20*time.Millisecond) {
-		kept := true
-		err := c.call(ctx, false, c.cutTopic(topic, true), func() error {
-			page, kept = c.store.read(topic, from)
-			return nil
-		})
-		switch {
-		case err != nil:
-			return ledger.Page{}, err
-		case !kept:
-			return ledger.Page{}, ledger.ErrTrimmed
-		case ctx.Err() != nil || len(page.Records) > 0 || time.Since(begun) >= wait:
+		page, err := simCall(ctx, c, "read of "+string(topic), false, c.cutTopic(topic, true), func() (ledger.Page, error) {
+			page, kept := c.store.read(topic, from)
+			if !kept {
+				return ledger.Page{}, ledger.ErrTrimmed
+			}
 			return page, nil
+		})
+		if err != nil || ctx.Err() != nil || len(page.Records) > 0 || time.Since(begun) >= wait {
+			return page, err
 		}
 	}
 }
 
-func (c *simConnection) Join(ctx context.Context, m ledger.Membership) (a ledger.Assignment, err error) {
-	var mu sync.Mutex
-	err = c.call(ctx, true, c.groupsCut(), func() error {
-		mu.Lock()
-		defer mu.Unlock()
-		a = c.store.join(m)
-		return nil
+func (c *simConnection) Join(ctx context.Context, m ledger.Membership) (ledger.Assignment, error) {
+	return simCall(ctx, c, "join of "+m.Group, true, c.groupsCut(), func() (ledger.Assignment, error) {
+		return c.store.join(m), nil
 	})
-	mu.Lock()
-	defer mu.Unlock()
-	return a, err
 }
 
 func (c *simConnection) Leave(ctx context.Context, m ledger.Membership) error {
-	return c.call(ctx, true, c.groupsCut(), func() error {
+	_, err := simCall(ctx, c, "leave of "+m.Group, true, c.groupsCut(), func() (struct{}, error) {
 		c.store.leave(m)
-		return nil
+		return struct{}{}, nil
 	})
+	return err
 }
 
-func (c *simConnection) Holders(ctx context.Context, group string) (holders []ledger.Holder, err error) {
-	err = c.call(ctx, false, c.groupsCut(), func() error {
-		holders = c.store.holders(group)
-		return nil
+func (c *simConnection) Holders(ctx context.Context, group string) ([]ledger.Holder, error) {
+	return simCall(ctx, c, "holders of "+group, false, c.groupsCut(), func() ([]ledger.Holder, error) {
+		return c.store.holders(group), nil
 	})
-	return holders, err
 }
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -95,6 +95,7 @@
 		ow.addJobs(&restored, inbox)
 		restored.Unreadable = append(restored.Unreadable, progressWithoutJob(restored)...)
 	}
+	ow.step(Step{Name: "restore"})
 	ow.mu.Lock()
 	ow.shard.SetConfiguration(current)
 	ow.shard.Restore(restored, ow.now(), time.Now())
@@ -180,6 +181,7 @@
 // than the limit of a takeover, but doesn't interrupt a call, because many records take long over a slow link.
 func (ow *ownership) newest(ctx context.Context, topic ledger.Topic) (ledger.Page, error) {
 	for begun := time.Now(); ; {
+		ow.step(Step{Name: "read newest", Topic: topic})
 		page, err := ow.cfg.Store.Newest(ctx, topic, Partition)
 		switch {
 		case err == nil || ctx.Err() != nil:
--- a/internal/owner/takeoversim_test.go
+++ b/internal/owner/takeoversim_test.go
@@ -6,13 +6,18 @@
 	"fmt"
 	"maps"
 	"math/rand"
+	"os"
+	"path/filepath"
+	"runtime"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"gotest.tools/v3/assert"
 
 	"arbutuswing.example/internal/agent"
@@ -28,6 +33,7 @@
 var (
 	takeoverSeeds = flag.Int("takeover.seeds", 20, "number of seeds that the takeover simulations play")
 	takeoverFirst = flag.Int64("takeover.first", 1, "first seed of the takeover simulations")
+	simTraces     = flag.String("sim.traces", "", "existing directory into which the traces of failing seeds are written")
 )
 
 const (
@@ -36,6 +42,8 @@
 	simTrouble   = 60 * time.Second
 	simRecovery  = 150 * time.Second
 	simRetention = 25 * time.Second
+	// simRepeatedSeeds is the number of seeds that are played twice.
+	simRepeatedSeeds = 100
 )
 
 // simTroubles tells which troubles a simulation plays.
@@ -44,6 +52,9 @@
 	// partitions dealt anew, history that is dropped, workers that are silent or that only one node reaches, and nodes that stop
 	// and start again.
 	freezes, losses, cuts, isolations, reassigns, trims, silences, restarts bool
+	// Nodes that are killed, stand still between any two steps or starve, owners that fail one after the other, jobs that are
+	// cancelled, and configurations that change.
+	kills, stalls, starvations, series, cancellations, configurations bool
 	// fencesTakeNumbers and repeatsGenerations are properties of the store.
 	fencesTakeNumbers, repeatsGenerations bool
 }
@@ -52,26 +63,43 @@
 type simNode struct {
 	testNode
 	connection *simConnection
+	// configuration is what the node has read, and ends tells that the process is being replaced; the system's lock is held.
+	configuration terms.Configuration
+	ends          bool
 }
 
 // simSystem is a system of nodes that share a store and a fleet.
 type simSystem struct {
 	t        *testing.T
-	random   *rand.Rand
+	draws    simDraws
+	trace    *simTrace
 	troubles simTroubles
 	store    *simStore
 	fleet    *simFleet
-	nodes    [simNodes]*simNode
 	boots    int
-	jobs     []work.Job
+	// played counts the troubles.
+	played int
+	jobs   []work.Job
+	// cancelled holds the jobs whose cancellation has been stored.
+	cancelled map[model.JobID]bool
+	met       *simMeetings
+	// seriesEnded tells that owners no longer fail one after the other.
+	seriesEnded atomic.Bool
+
+	mu    sync.Mutex
+	nodes [simNodes]*simNode
+	// configuration is the operators' newest one.
+	configuration terms.Configuration
 	// clients are the submissions under way.
 	clients sync.WaitGroup
 }
 
 func newSimSystem(t *testing.T, seed int64, troubles simTroubles) *simSystem {
 	s := &simSystem{
-		t: t, random: rand.New(rand.NewSource(seed)), troubles: troubles, store: newSimStore(), fleet: newSimFleet(simWorkerNum),
+		t: t, draws: simDraws{seed}, trace: &simTrace{begun: time.Now()}, troubles: troubles, store: newSimStore(),
+		fleet: newSimFleet(simWorkerNum), cancelled: make(map[model.JobID]bool), configuration: simConfiguration(1, true),
 	}
+	s.met = newSimMeetings(s)
 	s.store.fencesTakeNumbers, s.store.repeatsGenerations = troubles.fencesTakeNumbers, troubles.repeatsGenerations
 	for i := range s.nodes {
 		s.startNode(i)
@@ -82,49 +110,75 @@
 // startNode starts a node as a candidate.
 func (s *simSystem) startNode(i int) {
 	s.boots++
-	connection := newSimConnection(s.store, s.random.Int63())
-	configuration := terms.New(terms.Params{
-		Version: 1, Queues: []terms.Queue{{Name: testQueue, Pool: "pool", Attempts: 1}}, Teams: []terms.Team{{ID: "north", Share: 1}},
-	})
+	connection := newSimConnection(s.store, s.draws.rand("boot", s.boots).Int63())
+	connection.trace = s.trace
+	connection.atStep = s.atStep
+	node := &simNode{connection: connection}
+	s.mu.Lock()
+	node.configuration = s.configuration
+	s.mu.Unlock()
 	self := peers.NodeInfo{Node: fmt.Sprintf("n%d", i), BootID: fmt.Sprint(s.boots), Strength: 1}
-	log := zap.NewNop()
-	if testing.Verbose() {
-		log = zap.NewExample().With(zap.String("node", self.Node)).WithOptions(zap.AddStacktrace(zap.DPanicLevel))
-	}
+	log := zap.New(zapcore.NewTee(s.trace.core(self.Node), s.met.core()))
+	workers := tracedWorkers{simWorkers{s.fleet, connection}, s.trace, self.Node}
 	directory := NewDirectory(DirectoryConfig{
-		Store: connection, Self: self, Group: "owners", Client: peers.NewClient(), Log: zap.NewNop(),
+		Store: connection, Self: self, Group: "owners", Client: peers.NewClient(), Log: log,
 	})
 	directory.setRole(roleCandidate, "chosen")
 	o := New(Config{
-		Self: self, Group: "owners", Store: connection, Workers: simWorkers{s.fleet, connection}, Directory: directory, Log: log,
-		Configuration: func() (terms.Configuration, bool) { return configuration, true },
-		Registry:      func(changed func([]agent.Entry)) Runner { return fixedRegistry{s.fleet.entries(), changed} },
+		Self: self, Group: "owners", Store: connection, Workers: workers, Directory: directory, Log: log,
+		Configuration: func() (terms.Configuration, bool) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return node.configuration, true
+		},
+		Registry: func(changed func([]agent.Entry)) Runner { return fixedRegistry{s.fleet.entries(), changed} },
 		Shard: shard.Config{
 			Lease: simLease, MaxLease: simMaxLease, RenewLimit: testRenewLimit, Retention: simRetention, KillGrace: time.Second,
 		},
+		Step: func(step Step) { connection.step(fmt.Sprintf("%+v", step)) },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
-	done.Go(func() { _ = directory.Run(ctx) })
-	done.Go(func() { _ = o.Run(ctx) })
-	s.nodes[i] = &simNode{testNode{o, func() {
+	done.Go(func() { _ = directory.Run(context.WithValue(ctx, simCaller{}, self.Node+" directory")) })
+	done.Go(func() { _ = o.Run(context.WithValue(ctx, simCaller{}, self.Node)) })
+	node.testNode = testNode{o, func() {
 		cancel()
 		done.Wait()
-	}}, connection}
+	}}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nodes[i] = node
+}
+
+// running returns the nodes' processes.
+func (s *simSystem) running() []*simNode {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.nodes[:])
+}
+
+// claim reports whether the caller may end a process and start the next one of its node.
+func (s *simSystem) claim(node *simNode) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	claimed := !node.ends
+	node.ends = true
+	return claimed
 }
 
 // submit stores a job, or does so late, again, or on the notice of a node only after a while.
 func (s *simSystem) submit() {
+	r := s.draws.rand("job", len(s.jobs))
 	job := work.Job{ID: model.JobID(fmt.Sprintf("j%03d", len(s.jobs))), Queue: testQueue, Team: "north", Accepted: time.Now()}
-	for range 1 + s.random.Intn(2) {
+	for range 1 + r.Intn(2) {
 		job.Stages = append(job.Stages, work.Stage{
-			Count: 1 + s.random.Intn(2), Size: model.Resources{Cores: 1}, RunTime: model.Duration(time.Second),
+			Count: 1 + r.Intn(2), Size: model.Resources{Cores: 1}, RunTime: model.Duration(time.Second),
 		})
 	}
 	for i, stage := range job.Stages {
 		for k := range stage.Count {
-			length := time.Duration(500+s.random.Intn(10_000)) * time.Millisecond
-			if s.random.Intn(3) == 0 {
+			length := simDuration(r, 500*time.Millisecond, 10_500*time.Millisecond)
+			if r.Intn(3) == 0 {
 				// It outlasts every wait.
 				length += 20 * time.Second
 			}
@@ -136,11 +190,24 @@
 	s.jobs = append(s.jobs, job)
 	value, err := job.Encode()
 	assert.NilError(s.t, err)
-	delays := []time.Duration{0}
-	for s.random.Intn(3) == 0 {
-		delays = append(delays, time.Duration(s.random.Intn(6000))*time.Millisecond)
+	delays := []time.Duration{simDuration(r, 1, time.Millisecond)}
+	for r.Intn(3) == 0 {
+		delays = append(delays, simDuration(r, time.Millisecond, 6*time.Second))
+	}
+	notified := s.running()[r.Intn(simNodes)].owner
+	if s.troubles.cancellations && r.Intn(5) == 0 {
+		s.cancelled[job.ID] = true
+		at := simDuration(r, time.Millisecond, 15*time.Second)
+		s.clients.Go(func() {
+			time.Sleep(at)
+			s.trace.add("job %s is cancelled", job.ID)
+			assert.Check(s.t, s.store.append(ledger.Batch{
+				Topic: TopicInbox, Producer: string(job.ID) + "-cancel", Epoch: 1, Sequence: 1,
+				Records: []ledger.Record{{Key: intake.RecordKeys(string(job.ID))[1], Value: []byte("{}")}},
+			}))
+		})
 	}
-	notified := s.nodes[s.random.Intn(simNodes)].owner
+	s.trace.add("job %s is submitted after %v", job.ID, delays)
 	for i, delay := range delays {
 		s.clients.Go(func() {
 			time.Sleep(delay)
@@ -158,51 +225,72 @@
 
 // trouble begins one of the troubles at a node, often at the owner, or ends those of its connections.
 func (s *simSystem) trouble() {
-	i := s.random.Intn(simNodes)
-	if owner := slices.IndexFunc(s.nodes[:], func(n *simNode) bool { return n.serves() }); owner >= 0 && s.random.Intn(2) == 0 {
+	s.played++
+	r := s.draws.rand("trouble", s.played)
+	i := r.Intn(simNodes)
+	if owner := slices.IndexFunc(s.running(), func(n *simNode) bool { return n.serves() }); owner >= 0 && r.Intn(2) == 0 {
 		i = owner
 	}
-	node, length := s.nodes[i], time.Duration(2000+s.random.Intn(10_000))*time.Millisecond
-	share, topic := []float64{0.2, 0.5, 0.8}[s.random.Intn(3)], topics[s.random.Intn(len(topics))]
-	var begin []func()
-	add := func(played bool, troubles ...func()) {
+	node, length := s.running()[i], simDuration(r, 2*time.Second, 12*time.Second)
+	share, topic := []float64{0.2, 0.5, 0.8}[r.Intn(3)], topics[r.Intn(len(topics))]
+	worker, other, healed := s.pickWorker(r), r.Intn(simNodes), r.Intn(3) == 0
+	type trouble struct {
+		name  string
+		begin func()
+	}
+	var list []trouble
+	add := func(played bool, troubles ...trouble) {
 		if played {
-			begin = append(begin, troubles...)
+			list = append(list, troubles...)
 		}
 	}
-	add(s.troubles.freezes, func() { node.connection.freeze(length) })
-	add(s.troubles.losses, func() { node.connection.set(func(c *simConnection) { c.loss = share }) },
-		func() { node.connection.set(func(c *simConnection) { c.refusals = share }) })
-	add(s.troubles.cuts, func() { s.cutTopic(topic) }, func() { node.connection.set(func(c *simConnection) { c.cutGroups = true }) })
-	add(s.troubles.isolations, func() {
-		s.isolate(node)
+	add(s.troubles.freezes, trouble{"freeze", func() { node.connection.freeze(length) }})
+	add(s.troubles.losses,
+		trouble{"losses", func() { node.connection.set(func(c *simConnection) { c.loss = share }) }},
+		trouble{"refusals", func() { node.connection.set(func(c *simConnection) { c.refusals = share }) }})
+	add(s.troubles.cuts,
+		trouble{"cut topic", func() { s.cutTopic(topic, 1+other, healed) }},
+		trouble{"cut groups", func() { node.connection.set(func(c *simConnection) { c.cutGroups = true }) }})
+	add(s.troubles.isolations, trouble{"isolation", func() {
+		s.isolate(node, worker)
 		time.Sleep(2 * length)
-	})
-	add(s.troubles.reassigns, func() { s.store.reassign("owners", s.random.Intn(simNodes)) })
-	add(s.troubles.trims, func() { s.store.trim(topic) })
-	add(s.troubles.silences, func() { s.fleet.silence(s.pickWorker(), length) }, func() { s.cutFromOthers(node) })
-	add(s.troubles.restarts, func() {
-		node.stop()
-		s.startNode(i)
-	})
-	if s.random.Intn(3) == 0 {
+	}})
+	add(s.troubles.reassigns, trouble{"reassign", func() { s.store.reassign("owners", other) }})
+	add(s.troubles.trims, trouble{"trim", func() { s.store.trim(topic) }})
+	add(s.troubles.silences,
+		trouble{"silence", func() { s.fleet.silence(worker, length) }},
+		trouble{"cut from others", func() { s.cutFromOthers(node, worker) }})
+	add(s.troubles.restarts, trouble{"restart", func() {
+		if s.claim(node) {
+			node.stop()
+			s.startNode(i)
+		}
+	}})
+	add(s.troubles.kills, trouble{"kill", func() { s.kill(i) }})
+	add(s.troubles.stalls, trouble{"stalls", func() { node.connection.set(func(c *simConnection) { c.stalls = true }) }})
+	add(s.troubles.starvations, trouble{"starvation", func() { s.starve(node, length, r) }})
+	add(s.troubles.configurations, trouble{"configuration", func() { s.configure(r) }})
+	if r.Intn(3) == 0 {
+		s.trace.add("trouble %d: n%d is healed", s.played, i)
 		node.connection.heal()
 		return
 	}
-	begin[s.random.Intn(len(begin))]()
+	chosen := list[r.Intn(len(list))]
+	s.met.note(chosen.name)
+	s.trace.add("trouble %d: %s of n%d, worker %s, topic %s, share %v, length %v", s.played, chosen.name, i, worker, topic, share, length)
+	chosen.begin()
 }
 
-// cutTopic makes a topic answer no appends of some nodes, or no reads either.
-func (s *simSystem) cutTopic(topic ledger.Topic) {
-	reads := s.random.Intn(2) == 0
-	for _, n := range s.nodes[:1+s.random.Intn(simNodes)] {
+// cutTopic makes a topic answer no appends of the first nodes, or no reads either.
+func (s *simSystem) cutTopic(topic ledger.Topic, nodes int, reads bool) {
+	for _, n := range s.running()[:nodes] {
 		n.connection.set(func(c *simConnection) { c.cutAppends[topic], c.cutReads[topic] = true, reads })
 	}
 }
 
 // isolate cuts a node off from the store, and lets it alone reach a worker and no other one.
-func (s *simSystem) isolate(node *simNode) {
-	w := s.cutFromOthers(node)
+func (s *simSystem) isolate(node *simNode, w model.WorkerID) {
+	s.cutFromOthers(node, w)
 	node.connection.set(func(c *simConnection) {
 		c.cutGroups = true
 		for _, topic := range topics {
@@ -214,35 +302,43 @@
 	})
 }
 
-func (s *simSystem) pickWorker() model.WorkerID {
-	return model.WorkerID(fmt.Sprintf("w%d", s.random.Intn(simWorkerNum)))
+func (s *simSystem) pickWorker(r *rand.Rand) model.WorkerID {
+	return model.WorkerID(fmt.Sprintf("w%d", r.Intn(simWorkerNum)))
 }
 
-// cutFromOthers lets only one node reach a worker, which it returns.
-func (s *simSystem) cutFromOthers(node *simNode) model.WorkerID {
-	w := s.pickWorker()
-	for _, other := range s.nodes {
+// cutFromOthers lets only one node reach a worker.
+func (s *simSystem) cutFromOthers(node *simNode, w model.WorkerID) {
+	for _, other := range s.running() {
 		other.connection.set(func(c *simConnection) { c.cutWorkers[w] = other != node })
 	}
-	return w
 }
 
 // run plays troubles, heals everything and returns what is wrong then.
 func (s *simSystem) run() []string {
+	if s.troubles.series {
+		s.clients.Go(s.runSeries)
+	}
 	for begun := time.Now(); time.Since(begun) < simTrouble; {
-		if s.random.Intn(3) == 0 {
+		r := s.draws.rand("pause", s.played)
+		if r.Intn(3) == 0 {
 			s.submit()
 		}
 		s.trouble()
-		time.Sleep(time.Duration(100+s.random.Intn(1500)) * time.Millisecond)
+		time.Sleep(simDuration(r, 100*time.Millisecond, 1600*time.Millisecond))
 	}
-	for _, n := range s.nodes {
+	s.trace.add("troubles end")
+	s.setConfiguration(simConfiguration(s.configuration.Version+1, true), simDraws{0}.rand("heal", 0))
+	s.seriesEnded.Store(true)
+	for _, n := range s.running() {
 		n.connection.heal()
 		n.connection.freeze(0)
 	}
+	s.trace.add("all is healed")
 	unfinished := map[model.JobID]bool{}
 	for _, job := range s.jobs {
-		unfinished[job.ID] = true
+		if !s.cancelled[job.ID] {
+			unfinished[job.ID] = true
+		}
 	}
 	for begun := time.Now(); time.Since(begun) < simRecovery && len(unfinished) > 0; time.Sleep(500 * time.Millisecond) {
 		s.fleet.mu.Lock()
@@ -253,7 +349,7 @@
 		}
 		s.fleet.mu.Unlock()
 	}
-	for _, n := range s.nodes {
+	for _, n := range s.running() {
 		n.stop()
 	}
 	s.clients.Wait()
@@ -278,26 +374,69 @@
 	return true
 }
 
+// play plays a seed and returns the system after its end, with what is wrong.
+func play(t *testing.T, seed int64, troubles simTroubles) (s *simSystem, problems []string) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s = newSimSystem(t, seed, troubles)
+		problems = s.run()
+		// Late calls are still under way.
+		time.Sleep(10 * time.Second)
+	})
+	return s, problems
+}
+
+// checkTakeovers plays the seeds of the takeover simulations.
 func checkTakeovers(t *testing.T, troubles simTroubles) {
 	t.Helper()
+	checkSeeds(t, troubles, *takeoverFirst, *takeoverSeeds)
+}
+
+// checkSeeds plays seeds, goes on after a failing one and sums up.
+func checkSeeds(t *testing.T, troubles simTroubles, first int64, count int) {
+	t.Helper()
+	oneThread(t)
 	starts, lapsed, jobs, epochs := 0, 0, 0, int64(0)
-	for seed := *takeoverFirst; seed < *takeoverFirst+int64(*takeoverSeeds); seed++ {
-		synctest.Test(t, func(t *testing.T) {
-			s := newSimSystem(t, seed, troubles)
-			problems := s.run()
-			assert.Check(t, len(problems) == 0, "seed %d: %q", seed, problems)
-			starts, lapsed, jobs = starts+s.fleet.starts, lapsed+s.fleet.lapsed, jobs+len(s.jobs)
-			for _, p := range s.store.topics[TopicOwner].producers {
-				epochs += p.epoch
-			}
-			// Late calls are still under way.
-			time.Sleep(10 * time.Second)
-		})
-		if t.Failed() {
-			break
+	met := make(map[string]int)
+	var failed []int64
+	for seed := first; seed < first+int64(count); seed++ {
+		s, problems := play(t, seed, troubles)
+		if len(problems) > 0 {
+			failed = append(failed, seed)
+			t.Errorf("seed %d: %q", seed, problems)
+			writeTrace(t, s, seed)
+		}
+		starts, lapsed, jobs = starts+s.fleet.starts, lapsed+s.fleet.lapsed, jobs+len(s.jobs)
+		for _, p := range s.store.topics[TopicOwner].producers {
+			epochs += p.epoch
+		}
+		for meeting, n := range s.met.counts {
+			met[meeting] += n
 		}
 	}
 	t.Logf("%d jobs, %d starts, %d runs lapsed, last epochs sum up to %d", jobs, starts, lapsed, epochs)
+	for _, meeting := range slices.Sorted(maps.Keys(met)) {
+		t.Logf("%6d %s", met[meeting], meeting)
+	}
+	t.Logf("%d of %d seeds failed: %v", len(failed), count, failed)
+}
+
+// oneThread lets a test run on one thread, because a seed repeats only if its goroutines run one after the other.
+func oneThread(t *testing.T) {
+	threads := runtime.GOMAXPROCS(1)
+	t.Cleanup(func() { runtime.GOMAXPROCS(threads) })
+}
+
+// writeTrace writes the trace of a failing seed to a file in the directory of the flag, if it is set.
+func writeTrace(t *testing.T, s *simSystem, seed int64) {
+	t.Helper()
+	if *simTraces == "" {
+		return
+	}
+	f, err := os.Create(filepath.Join(*simTraces, fmt.Sprintf("%s-%d.txt", t.Name(), seed)))
+	assert.NilError(t, err)
+	s.trace.print(f)
+	assert.NilError(t, f.Close())
 }
 
 // TestTakeoversWithLostAnswers guards against takeovers that miss a record, or let two owners act, while appends go unanswered and
@@ -346,24 +485,24 @@
 		synctest.Test(t, func(t *testing.T) {
 			s := newSimSystem(t, seed, simTroubles{})
 			time.Sleep(3 * time.Second)
-			for _, n := range s.nodes {
+			for _, n := range s.running() {
 				n.connection.set(func(c *simConnection) { c.cutReads[TopicInbox] = true })
 			}
 			// Only the commits for later jobs let the owner forget the first ones.
 			for range 4 {
 				s.submit()
-				for _, n := range s.nodes {
+				for _, n := range s.running() {
 					_ = n.owner.Submit(s.jobs[len(s.jobs)-1])
 				}
 				time.Sleep(60*time.Second + simRetention)
 				assert.Assert(t, s.completed(s.jobs[len(s.jobs)-1]))
 			}
 			starts := s.fleet.starts
-			for _, n := range s.nodes {
+			for _, n := range s.running() {
 				n.connection.heal()
 			}
 			time.Sleep(20 * time.Second)
-			for _, n := range s.nodes {
+			for _, n := range s.running() {
 				n.stop()
 			}
 			assert.Check(t, s.fleet.starts == starts && len(s.fleet.violations) == 0, "seed %d: %d new starts: %q", seed,
