fix(owner): a takeover ends with the newest configuration

An owner read the configuration at the begin of its takeover and applied it at the end. A change in between, that had been applied meanwhile, was lost until the next one: an owner went on with queues that had been removed, or in a data centre that had been taken out of service, and without a queue that had been added.

TestTakeoverEndsWithNewestConfiguration failed before: the added queue was unknown after the takeover (queue-removed).

--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -16,7 +16,6 @@
 	"arbutuswing.example/internal/model"
 	"arbutuswing.example/internal/pause"
 	"arbutuswing.example/internal/shard"
-	"arbutuswing.example/internal/terms"
 	"arbutuswing.example/internal/work"
 )
 
@@ -46,7 +45,6 @@
 	// has been fenced on the progress too: until then it takes new jobs and records runs of theirs.
 	var progress, inbox ledger.Page
 	var inboxRead time.Time
-	var current terms.Configuration
 	progressFenced := make(chan struct{})
 	group, groupCtx := errgroup.WithContext(ctx)
 	fenceCtx, cancel := context.WithTimeoutCause(groupCtx, ow.takeoverLimit(), errStuck)
@@ -75,10 +73,7 @@
 		inbox, err = ow.newest(groupCtx, TopicInbox)
 		return err
 	})
-	group.Go(func() (err error) {
-		current, err = ow.waitForInputs(groupCtx)
-		return err
-	})
+	group.Go(func() error { return ow.waitForInputs(groupCtx) })
 	if err := group.Wait(); err != nil {
 		return 0, err
 	}
@@ -97,7 +92,10 @@
 	}
 	ow.step(Step{Name: "restore"})
 	ow.mu.Lock()
-	ow.shard.SetConfiguration(current)
+	// It may have changed during the takeover. A change after this read waits for the lock.
+	if current, ok := ow.cfg.Configuration(); ok {
+		ow.shard.SetConfiguration(current)
+	}
 	ow.shard.Restore(restored, ow.now(), time.Now())
 	ow.shard.SetRegistry(ow.entries)
 	ow.restored, ow.inboxRead = true, inboxRead
@@ -160,19 +158,19 @@
 	return ids
 }
 
-// waitForInputs waits until the configuration and the workers' registry have been read, and returns the configuration.
-func (ow *ownership) waitForInputs(ctx context.Context) (terms.Configuration, error) {
+// waitForInputs waits until the configuration and the workers' registry have been read.
+func (ow *ownership) waitForInputs(ctx context.Context) error {
 	for {
-		current, ok := ow.cfg.Configuration()
+		_, ok := ow.cfg.Configuration()
 		ow.mu.Lock()
 		entriesKnown := ow.entriesKnown
 		ow.mu.Unlock()
 		if ok && entriesKnown {
-			return current, nil
+			return nil
 		}
 		pause.For(ctx, batchDelay)
 		if ctx.Err() != nil {
-			return terms.Configuration{}, ctx.Err()
+			return ctx.Err()
 		}
 	}
 }
--- a/internal/owner/takeover_test.go
+++ b/internal/owner/takeover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -115,6 +116,37 @@
 	})
 }
 
+// TestTakeoverEndsWithNewestConfiguration guards against an owner that goes on with the configuration from the begin of its takeover.
+func TestTakeoverEndsWithNewestConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		configuration := terms.New(terms.Params{Version: 1})
+		trace := &simTrace{begun: time.Now()}
+		ow := newOwnership(Config{
+			Store: &slowReadStore{newMemoryStore(), time.Second}, Log: zap.New(trace.core("n")), Shard: testShard,
+			Configuration: func() (terms.Configuration, bool) {
+				mu.Lock()
+				defer mu.Unlock()
+				return configuration, true
+			},
+		}, 2, nil)
+		ow.setRegistry([]agent.Entry{})
+		time.AfterFunc(500*time.Millisecond, func() {
+			mu.Lock()
+			configuration = terms.New(terms.Params{Version: 2, Queues: []terms.Queue{{Name: testQueue, Pool: "pool", Attempts: 1}}})
+			changed := configuration
+			mu.Unlock()
+			ow.setConfiguration(changed)
+		})
+		_, err := ow.takeOver(t.Context())
+		assert.NilError(t, err)
+		assert.NilError(t, ow.submit(work.Job{ID: "j", Queue: testQueue, Team: "north", Accepted: time.Now()}))
+		for _, l := range trace.sorted() {
+			assert.Check(t, !strings.Contains(l.text, "queue-removed"), l.text)
+		}
+	})
+}
+
 // TestTakeoverThatCannotFinishIsGivenUp guards against a node that remains a member of the group while its takeover can't finish:
 // nobody else takes over.
 func TestTakeoverThatCannotFinishIsGivenUp(t *testing.T) {
