--- a/internal/owner/session_test.go
+++ b/internal/owner/session_test.go
@@ -173,7 +173,7 @@
 func TestReplacedSessionSendsNothing(t *testing.T) {
 	w := &blockingWorkers{answer: map[string]chan agent.Report{"a": make(chan agent.Report, 1)}, asked: make(chan string, 100)}
 	w.answer["a"] <- agent.Report{}
-	ow := newOwnership(Config{Workers: w, Log: zap.NewNop(), Shard: testShard}, 1, nil)
+	ow := newOwnership(Config{Workers: w, Log: zap.NewNop(), Shard: testShard, Uptime: testUptime}, 1, nil)
 	ctx, cancel := context.WithCancel(t.Context())
 	s := &workerSession{ownership: ow, target: agent.Target{ID: "w", Address: "a"}, cancel: cancel}
 	ended := make(chan struct{})
