fix(shard): an end without a run is acknowledged only once no late start can follow it

An unanswered start may reach the next incarnation of its worker up to 15 s later, so the end of its run isn't acknowledged before. That held only for ends whose run the owner still had. The success of a run that a former owner had recorded but not acknowledged, or that had been given up, was acknowledged at once, and that of a run beside a later one with an unanswered start too: the late start then followed an acknowledged success (TWICE).

Only configurations with a queue without advice pay for it: elsewhere no start reaches the next incarnation.

--- a/internal/shard/grant.go
+++ b/internal/shard/grant.go
@@ -7,7 +7,6 @@
 
 	"arbutuswing.example/internal/agent"
 	"arbutuswing.example/internal/model"
-	"arbutuswing.example/internal/work"
 )
 
 const (
@@ -153,24 +152,16 @@
 	return a.startInFlightUntil
 }
 
-// lateStartsUntil returns until when a start of any run of the task may reach a later incarnation of its worker, or zero. For a gang
-// it covers all members: the success of one is that of all.
-func (s *Shard) lateStartsUntil(ref work.TaskRef) time.Duration {
-	j := s.jobs[ref.Job]
-	if j == nil {
-		return 0
-	}
-	st := j.stage(ref.Occurrence, ref.Stage)
-	if st == nil || ref.Index < 0 || ref.Index >= len(st.tasks) {
-		return 0
-	}
-	members := st.tasks[ref.Index : ref.Index+1]
+// lateStartsUntil returns until when a start of a task may reach a later incarnation of a worker, or zero. Of a gang, the starts of
+// all tasks count: the success of one is that of all.
+func (st *stage) lateStartsUntil(index int) time.Duration {
+	members := st.tasks[index : index+1]
 	if st.spec.Gang {
 		members = st.tasks
 	}
 	until := time.Duration(0)
 	for i := range members {
-		// Runs that were given up count too, and those of a former owner.
+		// Runs that were given up count too.
 		until = max(until, members[i].notBefore)
 		for _, a := range members[i].attempts {
 			until = max(until, a.reachesNextIncarnationUntil())
@@ -179,6 +170,25 @@
 	return until
 }
 
+// lateStartsUntil returns the same for the task of an ended run. Without an attempt, a former owner may have recorded the end.
+func (s *Shard) lateStartsUntil(key runKey, attempted bool) time.Duration {
+	until := time.Duration(0)
+	if !attempted && s.unadvisedQueues {
+		until = s.formerStartsUntil
+	}
+	j := s.jobs[key.task.Job]
+	if j == nil {
+		return until
+	}
+	if j.queue.Advice != nil {
+		return 0
+	}
+	if st := j.stage(key.task.Occurrence, key.task.Stage); st != nil && key.task.Index >= 0 && key.task.Index < len(st.tasks) {
+		until = max(until, st.lateStartsUntil(key.task.Index))
+	}
+	return until
+}
+
 // HeartbeatFailed notes that a worker's heartbeat failed, with the error that it returned.
 func (s *Shard) HeartbeatFailed(id model.WorkerID, err error, now time.Duration) {
 	w, ok := s.workers[id]
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -166,8 +166,9 @@
 	key := runKey{end.Task, end.Run}
 	if end.Number > w.lastEndSeen && !s.holdEnd(w, end) {
 		w.lastEndSeen = end.Number
-		notBefore := s.lateStartsUntil(end.Task)
-		if a, ok := w.attempts[key]; ok {
+		a, attempted := w.attempts[key]
+		notBefore := s.lateStartsUntil(key, attempted)
+		if attempted {
 			s.endRun(a, end.Outcome, end.Checkpoint, now)
 		} else {
 			s.checkPresumedEnd(w, key, end.Outcome, margin, now)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -38,6 +38,8 @@
 	inFlightStarts map[model.WorkerID]map[runKey]time.Duration
 	lateArrivals   map[model.WorkerID]lateArrivals
 	presumed       presumedEnds
+	// formerStartsUntil is when the starts of former owners have arrived or are lost for certain.
+	formerStartsUntil time.Duration
 	// toCommand holds at least the workers with a run that may have to be started or stopped.
 	toCommand map[*worker]bool
 	teamUsage map[model.TeamID]model.Resources
