--- a/internal/shard/gone_test.go
+++ b/internal/shard/gone_test.go
@@ -254,7 +254,7 @@
 			h.shard.ApplyReport("w1", early, h.now)
 			assert.Equal(t, len(*events), 0)
 			h.report("w1", tt.then(starts[0]))
-			var got []string
+			got := make([]string, 0, len(*events))
 			for _, e := range *events {
 				got = append(got, e.Name)
 			}
