--- a/internal/shard/gone_test.go
+++ b/internal/shard/gone_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"slices"
 	"testing"
 	"time"
 
