--- a/internal/shard/gone_test.go
+++ b/internal/shard/gone_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
-	"strings"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
