--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -48,11 +48,7 @@
 				continue
 			}
 			switch {
-			case a.phase == phaseBound && !a.startUnanswered && a.visibleSince < 0 && a.stage.job.queue.Advice == nil && w.ackMayArrive(now):
-				// The task starts elsewhere sooner.
-				s.stopRun(a, now)
-			case a.phase == phaseBound && a.commitNumber <= s.lastCommitted && w.tokenSeen && w.entryIsCurrent() && a.visibleSince < 0 &&
-				a.mayStart(now):
+			case a.phase == phaseBound && a.commitNumber <= s.lastCommitted && w.tokenSeen && w.entryIsCurrent() && a.visibleSince < 0:
 				a.commandPending = true
 				commands.Starts = append(commands.Starts, StartCommand{
 					target, s.startCommand(a, now), a, s.addGrant(w, a.startArrivesBy(now), now), w.incarnation,
@@ -123,9 +119,6 @@
 		if errors.Is(err, agent.ErrNoAnswer) {
 			s.addUnknownRun(a.worker, a.key(), unknownRun{mayArrive: true})
 			a.worker.inFlightStarts[a.key()] = arrivesBy
-			if a.stage.job.queue.Advice == nil {
-				a.worker.lateStartUntil = max(a.worker.lateStartUntil, arrivesBy)
-			}
 		}
 		return
 	}
--- a/internal/shard/grant.go
+++ b/internal/shard/grant.go
@@ -23,14 +23,14 @@
 	lease     time.Duration
 }
 
-// sentHeartbeat is a heartbeat that is under way; its grant is nil if it extends no lease. acked is the number up to which it
-// acknowledges ended runs, or zero.
+// sentHeartbeat is a heartbeat that is under way; its grant is nil if it extends no lease. acknowledges tells that it acknowledges
+// ended runs: another incarnation, which counts its ends anew, would forget others.
 type sentHeartbeat struct {
-	pending    bool
-	acked      int64
-	sentAt     time.Duration
-	generation int64
-	grant      *grant
+	pending      bool
+	acknowledges bool
+	sentAt       time.Duration
+	generation   int64
+	grant        *grant
 }
 
 // token returns the fencing token of the commands to a worker. A worker that has accepted one carries out no command with a
@@ -173,7 +173,7 @@
 // lateStartsUntil returns the same for the task of an ended run. Without an attempt, a former owner may have recorded the end.
 func (s *Shard) lateStartsUntil(key runKey, attempted bool) time.Duration {
 	until := time.Duration(0)
-	if !attempted && s.unadvisedQueues {
+	if !attempted && s.ticketlessQueues {
 		until = s.formerStartsUntil
 	}
 	j := s.jobs[key.task.Job]
@@ -201,8 +201,7 @@
 		return
 	}
 	s.doubtGrant(w, w.heartbeat.grant, now+maxCommandDelay)
-	if w.heartbeat.acked > 0 {
+	if w.heartbeat.acknowledges {
 		s.raiseGeneration(w, w.heartbeat.generation)
-		w.ackArrivesBy = now + maxCommandDelay
 	}
 }
--- a/internal/shard/grant_test.go
+++ b/internal/shard/grant_test.go
@@ -297,6 +297,8 @@
 	start := h.confirmStarts()[0]
 	h.report("w1", agent.Report{Ended: []agent.EndedRun{firstEnd(start, agent.OutcomeDone)}})
 	h.commit()
+	h.renewal("w1")
+	h.shard.ApplyReport("w1", agent.Report{Clock: h.clock["w1"] + time.Second, Incarnation: 1}, h.now)
 	late, ok := h.shard.HeartbeatFor("w1", h.now, true)
 	assert.Assert(t, ok && late.Acked == 1 && late.LeaseEnd == 0)
 	h.shard.HeartbeatFailed("w1", agent.ErrNoAnswer, h.now)
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -297,8 +297,7 @@
 // capacity and advice.
 func (s *Shard) meetsConstraints(st *stage, w *worker, now time.Duration) bool {
 	return w.usable(now) && w.suits(st) && !s.configuration.OutOfService(w.entry.DataCentre) &&
-		!s.configuration.Standby(w.entry.Pool) && now >= w.quarantinedUntil && !st.avoids(w, now) &&
-		(st.job.queue.Advice != nil || !w.ackMayArrive(now))
+		!s.configuration.Standby(w.entry.Pool) && now >= w.quarantinedUntil && !st.avoids(w, now)
 }
 
 // candidates returns the workers that meet the constraints, have free capacity and are permitted by the advice service.
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -20,16 +20,17 @@
 		s.HeartbeatFailed(id, agent.ErrNoAnswer, now)
 	}
 	w.heartbeat = sentHeartbeat{pending: true, sentAt: now, generation: w.generation}
-	heartbeat := agent.Heartbeat{Token: s.token(w), Acked: s.numberToAck(w, now), ReportConnection: w.reportConnection}
-	w.heartbeat.acked = heartbeat.Acked
+	heartbeat := agent.Heartbeat{
+		Token: s.token(w), Acked: w.ackableEnd(s.lastCommitted, now), ReportConnection: w.reportConnection,
+	}
+	w.heartbeat.acknowledges = heartbeat.Acked > 0
 	// The lease of a silent worker is not extended, so that its runs expire at a known time.
 	if renew && now-w.lastReportAt < suspectAfter && s.renewalDue(w, now) {
 		heartbeat.LeaseEnd = s.presumed.noteLease(w, w.newLeaseEnd(now, s.cfg.Lease))
 		w.heartbeat.grant = s.addGrant(w, now+maxCommandDelay, now)
 		w.renewedAt = now
 	}
-	// Starts without a ticket wait for the answer to an acknowledgement.
-	heartbeat.Prompt = heartbeat.LeaseEnd > 0 || !w.tokenSeen || w.hasDoubts() || (heartbeat.Acked > 0 && s.unadvisedQueues)
+	heartbeat.Prompt = heartbeat.LeaseEnd > 0 || !w.tokenSeen || w.hasDoubts()
 	return heartbeat, true
 }
 
@@ -42,8 +43,7 @@
 // EndsAcknowledgeable reports whether all ended runs that a worker has reported can be acknowledged.
 func (s *Shard) EndsAcknowledgeable(id model.WorkerID, now time.Duration) bool {
 	w, ok := s.workers[id]
-	return !ok || !slices.ContainsFunc(w.pendingAcks, func(p pendingAck) bool { return !p.due(s.lastCommitted, now) }) &&
-		(w.ackableEnd(s.lastCommitted, now) <= w.answeredAck || !w.startMayArrive(now))
+	return !ok || !slices.ContainsFunc(w.pendingAcks, func(p pendingAck) bool { return !p.due(s.lastCommitted, now) })
 }
 
 // ApplyReport applies a worker's report.
@@ -73,7 +73,6 @@
 	}
 	s.voidGrants(w, w.heartbeat.generation, now)
 	w.settleGrant(w.heartbeat.grant)
-	w.noteAckAnswered(r.Connection)
 	w.heartbeat.pending = false
 	w.tokenSeen, w.clock, w.clockReadAt, w.lastReportAt = true, r.Clock, now, now
 	w.reportConnection = r.Connection
@@ -121,7 +120,7 @@
 // reports: their start reached it.
 func (s *Shard) replaceIncarnation(w *worker, r agent.Report, now time.Duration) {
 	first, incarnation := w.incarnation == 0, r.Incarnation
-	w.incarnation, w.clock, w.lastEndSeen, w.ackedEnd, w.answeredAck, w.pendingAcks = incarnation, 0, 0, 0, 0, nil
+	w.incarnation, w.clock, w.lastEndSeen, w.ackedEnd, w.pendingAcks = incarnation, 0, 0, 0, nil
 	w.unknownRuns, w.firstHeldEnd = make(map[runKey]*unknownRun), 0
 	for _, g := range w.grants {
 		// This incarnation shortens a lease end on the clock of the one before to the longest lease.
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -15,8 +15,8 @@
 type Shard struct {
 	cfg           Config
 	configuration terms.Configuration
-	// unadvisedQueues tells that tasks of a queue of the configuration start without a ticket.
-	unadvisedQueues bool
+	// ticketlessQueues tells that tasks of a queue of the configuration start without a ticket.
+	ticketlessQueues bool
 
 	jobs    map[model.JobID]*job
 	workers map[model.WorkerID]*worker
@@ -36,7 +36,6 @@
 	lastGeneration int64
 	// inFlightStarts holds what workers knew that are no longer listed; see worker.inFlightStarts.
 	inFlightStarts map[model.WorkerID]map[runKey]time.Duration
-	lateArrivals   map[model.WorkerID]lateArrivals
 	presumed       presumedEnds
 	// formerStartsUntil is when the starts of former owners have arrived or are lost for certain.
 	formerStartsUntil time.Duration
@@ -99,9 +98,9 @@
 		cfg: cfg, jobs: make(map[model.JobID]*job), workers: make(map[model.WorkerID]*worker),
 		teamUsage: make(map[model.TeamID]model.Resources), teamRates: make(map[model.TeamID]*tokenBucket),
 		cancelled: make(map[model.JobID]bool), held: make(map[model.JobID]bool), permittedShares: make(map[string]float64), nextCommit: 1,
-		inFlightStarts: make(map[model.WorkerID]map[runKey]time.Duration), lateArrivals: make(map[model.WorkerID]lateArrivals),
-		presumed:     newPresumedEnds(),
-		freedWorkers: make(map[*worker]bool), toCommand: make(map[*worker]bool),
+		inFlightStarts: make(map[model.WorkerID]map[runKey]time.Duration),
+		presumed:       newPresumedEnds(),
+		freedWorkers:   make(map[*worker]bool), toCommand: make(map[*worker]bool),
 	}
 }
 
@@ -120,7 +119,7 @@
 // last settings.
 func (s *Shard) SetConfiguration(configuration terms.Configuration) {
 	s.configuration = configuration
-	s.unadvisedQueues = slices.ContainsFunc(configuration.Queues, func(q terms.Queue) bool { return q.Advice == nil })
+	s.ticketlessQueues = slices.ContainsFunc(configuration.Queues, func(q terms.Queue) bool { return q.Advice == nil })
 	for _, j := range s.jobs {
 		if queue, ok := configuration.Queue(j.spec.Queue); ok {
 			j.queue = queue
@@ -283,7 +282,6 @@
 			delete(s.workers, id)
 			delete(s.presumed.leases, id)
 			s.keepInFlightStarts(w)
-			s.keepLateArrivals(w)
 			s.targetsVersion++
 			s.membersChanged = true
 			s.workersByID = slices.DeleteFunc(s.workersByID, func(other *worker) bool { return other == w })
@@ -303,10 +301,6 @@
 		w.inFlightStarts = starts
 		delete(s.inFlightStarts, id)
 	}
-	if late, ok := s.lateArrivals[id]; ok {
-		w.lateStartUntil, w.ackArrivesBy = late.startUntil, late.ackArrivesBy
-		delete(s.lateArrivals, id)
-	}
 	s.workers[id], s.membersChanged = w, true
 	at, _ := slices.BinarySearchFunc(s.workersByID, id, func(w *worker, id model.WorkerID) int { return cmp.Compare(w.id, id) })
 	s.workersByID = slices.Insert(s.workersByID, at, w)
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -58,12 +58,6 @@
 	lastEndSeen int64
 	ackedEnd    int64
 	pendingAcks []pendingAck
-	// answeredAck is the number up to which the incarnation has answered an acknowledgement, and ackArrivesBy is when one that stayed
-	// unanswered has been carried out or is lost for certain.
-	answeredAck  int64
-	ackArrivesBy time.Duration
-	// lateStartUntil is until when a start of a run without an attempt may reach a later incarnation of the worker.
-	lateStartUntil time.Duration
 	// reportConnection identifies the connection of the last report. Over another one, the worker's next incarnation may
 	// answer, in which the numbers of ended runs mean others.
 	reportConnection uint64
@@ -115,7 +109,6 @@
 	if now < a.startInFlightUntil {
 		w.inFlightStarts[a.key()] = a.startInFlightUntil
 	}
-	w.lateStartUntil = max(w.lateStartUntil, a.reachesNextIncarnationUntil())
 }
 
 // keepInFlightStarts keeps the starts in flight of a worker that is no longer listed: it may start again under its ID.
