test(shard): play workers that restart at another address, and entries that lag

The model's workers kept their address over a restart, wrote their entries only when the test changed the fleet, and lost no entry with ends that they had reported. Now entries are written once a second and name the incarnation; workers may restart at another address, where they get tasks that end before their first report, while reports and answers from the former one are under way and what is sent there gets lost or is refused; and a worker's entry may go while the late starts of its ended runs are under way.

--- a/internal/shard/faultmodel_test.go
+++ b/internal/shard/faultmodel_test.go
@@ -58,6 +58,8 @@
 	gangsOutlive bool
 	// guardedCapacity tells that workers refuse a start that doesn't fit.
 	guardedCapacity bool
+	// moves tells that workers may restart at another address.
+	moves bool
 }
 
 // formerOwner is an owner that has lost the ownership and goes on for a while.
@@ -76,8 +78,10 @@
 type slowReport struct {
 	owner  *Shard
 	worker *simWorker
-	report agent.Report
-	until  time.Duration
+	// address is the worker's address that the heartbeat was sent to.
+	address string
+	report  agent.Report
+	until   time.Duration
 }
 
 func (o simOptions) heartbeatDeliveries() *rapid.Generator[string] {
@@ -203,9 +207,13 @@
 	return rapid.SampledFrom([]string{"lost", "lost", "unanswered", "late"}).Draw(cl.t, "in silence")
 }
 
-// reaches reports whether the owner knows the worker's address.
-func (cl *cluster) reaches(owner *Shard, w *simWorker) bool {
-	return slices.ContainsFunc(owner.Targets(), func(t agent.Target) bool { return t.ID == w.id })
+// targetAddress returns the address at which the owner reaches the worker, or "" if it knows none.
+func (cl *cluster) targetAddress(owner *Shard, w *simWorker) string {
+	targets := owner.Targets()
+	if at := slices.IndexFunc(targets, func(t agent.Target) bool { return t.ID == w.id }); at >= 0 {
+		return targets[at].Address
+	}
+	return ""
 }
 
 // awaitsReport reports whether the owner still waits for a report of the worker, so that it sends no further heartbeat.
@@ -213,6 +221,10 @@
 	kept := cl.reports[:0]
 	waits := false
 	for _, r := range cl.reports {
+		if r.owner == cl.shard && r.address != cl.targetAddress(cl.shard, r.worker) {
+			// The session ends with the address.
+			continue
+		}
 		if r.owner != cl.shard || cl.now > r.until {
 			if r.owner == cl.shard {
 				cl.failHeartbeat(cl.shard, r.worker)
@@ -254,6 +266,13 @@
 		cl.sendCommands(func() string { return "answered" })
 	}
 	actions["send-answered"] = func(*rapid.T) { cl.sendCommands(func() string { return "answered" }) }
+	if cl.options.moves {
+		actions["move"] = func(t *rapid.T) {
+			if w := pick(t); w.up {
+				cl.move(t, w)
+			}
+		}
+	}
 	actions["restart-hold"] = func(t *rapid.T) {
 		if w := pick(t); w.up {
 			cl.restartWorker(w)
@@ -297,6 +316,9 @@
 			cl.register()
 		}
 		actions["relist"] = cl.relist
+		if cl.options.lateStarts {
+			actions["relist-ended"] = cl.relistEnded
+		}
 	}
 	if cl.options.gangsOutlive {
 		actions["break-gang"] = cl.breakGang
@@ -354,6 +376,28 @@
 	w.unreachable = false
 }
 
+// move lets a worker with ended runs restart at another address, where it gets tasks that end before its first report.
+func (cl *cluster) move(t *rapid.T, w *simWorker) {
+	cl.exchangeHeartbeat(w, cl.options.heartbeatDeliveries().Draw(t, "answer"))
+	cl.restartWorker(w)
+	w.address = fmt.Sprintf("%s-%d", w.id, w.incarnation)
+	if rapid.Bool().Draw(t, "submit") {
+		cl.submit(t)
+		cl.sendCommands(func() string { return drawDelivery.Draw(t, "answer") })
+	}
+	if rapid.Bool().Draw(t, "entry") {
+		cl.writeEntries()
+	}
+	for range rapid.IntRange(0, 2).Draw(t, "answers") {
+		cl.sendCommands(func() string { return drawDelivery.Draw(t, "answer") })
+		if rapid.Bool().Draw(t, "end") {
+			cl.finishRuns(w)
+		}
+		cl.exchangeHeartbeat(w, cl.options.heartbeatDeliveries().Draw(t, "answer"))
+		cl.advance(time.Duration(rapid.IntRange(0, 5).Draw(t, "tenths")) * 100 * time.Millisecond)
+	}
+}
+
 // leaveInDoubt lets a command be carried out late at a worker that has a run, has answered newer commands and then falls silent,
 // also after a restart.
 func (cl *cluster) leaveInDoubt(t *rapid.T) {
@@ -418,6 +462,37 @@
 	cl.keepSilent(w, rapid.IntRange(16, 40).Draw(t, "half seconds"))
 }
 
+// relistEnded takes the entry of a worker with ended runs away for a moment while their starts may still arrive late, and lets the
+// worker restart after it has reported the ends again.
+func (cl *cluster) relistEnded(t *rapid.T) {
+	answered := func() string { return "answered" }
+	cl.submit(t)
+	cl.sendCommands(func() string { return rapid.SampledFrom([]string{"late", "late", "answered"}).Draw(t, "answer") })
+	cl.advance(time.Duration(rapid.IntRange(2, 5).Draw(t, "tenths")) * 100 * time.Millisecond)
+	cl.sendCommands(answered)
+	busy := slices.DeleteFunc(slices.Clone(cl.workers), func(w *simWorker) bool { return len(w.runs) == 0 || w.unreachable })
+	if len(busy) == 0 {
+		return
+	}
+	w := rapid.SampledFrom(busy).Draw(t, "worker")
+	cl.finishRuns(w)
+	cl.exchangeHeartbeat(w, "answered")
+	cl.sendCommands(answered)
+	w.unlisted = true
+	cl.register()
+	w.unlisted = false
+	cl.register()
+	for range 3 {
+		cl.exchangeHeartbeat(w, "answered")
+		cl.advance(500 * time.Millisecond)
+		cl.sendCommands(answered)
+	}
+	if !cl.options.noRestarts {
+		cl.restartWorker(w)
+	}
+	cl.advance(time.Duration(rapid.IntRange(1, 12).Draw(t, "seconds")) * time.Second)
+}
+
 // breakGang starts a gang that needs several workers, and ends one member after another worker of the gang has fallen silent.
 func (cl *cluster) breakGang(t *rapid.T) {
 	stage := work.Stage{
@@ -479,7 +554,7 @@
 // exchangeFormerHeartbeat reports whether the worker accepted the heartbeat, if it reached the worker.
 func (cl *cluster) exchangeFormerHeartbeat(f formerOwner, w *simWorker) bool {
 	heartbeat, ok := f.shard.HeartbeatFor(w.id, cl.now, cl.now-f.lostAt < cl.options.formerOwner)
-	if !ok || !w.up || !cl.reaches(f.shard, w) {
+	if !ok || !w.up || cl.targetAddress(f.shard, w) != w.address {
 		return true
 	}
 	heartbeat = cl.onConnection(f.shard, w, heartbeat)
@@ -616,6 +691,7 @@
 		{"unlisting", &o.unlisting},
 		{"draining", &o.draining},
 		{"gangs outlive", &o.gangsOutlive},
+		{"moves", &o.moves},
 	} {
 		*fault.on = rapid.IntRange(1, 10).Draw(t, fault.name) > 10-share
 	}
@@ -651,6 +727,20 @@
 	})
 }
 
+// TestInvariantsUnderMoves lets workers restart at another address, while reports and answers from the former one are under way and
+// late commands reach the next incarnation.
+func TestInvariantsUnderMoves(t *testing.T) {
+	checkUnder(t, simOptions{uptime: simUptime, silences: true, slowReports: true, slowAnswers: true, lateStarts: true, moves: true})
+}
+
+// TestInvariantsUnderMovesAndUnlisting lets workers also lose their entries, and new owners follow each other.
+func TestInvariantsUnderMovesAndUnlisting(t *testing.T) {
+	checkUnder(t, simOptions{
+		uptime: simUptime, silences: true, longSilences: true, lossySilences: true, unlisting: true, draining: true,
+		takeoverPairs: true, formerOwner: 3 * time.Second, formersFail: true, lateStarts: true, lateHeartbeats: true, moves: true,
+	})
+}
+
 // TestInvariantsUnderGangsThatOutlive lets gang members on unreachable workers go on when their gang ends.
 func TestInvariantsUnderGangsThatOutlive(t *testing.T) {
 	checkUnder(t, simOptions{uptime: simUptime, silences: true, gangsOutlive: true})
--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -78,7 +78,7 @@
 	w.ends, w.superseded, w.endedAt = nil, make(map[work.TaskRef]int), make(map[int64]int)
 }
 
-// restartWorker starts the worker's next incarnation under the same ID and address, so that its entry doesn't change.
+// restartWorker starts the worker's next incarnation under the same ID and address. Its entry changes when it is next written.
 func (cl *cluster) restartWorker(w *simWorker) {
 	cl.crashWorker(w)
 	w.up = true
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -19,6 +19,8 @@
 	simKillGrace   = 400 * time.Millisecond
 	simGangTimeout = 3 * time.Second
 	simRetention   = 4 * time.Second
+	// simEntryInterval is how often workers write their entries.
+	simEntryInterval = time.Second
 	// simTicketValidity is how long a placement ticket is valid on its worker's clock.
 	simTicketValidity = 2 * time.Second
 	// simTasksPerRecord lets most jobs be recorded in parts.
@@ -51,7 +53,11 @@
 	unreachable bool
 	draining    bool
 	// unlisted tells that the worker's entry is gone while its processes run.
-	unlisted    bool
+	unlisted bool
+	// address is where the present incarnation is reached.
+	address string
+	// entry is the worker's entry as the registry has it, or empty if there is none.
+	entry       agent.Entry
 	incarnation int64
 	// connections identifies each owner's connection for heartbeats. It ends with the incarnation, and with a heartbeat that
 	// gets no answer.
@@ -128,6 +134,8 @@
 	lastConnection uint64
 	// answers holds the answers to commands that are under way.
 	answers []slowAnswer
+	// entriesAt is when the workers write their entries again.
+	entriesAt time.Duration
 }
 
 func newCluster(t *rapid.T, options simOptions) *cluster {
@@ -141,7 +149,7 @@
 	}
 	for i := range 4 {
 		cl.workers = append(cl.workers, &simWorker{
-			id: model.WorkerID(fmt.Sprintf("w%d", i)), up: true, incarnation: 1, clockRate: 0.98 + 0.01*float64(i%3),
+			id: model.WorkerID(fmt.Sprintf("w%d", i)), address: fmt.Sprintf("w%d", i), up: true, incarnation: 1, clockRate: 0.98 + 0.01*float64(i%3),
 			clock: options.uptime,
 			runs:  make(map[runKey]*simRun), superseded: make(map[work.TaskRef]int), endedAt: make(map[int64]int),
 			connections: make(map[*Shard]uint64),
@@ -177,15 +185,32 @@
 	cl.t.Logf("%v: "+format, append([]any{cl.now}, args...)...)
 }
 
+// register removes the entries of workers that are down or unlisted, and lets the others write theirs.
 func (cl *cluster) register() {
-	var entries []agent.Entry
 	for _, w := range cl.workers {
+		w.entry = agent.Entry{}
 		if w.up && !w.unlisted {
-			entries = append(entries, agent.Entry{
-				ID: w.id, Pool: testPool, Address: string(w.id), DataCentre: "dc1", Draining: w.draining,
-				Capacity: simCapacity,
-			})
+			w.entry.ID = w.id
+		}
+	}
+	cl.writeEntries()
+}
+
+// writeEntries lets the workers that have entries and are up write them again.
+func (cl *cluster) writeEntries() {
+	cl.entriesAt = cl.now + simEntryInterval
+	var entries []agent.Entry
+	for _, w := range cl.workers {
+		if w.entry.ID == "" {
+			continue
+		}
+		if w.up {
+			w.entry = agent.Entry{
+				ID: w.id, Pool: testPool, Address: w.address, DataCentre: "dc1", Draining: w.draining,
+				Capacity: simCapacity, Incarnation: w.incarnation,
+			}
 		}
+		entries = append(entries, w.entry)
 	}
 	cl.shard.SetRegistry(entries)
 }
@@ -214,6 +239,9 @@
 func (cl *cluster) pass(d time.Duration) {
 	cl.now += d
 	cl.wall = cl.wall.Add(d)
+	if cl.now >= cl.entriesAt {
+		cl.writeEntries()
+	}
 	for _, w := range cl.workers {
 		if !w.up {
 			continue
@@ -479,7 +507,7 @@
 // exchangeHeartbeat sends a heartbeat and applies the worker's report, unless, as the delivery says, the heartbeat is lost, the
 // report is lost ("unanswered") or slow ("slow"), or the heartbeat takes effect later ("late").
 func (cl *cluster) exchangeHeartbeat(w *simWorker, delivery string) {
-	if cl.awaitsReport(w) || !cl.reaches(cl.shard, w) {
+	if cl.awaitsReport(w) || cl.targetAddress(cl.shard, w) == "" {
 		return
 	}
 	heartbeat, ok := cl.shard.HeartbeatFor(w.id, cl.now, true)
@@ -490,6 +518,10 @@
 		delivery = cl.deliveryInSilence()
 	}
 	heartbeat = cl.onConnection(cl.shard, w, heartbeat)
+	if cl.targetAddress(cl.shard, w) != w.address && delivery != "late" {
+		cl.failHeartbeat(cl.shard, w)
+		return
+	}
 	if !w.up || delivery == "lost" || delivery == "late" {
 		cl.failHeartbeat(cl.shard, w)
 		if w.up && delivery == "late" {
@@ -507,7 +539,7 @@
 	}
 	report.Connection = w.connections[cl.shard]
 	if delivery == "slow" {
-		cl.reports = append(cl.reports, slowReport{cl.shard, w, report, cl.now + simReportTimeout})
+		cl.reports = append(cl.reports, slowReport{cl.shard, w, w.address, report, cl.now + simReportTimeout})
 		return
 	}
 	cl.shard.ApplyReport(w.id, report, cl.now)
@@ -662,12 +694,15 @@
 		delivery = cl.deliveryInSilence()
 	}
 	clock, err := time.Duration(0), agent.ErrNoAnswer
-	switch delivery {
-	case "lost":
-	case "late":
+	switch {
+	case delivery == "lost":
+	case delivery == "late":
 		late := d
 		late.answer = nil
 		cl.delay(w, late)
+	case d.address() != w.address:
+		// Nobody listens at the address of an incarnation that has ended, or another worker does.
+		err = rapid.SampledFrom([]error{agent.ErrNotSent, agent.ErrNoAnswer, agent.ErrOtherIncarnation}).Draw(cl.t, "at former address")
 	default:
 		if cl.answersSlowly(w, d, delivery) {
 			return
@@ -679,6 +714,14 @@
 	cl.answer(d, clock, err)
 }
 
+// address returns the address that a start or stop is sent to.
+func (d delayedCommand) address() string {
+	if d.start != nil {
+		return d.start.Target.Address
+	}
+	return d.stop.Target.Address
+}
+
 // carryOut carries out a start or a stop on time.
 func (cl *cluster) carryOut(d delayedCommand) (time.Duration, error) {
 	if d.start != nil {
