fix(shard): acknowledge nothing while a start may reach the worker's next incarnation

A heartbeat that acknowledges ends and stays unanswered may be carried out by the next incarnation of its worker, whose ends count from 1 again. It is void there once a later command has been accepted, but a late start without a placement ticket may have brought a run there before, which ended: the worker forgot that end, nobody had seen it, and the task ran again after its acknowledged success.

Ends are now acknowledged only while no such start to the worker is unanswered or in flight, and a start that is sent while an acknowledgement is under way has a higher token, so that the acknowledgement is void once the start has been carried out. With placement advice nothing changes.

What a former owner started and gave up isn't covered: its starts may still bring a run to a worker that acknowledges late.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -50,6 +50,9 @@
 			switch {
 			case a.phase == phaseBound && a.commitNumber <= s.lastCommitted && w.tokenSeen && w.entryIsCurrent() && a.visibleSince < 0:
 				a.commandPending = true
+				if a.stage.job.queue.Advice == nil {
+					s.voidAcknowledgement(w)
+				}
 				commands.Starts = append(commands.Starts, StartCommand{
 					target, s.startCommand(a, now), a, s.addGrant(w, a.startArrivesBy(now), now), w.incarnation,
 				})
--- a/internal/shard/faultmodel_test.go
+++ b/internal/shard/faultmodel_test.go
@@ -320,6 +320,9 @@
 			actions["relist-ended"] = cl.relistEnded
 		}
 	}
+	if cl.options.lateAcks && cl.options.lateStarts {
+		actions["late-both"] = cl.startAndAcknowledgeLate
+	}
 	if cl.options.gangsOutlive {
 		actions["break-gang"] = cl.breakGang
 	}
@@ -493,6 +496,48 @@
 	cl.advance(time.Duration(rapid.IntRange(1, 12).Draw(t, "seconds")) * time.Second)
 }
 
+// startAndAcknowledgeLate lets a start and a heartbeat that acknowledges ends, in either order, reach the next incarnation of their
+// worker, which nobody calls meanwhile.
+func (cl *cluster) startAndAcknowledgeLate(t *rapid.T) {
+	answered := func() string { return "answered" }
+	late := func() string { return "late" }
+	cl.submit(t)
+	cl.sendCommands(answered)
+	w := rapid.SampledFrom(cl.workers).Draw(t, "worker")
+	cl.finishRuns(w)
+	cl.exchangeHeartbeat(w, "answered")
+	cl.sendCommands(answered)
+	cl.submit(t)
+	send := func() {
+		cl.sendCommands(late)
+		if rapid.Bool().Draw(t, "repeat") {
+			cl.advance(200 * time.Millisecond)
+			cl.sendCommands(late)
+		}
+	}
+	if rapid.Bool().Draw(t, "heartbeat first") {
+		cl.exchangeHeartbeat(w, "late")
+		send()
+	} else {
+		send()
+		cl.exchangeHeartbeat(w, "late")
+	}
+	if cl.options.noRestarts || !w.up {
+		return
+	}
+	cl.restartWorker(w)
+	w.unreachable = true
+	for range rapid.IntRange(8, 28).Draw(t, "half seconds") {
+		cl.advance(500 * time.Millisecond)
+		for _, run := range w.sortedRuns() {
+			if w.runs[run.key] == run && rapid.Bool().Draw(t, "end") {
+				cl.finishRun(w, run, agent.OutcomeDone)
+			}
+		}
+	}
+	w.unreachable = false
+}
+
 // breakGang starts a gang that needs several workers, and ends one member after another worker of the gang has fallen silent.
 func (cl *cluster) breakGang(t *rapid.T) {
 	stage := work.Stage{
@@ -639,6 +684,12 @@
 	checkUnder(t, simOptions{uptime: simUptime, silences: true, lateHeartbeats: true, lateAcks: true})
 }
 
+// TestInvariantsUnderLateStartsAndAcknowledgements lets late heartbeats acknowledge the ends of runs that late starts have brought to the
+// next incarnation of their worker.
+func TestInvariantsUnderLateStartsAndAcknowledgements(t *testing.T) {
+	checkUnder(t, simOptions{uptime: simUptime, silences: true, lateStarts: true, lateHeartbeats: true, lateAcks: true, unlisting: true})
+}
+
 // TestInvariantsUnderFormerOwner lets a former owner go on until its limit of renewals.
 func TestInvariantsUnderFormerOwner(t *testing.T) {
 	checkUnder(t, simOptions{
--- a/internal/shard/grant.go
+++ b/internal/shard/grant.go
@@ -179,6 +179,30 @@
 	return until
 }
 
+// startMayArriveLate reports whether a start may reach a later incarnation of the worker than the owner knows. Its run may end there
+// before anybody has seen it, so that an acknowledgement which is carried out late would have the worker forget that end.
+func (s *Shard) startMayArriveLate(w *worker, now time.Duration) bool {
+	for _, a := range w.attempts {
+		if a.stage.job.queue.Advice == nil && (a.commandPending || now < a.startInFlightUntil) {
+			return true
+		}
+	}
+	for key, until := range w.inFlightStarts {
+		j := s.jobs[key.task.Job]
+		if now < until && (j == nil || j.queue.Advice == nil) {
+			return true
+		}
+	}
+	return false
+}
+
+// voidAcknowledgement keeps an acknowledgement that is under way from being carried out after a start that is sent now.
+func (s *Shard) voidAcknowledgement(w *worker) {
+	if w.heartbeat.pending && w.heartbeat.acknowledges {
+		s.raiseGeneration(w, w.heartbeat.generation)
+	}
+}
+
 // HeartbeatFailed notes that a worker's heartbeat failed, with the error that it returned.
 func (s *Shard) HeartbeatFailed(id model.WorkerID, err error, now time.Duration) {
 	w, ok := s.workers[id]
--- a/internal/shard/grant_test.go
+++ b/internal/shard/grant_test.go
@@ -230,3 +230,72 @@
 	assert.Assert(t, ok)
 	assert.Assert(t, next.Token > late.Token, "the next incarnation carries it out after it has reported")
 }
+
+// TestLateAcknowledgementFollowsNoLateStart guards against a run after an acknowledged success: a late start runs on the next
+// incarnation of a silent worker and ends there, and a late heartbeat for the incarnation before acknowledges that end, which nobody
+// has seen.
+func TestLateAcknowledgementFollowsNoLateStart(t *testing.T) {
+	tests := []struct {
+		name  string
+		queue string
+		// heartbeatFirst tells that the heartbeat is sent before the start, and answered that the start is answered before it.
+		heartbeatFirst, answered bool
+		// acked tells that the heartbeat acknowledges the end, higher that the start has a higher token than the heartbeat.
+		acked, higher bool
+	}{
+		{"start in flight", testQueue, false, false, false, false},
+		{"start answered", testQueue, false, true, true, false},
+		{"start with a ticket in flight", "advised", false, false, true, false},
+		{"start sent while the acknowledgement is under way", testQueue, true, false, true, true},
+		{"start with a ticket sent while the acknowledgement is under way", "advised", true, false, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, "w1")
+			h.submitAs("first", testQueue, tasks(1))
+			done := h.confirmStarts()[0]
+			h.report("w1", agent.Report{Ended: []agent.EndedRun{firstEnd(done, agent.OutcomeDone)}})
+			h.commit()
+			h.submitAs("second", tt.queue, tasks(1))
+			if tt.queue == "advised" {
+				for _, call := range h.nextAdviceCalls() {
+					h.shard.ApplyAdvice(call, agent.Advice{
+						Tickets: map[model.WorkerID]string{"w1": "ticket"}, Valid: model.Duration(2 * time.Second),
+					}, nil, h.now)
+				}
+			}
+			send := func() StartCommand {
+				starts := h.nextCommands().Starts
+				assert.Equal(t, len(starts), 1)
+				if tt.answered {
+					h.shard.ApplyStartResult(starts[0], h.clock["w1"], nil, h.now)
+				}
+				return starts[0]
+			}
+			beat := func() agent.Heartbeat {
+				heartbeat, ok := h.shard.HeartbeatFor("w1", h.now, true)
+				assert.Assert(t, ok)
+				return heartbeat
+			}
+			var start StartCommand
+			var heartbeat agent.Heartbeat
+			if tt.heartbeatFirst {
+				heartbeat = beat()
+				start = send()
+			} else {
+				start = send()
+				heartbeat = beat()
+			}
+			assert.Equal(t, heartbeat.Acked > 0, tt.acked)
+			assert.Equal(t, start.Start.Token > heartbeat.Token, tt.higher)
+			if !tt.acked {
+				h.shard.ApplyStartResult(start, 0, agent.ErrNoAnswer, h.now)
+				h.advance(maxCommandDelay - time.Millisecond)
+				assert.Equal(t, beat().Acked, int64(0))
+				assert.Assert(t, !h.shard.EndsAcknowledgeable("w1", h.now))
+				h.advance(time.Millisecond)
+				assert.Equal(t, beat().Acked, int64(1))
+			}
+		})
+	}
+}
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -20,8 +20,9 @@
 		s.HeartbeatFailed(id, agent.ErrNoAnswer, now)
 	}
 	w.heartbeat = sentHeartbeat{pending: true, sentAt: now, generation: w.generation}
-	heartbeat := agent.Heartbeat{
-		Token: s.token(w), Acked: w.ackableEnd(s.lastCommitted, now), ReportConnection: w.reportConnection,
+	heartbeat := agent.Heartbeat{Token: s.token(w), ReportConnection: w.reportConnection}
+	if !s.startMayArriveLate(w, now) {
+		heartbeat.Acked = w.ackableEnd(s.lastCommitted, now)
 	}
 	w.heartbeat.acknowledges = heartbeat.Acked > 0
 	// The lease of a silent worker is not extended, so that its runs expire at a known time.
@@ -43,7 +44,11 @@
 // EndsAcknowledgeable reports whether all ended runs that a worker has reported can be acknowledged.
 func (s *Shard) EndsAcknowledgeable(id model.WorkerID, now time.Duration) bool {
 	w, ok := s.workers[id]
-	return !ok || !slices.ContainsFunc(w.pendingAcks, func(p pendingAck) bool { return !p.due(s.lastCommitted, now) })
+	if !ok || len(w.pendingAcks) == 0 {
+		return true
+	}
+	return !s.startMayArriveLate(w, now) &&
+		!slices.ContainsFunc(w.pendingAcks, func(p pendingAck) bool { return !p.due(s.lastCommitted, now) })
 }
 
 // ApplyReport applies a worker's report.
