fix(shard): a report that may leave out runs frees no worker

A report is incomplete if a row of it can't be decoded or if it has 500 ends, of which the worker may have more. It proves of no known run that it is gone, but it did so of a run of an unknown or a held job: the worker counted as free and got tasks beside a run whose size the owner doesn't know. Found by reading, as another part of a read that counts as the whole; no play has shown it.

TestIncompleteReportFreesNoWorker failed before in both cases (the worker is usable after the incomplete report).

--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -74,6 +74,7 @@
 	s.voidGrants(w, w.heartbeat.generation, now)
 	w.settleGrant(w.heartbeat.grant)
 	w.heartbeat.pending = false
+	heldRun := w.holdsHeldRun()
 	w.tokenSeen, w.clock, w.clockReadAt, w.lastReportAt = true, r.Clock, now, now
 	w.reportConnection = r.Connection
 	listed := make(map[runKey]bool, len(r.Running)+len(r.Ended))
@@ -86,15 +87,18 @@
 		listed[key] = true
 		s.applyRunning(w, key, row, now)
 	}
+	if r.Incomplete {
+		if heldRun {
+			w.heldRunAt = now
+		}
+		return
+	}
 	for key, unknown := range w.unknownRuns {
 		if !listed[key] && !unknown.mayArrive {
 			delete(w.unknownRuns, key)
 			s.freedWorkers[w] = true
 		}
 	}
-	if r.Incomplete {
-		return
-	}
 	gone := func(a *attempt) bool {
 		// The clock in the answer to a start is that of the incarnation which answered, the report may be of the one before.
 		overtaken := answeredUnlisted(a) && a.answeredAt >= w.heartbeat.sentAt
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -63,7 +63,7 @@
 	reportConnection uint64
 
 	// firstHeldEnd is the number of the first ended run of a held job, or zero; no end from it on is acknowledged. heldRunAt
-	// is when the worker last reported a run of a held job.
+	// is when the worker last reported a run of a held job, or left open whether it still has it.
 	firstHeldEnd int64
 	heldRunAt    time.Duration
 
@@ -126,10 +126,12 @@
 // while the registry was unavailable come back within that time.
 func (w *worker) gone(now time.Duration) bool { return !w.listed && now-w.unlistedAt > unlistedGrace }
 
+// holdsHeldRun reports whether the worker may have a run of a held job: the last report that lists all runs lists one.
+func (w *worker) holdsHeldRun() bool { return w.heldRunAt > 0 && w.heldRunAt >= w.lastReportAt }
+
 // usable reports whether new tasks may be sent to the worker.
 func (w *worker) usable(now time.Duration) bool {
-	holdsRun := w.heldRunAt > 0 && w.heldRunAt >= w.lastReportAt
-	return w.listed && w.tokenSeen && !w.entry.Draining && len(w.unknownRuns) == 0 && !holdsRun &&
+	return w.listed && w.tokenSeen && !w.entry.Draining && len(w.unknownRuns) == 0 && !w.holdsHeldRun() &&
 		now-w.lastReportAt < suspectAfter
 }
 
