fix(inbox): a record isn't sent for the first time, or again, after a standstill

A node stops to repeat the append of a job 30 s after its submission (a quarter of the retention), because a job that was submitted again elsewhere may be forgotten after the retention and would run again. The limit was checked only after an append that went unanswered: a process that stood still before it sent the records, or in the pause between two tries, sent them at any age. It is now checked before each append, by the age of the oldest record.

TestRecordOfStandstillIsGivenUp failed before: the record was appended a minute after its submission.

--- a/internal/inbox/inbox.go
+++ b/internal/inbox/inbox.go
@@ -41,7 +41,8 @@
 	Partition int
 	// Producer identifies this process to the store; it is different after each start.
 	Producer string
-	// RepeatLimit is how long an append is repeated. It must be well below the time for which the state of an ended job is kept.
+	// RepeatLimit is the age up to which a record is sent to the store, or sent again. It must be well below the time for which the
+	// state of an ended job is kept.
 	RepeatLimit time.Duration
 	Log         *zap.Logger
 }
@@ -59,6 +60,7 @@
 
 type pendingRecord struct {
 	record ledger.Record
+	since  time.Time
 	done   chan error
 }
 
@@ -75,7 +77,7 @@
 	if since := b.unansweredSince.Load(); since != 0 && time.Since(b.start)-time.Duration(since) > unansweredLimit {
 		return ErrRefused
 	}
-	p := &pendingRecord{record: record, done: make(chan error, 1)}
+	p := &pendingRecord{record: record, since: time.Now(), done: make(chan error, 1)}
 	select {
 	case b.queue <- p:
 	default:
@@ -125,7 +127,12 @@
 	}
 	defer b.unansweredSince.Store(0)
 	unanswered := false
-	for begun := time.Now(); ctx.Err() == nil; {
+	for ctx.Err() == nil {
+		// The process may have stood still since the last step. The records wait in order, so that the first is the oldest.
+		if time.Since(pending[0].since) > b.cfg.RepeatLimit {
+			b.giveUp(pending, unanswered)
+			return
+		}
 		err := b.cfg.Store.Append(ctx, batch)
 		switch {
 		case err == nil:
@@ -143,13 +150,6 @@
 				b.cfg.Log.Warn("append without answer", zap.Int64("sequence", b.sequence), zap.Error(err))
 			}
 			b.refuseWaiting()
-			if time.Since(begun) > b.cfg.RepeatLimit {
-				// The next append is under a higher epoch, after which the store refuses what is still under way of this one.
-				b.cfg.Log.Error("append given up", zap.Int64("sequence", b.sequence), zap.Int("records", len(pending)))
-				b.answerAll(pending, ErrUnknown)
-				b.epoch, b.sequence = b.epoch+1, 1
-				return
-			}
 			pause.For(ctx, retryDelay)
 		default:
 			b.cfg.Log.Error("append failed", zap.Int64("sequence", b.sequence), zap.Error(err))
@@ -161,6 +161,18 @@
 	b.answerAll(pending, ErrUnknown)
 }
 
+// giveUp ends the attempts to store records. If one of them went unanswered, the next append is under a higher epoch, after which the
+// store refuses what is still under way of these.
+func (b *Inbox) giveUp(pending []*pendingRecord, unanswered bool) {
+	b.cfg.Log.Error("append given up", zap.Int64("sequence", b.sequence), zap.Int("records", len(pending)))
+	if !unanswered {
+		b.answerAll(pending, ErrRefused)
+		return
+	}
+	b.answerAll(pending, ErrUnknown)
+	b.epoch, b.sequence = b.epoch+1, 1
+}
+
 // refuseWaiting refuses the records that have not been sent, once the store has not answered for unansweredLimit.
 func (b *Inbox) refuseWaiting() {
 	if since := b.unansweredSince.Load(); time.Since(b.start)-time.Duration(since) <= unansweredLimit {
--- a/internal/inbox/inbox_test.go
+++ b/internal/inbox/inbox_test.go
@@ -156,3 +156,22 @@
 		}
 	})
 }
+
+// TestRecordOfStandstillIsGivenUp guards against the same record if it was the node that stood still before it sent the record.
+func TestRecordOfStandstillIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{stored: make(map[int64][]ledger.Record)}
+		b := New(Config{Store: f, Topic: "jobs", Producer: "node", RepeatLimit: 30 * time.Second, Log: zap.NewNop()})
+		record := ledger.Record{Key: "job/a", Value: []byte("x")}
+		outcome, done := make(chan error, 1), make(chan error, 1)
+		go func() { outcome <- b.Put(context.Background(), record) }()
+		time.Sleep(time.Minute)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { done <- b.Run(ctx) }()
+		assert.Check(t, errors.Is(<-outcome, ErrRefused))
+		assert.Check(t, len(f.batches) == 0)
+		assert.Check(t, b.Put(context.Background(), record))
+		cancel()
+		assert.NilError(t, <-done)
+	})
+}
