fix(shard): an owner without decisions to record acknowledges ends

The end of a run waited for the next commit, also if it changed nothing that has to be recorded. An owner without any further change to record, such as one that took over from the owner that had recorded the end, never acknowledged it; its worker reported it again and again.

TestEndWithoutChangeIsAcknowledged failed before, for a final and for an unknown job (acknowledged up to 0 instead of 1).

--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -56,6 +56,14 @@
 	return c
 }
 
+// lastChange returns the number of the commit that records the last change; without changes there may be no further commit.
+func (s *Shard) lastChange() uint64 {
+	if len(s.dirtyJobs) == 0 {
+		return s.nextCommit - 1
+	}
+	return s.nextCommit
+}
+
 // NoteInboxRead notes that all submissions have been submitted that were stored by the given time.
 func (s *Shard) NoteInboxRead(at time.Duration) { s.inboxReadAt = max(s.inboxReadAt, at) }
 
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -169,7 +169,7 @@
 		} else {
 			s.countLateEnd(end, now)
 		}
-		w.pendingAcks = append(w.pendingAcks, pendingAck{end.Number, s.nextCommit, notBefore})
+		w.pendingAcks = append(w.pendingAcks, pendingAck{end.Number, s.lastChange(), notBefore})
 	}
 }
 
