fix(owner): a member that lost the ownership doesn't keep others from taking over

The member with the shard's partition takes over once the member that last began a takeover has left the group. After a takeover that could not finish, or an ownership that was fenced, a node leaves for two seconds. If the others could not look at the group meanwhile, because the store left their calls unanswered, it was back when they did: all waited for each other, and no job went on until the group changed again.

A node that finds itself recorded as the last claimant, without the ownership and without the partition, now leaves the group for a while again.

--- a/internal/owner/directory.go
+++ b/internal/owner/directory.go
@@ -66,6 +66,8 @@
 
 	mu    sync.Mutex
 	owner Member
+	// claimant is the member that last began a takeover.
+	claimant Member
 	// unresponsive is set while the owner doesn't answer. Then only one call at a time is made to it, at probeAt or later,
 	// and the others wait until recovered is closed.
 	unresponsive bool
@@ -120,6 +122,7 @@
 		return
 	}
 	d.mu.Lock()
+	d.claimant = records.claimant
 	if records.serving != d.owner {
 		d.cfg.Log.Info("owner changed", zap.String("from", d.owner.Node), zap.String("to", records.serving.Node))
 		d.owner = records.serving
@@ -137,6 +140,13 @@
 	d.decideRole(records, holders, time.Now())
 }
 
+// claimed reports whether this node last began a takeover, as far as the directory has read.
+func (d *Directory) claimed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.claimant == memberOf(d.cfg.Self)
+}
+
 func (d *Directory) current() Member {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -245,8 +245,8 @@
 
 // handleRenewal starts or ends an ownership after the membership has been renewed by a call that began at the given time. It
 // returns the generation up to which the recorded owner is known to be a member, and whether the node must leave the group for
-// a while: because its ownership was fenced or failed, as the others don't take over from a member, or because it would own under
-// the same epoch again.
+// a while: because its ownership was fenced or failed, as the others don't take over from a member, also if they missed that it
+// had left, or because it would own under the same epoch again.
 func (o *Owner) handleRenewal(
 	ctx context.Context, assignment ledger.Assignment, begun time.Time, checkedGeneration int64,
 ) (int64, bool) {
@@ -264,6 +264,9 @@
 		// Leaving the group after the last ownership was lost. A second ownership under its epoch would repeat its sequence
 		// numbers.
 		return checkedGeneration, true
+	case !slices.Contains(assignment.Partitions, Partition) && o.cfg.Directory.claimed():
+		// The member with the partition waits for this one, which has lost the ownership, unless it was found missing in time.
+		return checkedGeneration, true
 	case slices.Contains(assignment.Partitions, Partition) && assignment.Generation > checkedGeneration:
 		members, gone := o.ownerIsGone(ctx)
 		if gone {
--- a/internal/owner/simstore_test.go
+++ b/internal/owner/simstore_test.go
@@ -244,6 +244,8 @@
 	// cutAppends and cutReads tell which topics don't answer, and cutGroups that the groups don't answer.
 	cutAppends, cutReads map[ledger.Topic]bool
 	cutGroups            bool
+	// membersDelay delays reads of a group's members.
+	membersDelay time.Duration
 	// cutWorkers tells which workers the node doesn't reach.
 	cutWorkers map[model.WorkerID]bool
 }
@@ -509,6 +511,10 @@
 }
 
 func (c *simConnection) Holders(ctx context.Context, group string) ([]ledger.Holder, error) {
+	c.mu.Lock()
+	delay := c.membersDelay
+	c.mu.Unlock()
+	pause.For(ctx, delay)
 	return simCall(ctx, c, "holders of "+group, false, c.groupsCut(), func() ([]ledger.Holder, error) {
 		return c.store.holders(group), nil
 	})
