--- a/internal/owner/simnodes_test.go
+++ b/internal/owner/simnodes_test.go
@@ -297,7 +297,7 @@
 func wholeTroubles() simTroubles {
 	troubles := allTroubles
 	troubles.kills, troubles.stalls, troubles.starvations, troubles.series = true, true, true, true
-	troubles.cancellations, troubles.configurations = true, true
+	troubles.cancellations, troubles.chains, troubles.configurations = true, true, true
 	return troubles
 }
 
--- a/internal/owner/simstore_test.go
+++ b/internal/owner/simstore_test.go
@@ -27,7 +27,7 @@
 	// simMinStall and simMaxStall bound how long a process stands still between two steps, and simStallShare and simFirstStallShare
 	// tell how often it does before a step that was taken often, and before one that wasn't.
 	simMinStall, simMaxStall          = 50 * time.Millisecond, 12 * time.Second
-	simStallShare, simFirstStallShare = 0.0005, 0.05
+	simStallShare, simFirstStallShare = 0.001, 0.1
 )
 
 // simStore is a store whose appends are fenced by the epochs of their producers, topic by topic, and whose pages of newest records
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -181,6 +181,7 @@
 	for begun := time.Now(); ; {
 		ow.step(Step{Name: "read newest", Topic: topic})
 		page, err := ow.cfg.Store.Newest(ctx, topic, Partition)
+		ow.step(Step{Name: "handle newest", Topic: topic})
 		switch {
 		case err == nil || ctx.Err() != nil:
 			return page, err
--- a/internal/owner/takeoversim_test.go
+++ b/internal/owner/takeoversim_test.go
@@ -53,8 +53,8 @@
 	// and start again.
 	freezes, losses, cuts, isolations, reassigns, trims, silences, restarts bool
 	// Nodes that are killed, stand still between any two steps or starve, owners that fail one after the other, jobs that are
-	// cancelled, and configurations that change.
-	kills, stalls, starvations, series, cancellations, configurations bool
+	// cancelled, or whose stages wait for each other, and configurations that change.
+	kills, stalls, starvations, series, cancellations, chains, configurations bool
 	// fencesTakeNumbers and repeatsGenerations are properties of the store.
 	fencesTakeNumbers, repeatsGenerations bool
 }
@@ -175,6 +175,11 @@
 			Count: 1 + r.Intn(2), Size: model.Resources{Cores: 1}, RunTime: model.Duration(time.Second),
 		})
 	}
+	for i := range job.Stages {
+		if s.troubles.chains && i > 0 && r.Intn(2) == 0 {
+			job.Stages[i].After = []int{i - 1}
+		}
+	}
 	for i, stage := range job.Stages {
 		for k := range stage.Count {
 			length := simDuration(r, 500*time.Millisecond, 10_500*time.Millisecond)
@@ -267,7 +272,11 @@
 		}
 	}})
 	add(s.troubles.kills, trouble{"kill", func() { s.kill(i) }})
-	add(s.troubles.stalls, trouble{"stalls", func() { node.connection.set(func(c *simConnection) { c.stalls = true }) }})
+	add(s.troubles.stalls, trouble{"stalls", func() {
+		for _, n := range s.running() {
+			n.connection.set(func(c *simConnection) { c.stalls = true })
+		}
+	}})
 	add(s.troubles.starvations, trouble{"starvation", func() { s.starve(node, length, r) }})
 	add(s.troubles.configurations, trouble{"configuration", func() { s.configure(r) }})
 	if r.Intn(3) == 0 {
