--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -182,7 +182,7 @@
 			s.checkPresumedEnd(w, key, end.Outcome, margin, now)
 			s.countLateEnd(end, now)
 		}
-		w.pendingAcks = append(w.pendingAcks, pendingAck{end.Number, s.nextCommit, notBefore})
+		w.pendingAcks = append(w.pendingAcks, pendingAck{end.Number, s.lastChange(), notBefore})
 	}
 }
 
