--- a/internal/shard/acknowledge_test.go
+++ b/internal/shard/acknowledge_test.go
@@ -37,7 +37,9 @@
 			h.commit()
 			// Until then a start of the former owner may arrive late.
 			h.advance(h.shard.cfg.RenewLimit + maxCommandDelay)
-			assert.Equal(t, h.renewal("w1").Acked, int64(1))
+			heartbeat, ok := h.shard.HeartbeatFor("w1", h.now, true)
+			assert.Assert(t, ok)
+			assert.Equal(t, heartbeat.Acked, int64(1))
 		})
 	}
 }
