--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -152,9 +152,12 @@
 // this was noticed.
 func (ow *ownership) fence(by string) {
 	ow.mu.Lock()
+	known := ow.fenced
 	ow.fenced = true
 	ow.mu.Unlock()
-	ow.cfg.Log.Info("ownership fenced", zap.Int64("epoch", ow.epoch), zap.String("by", by))
+	if !known {
+		ow.cfg.Log.Info("ownership fenced", zap.Int64("epoch", ow.epoch), zap.String("by", by))
+	}
 	ow.stop()
 }
 
