--- a/internal/owner/series_test.go
+++ b/internal/owner/series_test.go
@@ -30,9 +30,9 @@
 )
 
 const (
-	// seriesNodes are the nodes that own in turn, and seriesSteps bounds the calls that an owner makes before it has a trouble.
+	// seriesNodes are the nodes that own in turn, and seriesCalls bounds the calls that an owner makes before it has a trouble.
 	seriesNodes = 4
-	seriesSteps = 100
+	seriesCalls = 100
 	// seriesTicket is how long workers accept a ticket.
 	seriesTicket = 2 * time.Second
 )
@@ -45,18 +45,18 @@
 	// unlisted tells whether a worker's entry is hidden from the node.
 	unlisted func(model.WorkerID) bool
 
-	stepMu sync.Mutex
+	callsMu sync.Mutex
 	// left is the number of calls before the trouble begins, or zero.
 	left    int
 	trouble func()
 }
 
-func (n *seriesNode) step() {
+func (n *seriesNode) countCall() {
 	if n.node.owner.current() == nil {
 		return
 	}
-	n.stepMu.Lock()
-	defer n.stepMu.Unlock()
+	n.callsMu.Lock()
+	defer n.callsMu.Unlock()
 	if n.left == 0 {
 		return
 	}
@@ -66,17 +66,17 @@
 }
 
 func (n *seriesNode) Append(ctx context.Context, b ledger.Batch) error {
-	n.step()
+	n.countCall()
 	return n.simConnection.Append(ctx, b)
 }
 
 func (n *seriesNode) Newest(ctx context.Context, topic ledger.Topic, partition int) (ledger.Page, error) {
-	n.step()
+	n.countCall()
 	return n.simConnection.Newest(ctx, topic, partition)
 }
 
 func (n *seriesNode) Join(ctx context.Context, m ledger.Membership) (ledger.Assignment, error) {
-	n.step()
+	n.countCall()
 	return n.simConnection.Join(ctx, m)
 }
 
@@ -89,26 +89,23 @@
 	return advice, nil
 }
 
-// Start sends a start, which the worker refuses if its ticket has expired when it is carried out.
-func (n *seriesNode) Start(ctx context.Context, to agent.Target, cmd agent.Start) (clock time.Duration, err error) {
-	n.step()
-	err = n.workers.call(ctx, to, func() (err error) {
-		if expires, err := time.Parse(time.RFC3339Nano, cmd.Ticket); err != nil || !time.Now().Before(expires) {
-			return agent.ErrTicket
-		}
-		clock, err = n.workers.fleet.start(to, cmd)
-		return err
-	})
-	return clock, err
+// Start sends a start, which the worker refuses if its ticket has expired.
+func (n *seriesNode) Start(ctx context.Context, to agent.Target, cmd agent.Start) (time.Duration, error) {
+	n.countCall()
+	n.thaw(ctx)
+	if expires, err := time.Parse(time.RFC3339Nano, cmd.Ticket); err != nil || !time.Now().Before(expires) {
+		return 0, agent.ErrTicket
+	}
+	return n.workers.Start(ctx, to, cmd)
 }
 
 func (n *seriesNode) Stop(ctx context.Context, to agent.Target, cmd agent.Stop) (time.Duration, error) {
-	n.step()
+	n.countCall()
 	return n.workers.Stop(ctx, to, cmd)
 }
 
 func (n *seriesNode) Heartbeat(ctx context.Context, to agent.Target, cmd agent.Heartbeat) (agent.Report, error) {
-	n.step()
+	n.countCall()
 	return n.workers.Heartbeat(ctx, to, cmd)
 }
 
@@ -221,9 +218,9 @@
 		if i > 0 && random.Intn(2) == 0 {
 			continue
 		}
-		n.stepMu.Lock()
-		n.left, n.trouble = 1+random.Intn(seriesSteps), seriesTrouble(n, nodes, w, random)
-		n.stepMu.Unlock()
+		n.callsMu.Lock()
+		n.left, n.trouble = 1+random.Intn(seriesCalls), seriesTrouble(n, nodes, w, random)
+		n.callsMu.Unlock()
 	}
 	nodes[0].set(func(c *simConnection) { c.cutWorkers[isolated] = true })
 	if random.Intn(2) == 0 {
