test(soak): move workers to other addresses and starve nodes

Workers restarted under their IDs at the same address only, and nodes stopped for seconds but never starved. A worker may now restart at another address, with nobody at the former one, and a node may stand still for 50 to 200 ms again and again, by SIGSTOP and SIGCONT to its process, beside others that stop. Plans of TestSoak and of late commands contain both; the owner starves in half of the cases.

--- a/soak/node_test.go
+++ b/soak/node_test.go
@@ -32,6 +32,8 @@
 	cmd      *exec.Cmd
 	stayDown bool
 	closing  bool
+	// starved is closed when the node is no longer to be starved; it is nil while it isn't.
+	starved chan struct{}
 	// signalled is set once the process has been told to end; ends holds how processes ended that had not been told to.
 	signalled bool
 	ends      []string
@@ -139,6 +141,41 @@
 	}
 }
 
+// minStarve and maxStarve bound how long a node that starves stands still, and how long it runs in between.
+const (
+	minStarve = 50 * time.Millisecond
+	maxStarve = 200 * time.Millisecond
+)
+
+// setStarved sets whether the node stands still again and again.
+func (n *node) setStarved(starved bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch {
+	case starved && n.starved == nil:
+		n.starved = make(chan struct{})
+		go n.runStarved(n.starved)
+	case !starved && n.starved != nil:
+		close(n.starved)
+		n.starved = nil
+	}
+}
+
+// runStarved stops and continues the node until the channel is closed.
+func (n *node) runStarved(end <-chan struct{}) {
+	for {
+		for _, s := range []syscall.Signal{syscall.SIGSTOP, syscall.SIGCONT} {
+			n.signal(s)
+			select {
+			case <-end:
+				n.signal(syscall.SIGCONT)
+				return
+			case <-time.After(minStarve + rand.N(maxStarve-minStarve)):
+			}
+		}
+	}
+}
+
 // ownEnds returns how processes of the node ended that had not been told to.
 func (n *node) ownEnds() []string {
 	n.mu.Lock()
@@ -157,6 +194,7 @@
 	n.mu.Lock()
 	n.closing = true
 	n.mu.Unlock()
+	n.setStarved(false)
 	n.signal(syscall.SIGKILL)
 	<-n.done
 	n.store.close()
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -15,12 +15,14 @@
 	faultKillNode          = "kill-node"
 	faultStopNode          = "stop-node"
 	faultPauseNode         = "pause-node"
+	faultStarveNode        = "starve-node"
 	faultStoreLink         = "store-link"
 	faultStoreDown         = "store-down"
 	faultStoreSlow         = "store-slow"
 	faultStoreDropsAnswers = "store-loses-answers"
 	faultWorkerLink        = "worker-link"
 	faultWorkerCrash       = "worker-crash"
+	faultWorkerMove        = "worker-move"
 	faultLateCommands      = "late-commands"
 	faultWorkerDrain       = "drain-worker"
 	faultDataCentreOut     = "data-centre-out"
@@ -71,9 +73,9 @@
 func newPlan(seed uint64, length time.Duration) []fault {
 	random := rand.New(rand.NewPCG(seed, seed))
 	kinds := []string{
-		faultKillNode, faultKillNode, faultStopNode, faultPauseNode, faultStoreLink, faultStoreLink, faultStoreDown, faultStoreSlow,
-		faultStoreDropsAnswers, faultWorkerLink, faultWorkerLink, faultWorkerCrash, faultLateCommands, faultWorkerDrain,
-		faultDataCentreOut, faultConfig, faultKillAllNodes,
+		faultKillNode, faultKillNode, faultStopNode, faultPauseNode, faultStarveNode, faultStarveNode, faultStoreLink,
+		faultStoreLink, faultStoreDown, faultStoreSlow, faultStoreDropsAnswers, faultWorkerLink, faultWorkerLink, faultWorkerCrash,
+		faultWorkerMove, faultWorkerMove, faultLateCommands, faultWorkerDrain, faultDataCentreOut, faultConfig, faultKillAllNodes,
 	}
 	modes := []linkMode{linkDelay, linkReset, linkNoData, linkNoAnswers}
 	var plan []fault
@@ -92,7 +94,7 @@
 			}
 		case faultLateCommands:
 			f.Late = randomLate(random)
-		case faultKillNode, faultStopNode, faultPauseNode:
+		case faultKillNode, faultStopNode, faultPauseNode, faultStarveNode:
 			if random.IntN(2) == 0 {
 				f.Target = ownerTarget
 			}
@@ -127,8 +129,10 @@
 					At: late + between(random, 2*time.Second, 5*time.Second), Duration: between(random, minSilence, maxSilence),
 					Kind: faultWorkerLink, Target: target, Mode: silences[random.IntN(len(silences))],
 				})
-			if random.IntN(2) == 0 {
-				plan = append(plan, fault{At: late + between(random, time.Second, 8*time.Second), Kind: faultWorkerCrash, Target: target})
+			if restarts := []string{faultWorkerCrash, faultWorkerMove}; random.IntN(2) == 0 {
+				plan = append(plan, fault{
+					At: late + between(random, time.Second, 8*time.Second), Kind: restarts[random.IntN(len(restarts))], Target: target,
+				})
 			}
 		}
 		plan = append(plan, fault{
@@ -136,7 +140,7 @@
 			Kind: faultStoreDropsAnswers,
 		})
 		// A change of owner puts off what the new owner may presume, so that some rounds have none.
-		if kinds := []string{faultKillNode, faultStopNode, faultPauseNode}; random.IntN(4) > 0 {
+		if kinds := []string{faultKillNode, faultStopNode, faultPauseNode, faultStarveNode}; random.IntN(4) > 0 {
 			plan = append(plan, fault{
 				At: at + between(random, 0, 8*time.Second), Duration: between(random, 300*time.Millisecond, 6*time.Second),
 				Kind: kinds[random.IntN(len(kinds))], Target: ownerTarget,
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -289,6 +289,8 @@
 		} else {
 			n.signal(syscall.SIGCONT)
 		}
+	case faultStarveNode:
+		n.setStarved(e.start)
 	case faultStoreLink:
 		n.store.set(linkModeAt(e))
 	case faultWorkerLink:
@@ -299,6 +301,10 @@
 		if e.start {
 			worker.Crash()
 		}
+	case faultWorkerMove:
+		if e.start {
+			d.moveWorker(e.fault.Target % workerCount)
+		}
 	case faultLateCommands:
 		if e.start {
 			worker.SetLateCommands(*e.fault.Late)
@@ -315,6 +321,20 @@
 	}
 }
 
+// moveWorker lets a worker restart under its ID at another address; nobody answers at the former one.
+func (d *deployment) moveWorker(number int) {
+	worker, former := d.fleet.Workers()[number], d.links[number]
+	link, err := newProxy(worker.ListenAddress())
+	if err != nil {
+		d.addViolation("moving a worker: %v", err)
+		return
+	}
+	link.set(former.current())
+	d.links[number] = link
+	former.close()
+	worker.Move(link.address())
+}
+
 // applyStoreFault starts or ends a fault of the store while others last.
 func (d *deployment) applyStoreFault(e faultEvent) {
 	if e.start {
@@ -365,6 +385,7 @@
 	d.store.SetFaults(fakes.StoreFaults{})
 	for _, n := range d.nodes {
 		n.setStayDown(false)
+		n.setStarved(false)
 		n.signal(syscall.SIGCONT)
 		n.store.set(linkHealthy)
 	}
