fix(shard): hold back acknowledgements of a final job's runs after a change of owner

The record of a final job names no runs that have ended, so that a new owner didn't know that a start of its predecessor might still reach the next incarnation of a worker: it acknowledged the success at the next commit, and the late start ran after that. Without a ticket such a start may arrive until the predecessor's limit plus the delay of a late command have passed; until then ends of jobs that were final at the takeover aren't acknowledged, if a queue without placement advice is configured and the job's queue isn't known to have advice.

Before the fix, the new case of TestLateStartFollowsNoAcknowledgedEnd (a former owner that recorded the end of the job) failed: acknowledged after 1.14 s instead of 18 s. The other new case shows that jobs that aren't final were held back already.

--- a/internal/shard/grant.go
+++ b/internal/shard/grant.go
@@ -160,15 +160,15 @@
 	if j == nil {
 		return 0
 	}
+	until := j.formerStartsUntil
 	st := j.stage(ref.Occurrence, ref.Stage)
 	if st == nil || ref.Index < 0 || ref.Index >= len(st.tasks) {
-		return 0
+		return until
 	}
 	members := st.tasks[ref.Index : ref.Index+1]
 	if st.spec.Gang {
 		members = st.tasks
 	}
-	until := time.Duration(0)
 	for i := range members {
 		// Runs that were given up count too, and those of a former owner.
 		until = max(until, members[i].notBefore)
--- a/internal/shard/grant_test.go
+++ b/internal/shard/grant_test.go
@@ -95,20 +95,29 @@
 		name     string
 		queue    string
 		restored bool
+		// recorded tells that the owner changes once the success is recorded, and open that the job has a further stage.
+		recorded, open bool
 		// relisted tells that the worker's entry is missing for a moment, after which the worker reports the end again.
 		relisted bool
 		held     time.Duration
 	}{
-		{"unanswered start", testQueue, false, false, maxCommandDelay},
-		{"unanswered start and missing entry", testQueue, false, true, maxCommandDelay},
-		{"start of a former owner", testQueue, true, false, maxCommandDelay + 3*time.Second},
-		{"start of a former owner and missing entry", testQueue, true, true, maxCommandDelay + 3*time.Second},
-		{"start with a ticket", "advised", false, false, 0},
+		{"unanswered start", testQueue, false, false, false, false, maxCommandDelay},
+		{"unanswered start and missing entry", testQueue, false, false, false, true, maxCommandDelay},
+		{"start of a former owner", testQueue, true, false, false, false, maxCommandDelay + 3*time.Second},
+		{"start of a former owner and missing entry", testQueue, true, false, false, true, maxCommandDelay + 3*time.Second},
+		{"start of a former owner that recorded the success", testQueue, false, true, true, true, maxCommandDelay + 3*time.Second},
+		{"start of a former owner that recorded the end of the job", testQueue, false, true, false, true, maxCommandDelay + 3*time.Second},
+		{"start with a ticket", "advised", false, false, false, false, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			h := newHarness(t, "w1")
-			h.submitAs("j", tt.queue, tasks(1))
+			stages, state := []work.Stage{tasks(1)}, work.StateCompleted
+			if tt.open {
+				stages, state = append(stages, tasks(1)), work.StateQueued
+				stages[1].After = []int{0}
+			}
+			h.submitAs("j", tt.queue, stages...)
 			if tt.queue == "advised" {
 				for _, call := range h.nextAdviceCalls() {
 					h.shard.ApplyAdvice(call, agent.Advice{
@@ -116,17 +125,23 @@
 					}, nil, h.now)
 				}
 			}
+			takeOver := func() {
+				j := h.shard.jobs["j"]
+				h.takeOver(RecordedState{Jobs: []work.Job{j.spec}, Progress: map[model.JobID]work.Progress{"j": j.progress()}})
+			}
 			start := h.nextCommands().Starts[0]
 			begun := h.now
 			h.shard.ApplyStartResult(start, 0, agent.ErrNoAnswer, h.now)
 			if tt.restored {
-				j := h.shard.jobs["j"]
-				h.takeOver(RecordedState{Jobs: []work.Job{j.spec}, Progress: map[model.JobID]work.Progress{"j": j.progress()}})
+				takeOver()
 			}
 			done := agent.Report{Ended: []agent.EndedRun{firstEnd(start, agent.OutcomeDone)}}
 			h.report("w1", done)
 			h.commit()
-			h.requireState(work.StateCompleted)
+			h.requireState(state)
+			if tt.recorded {
+				takeOver()
+			}
 			if tt.relisted {
 				h.workers = nil
 				h.register()
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -20,7 +20,10 @@
 	overShare bool
 	cancelled bool
 	started   bool
-	final     work.State
+	// formerStartsUntil is when each start of a former owner has arrived or is lost for certain, if the job was final when it was
+	// restored and may have had runs without a placement ticket.
+	formerStartsUntil time.Duration
+	final             work.State
 	// finalCommit is the number of the commit that records the final state, which is reported to clients only after
 	// that.
 	finalCommit uint64
--- a/internal/shard/restore.go
+++ b/internal/shard/restore.go
@@ -140,6 +140,10 @@
 	}
 	if p.Final != "" {
 		j.final, j.finalAt = p.Final, now
+		if j.queue.Advice == nil && slices.ContainsFunc(s.configuration.Queues, withoutAdvice) {
+			// The record of a final job doesn't tell which runs the former owner has started.
+			j.formerStartsUntil = now + s.cfg.RenewLimit + maxCommandDelay
+		}
 		if len(j.recordedParts) > 0 {
 			// The former owner had yet to delete them.
 			s.markPartsDirty(j)
@@ -156,6 +160,8 @@
 	}
 }
 
+func withoutAdvice(q terms.Queue) bool { return q.Advice == nil }
+
 // restorePart notes the part that a task with recorded progress belongs to. If the job is split but its record isn't, an
 // earlier version wrote it, and the part has yet to get a record.
 func (s *Shard) restorePart(st *stage, index int, recorded bool) {
