fix(shard): overlaps and margins are reported only where the reports prove them

Now the first run's worker has to list it in an answer to a heartbeat that was sent after the second run had been listed: both were on workers at that moment. A margin now needs an answer within 100 ms.

--- a/internal/shard/gone.go
+++ b/internal/shard/gone.go
@@ -14,6 +14,8 @@
 	presumedEndRetention = time.Minute
 	// maxPresumedEnds bounds the number of presumed ends that are kept; the oldest go first.
 	maxPresumedEnds = 2000
+	// maxMarginAnswerTime is the longest answer whose reading of the worker's clock is precise enough for a margin.
+	maxMarginAnswerTime = 100 * time.Millisecond
 )
 
 // goneReason is what proves that a run is gone whose end no worker has reported.
@@ -82,6 +84,15 @@
 	order []presumedRun
 	// leases holds the latest lease end that was named to each worker.
 	leases map[model.WorkerID]namedLease
+	// overlaps holds, for runs on workers, another run of the task that was listed meanwhile.
+	overlaps map[runKey]overlap
+}
+
+// overlap is a run that a worker listed at a time.
+type overlap struct {
+	worker model.WorkerID
+	run    int
+	at     time.Duration
 }
 
 type presumedRun struct {
@@ -96,7 +107,9 @@
 }
 
 func newPresumedEnds() presumedEnds {
-	return presumedEnds{byRun: make(map[runKey]presumedEnd), leases: make(map[model.WorkerID]namedLease)}
+	return presumedEnds{
+		byRun: make(map[runKey]presumedEnd), leases: make(map[model.WorkerID]namedLease), overlaps: make(map[runKey]overlap),
+	}
 }
 
 // add adds a presumed end and drops those that are too old or too many.
@@ -189,7 +202,7 @@
 	case !ok:
 	case end.reason != goneLease || end.worker != w.id || end.onOther(w.incarnation):
 		s.emitRefuted(w, key, end, string(outcome), now)
-	case end.leaseEnd > 0 && end.precedes(w):
+	case end.leaseEnd > 0 && end.precedes(w) && now-w.heartbeat.sentAt <= maxMarginAnswerTime:
 		if left := end.at - end.lapsedAt(w.clock, now); margin.runs == 0 || left < margin.least {
 			margin.least, margin.bound, margin.clockRate = left, end.bound, end.clockRate(w.clock, now)
 		}
@@ -219,27 +232,37 @@
 	s.emit(EventPresumedEndRefuted, string(key.task.Job), key.task.String(), w, detail, (now - end.at).Milliseconds())
 }
 
-// emitMargin reports how long, at least, before the presumed ends that a report confirms the worker's lease had expired. The reading
-// of the worker's clock may be as old as the answer took, and the margin that much longer.
-func (s *Shard) emitMargin(w *worker, margin lapseMargin, now time.Duration) {
+// emitMargin reports how long, at least, before the presumed ends that a report confirms the worker's lease had expired.
+func (s *Shard) emitMargin(w *worker, margin lapseMargin) {
 	if margin.runs == 0 {
 		return
 	}
-	detail := fmt.Sprintf("bound=%s runs=%d clock-rate=%.3f answer-time=%v", margin.bound, margin.runs, margin.clockRate,
-		(now - w.heartbeat.sentAt).Round(time.Millisecond))
+	detail := fmt.Sprintf("bound=%s runs=%d clock-rate=%.3f", margin.bound, margin.runs, margin.clockRate)
 	s.emit(EventPresumedEndsConfirmed, "", "", w, detail, margin.least.Milliseconds())
 }
 
-// checkOverlap reports that a worker lists a run of a task of which another run has started too. The event's detail is the worker
-// of that run and its value the run's number.
-func (s *Shard) checkOverlap(w *worker, key runKey) {
+// noteOverlap notes that a worker lists a run of a task of which another run has started too. That one may have ended long ago, which
+// its worker's next answer tells.
+func (s *Shard) noteOverlap(w *worker, key runKey, now time.Duration) {
 	st := s.jobs[key.task.Job].stage(key.task.Occurrence, key.task.Stage)
 	if st.spec.Speculative {
 		return
 	}
 	for _, other := range st.tasks[key.task.Index].attempts {
-		if other.key() != key && (other.listed || other.phase == phaseStarted) {
-			s.emit("runs-overlap", string(key.task.Job), key.task.String(), w, string(other.worker.id), int64(other.run))
+		startedBefore := other.phase == phaseStarted || other.listed
+		if other.key() != key && startedBefore && other.answeredAt < w.heartbeat.sentAt {
+			s.presumed.overlaps[other.key()] = overlap{worker: w.id, run: key.run, at: now}
 		}
 	}
 }
+
+// checkOverlap reports two runs of a task at the same time: the worker was asked after another one had listed the other run. The
+// event's detail is the other worker and its value the other run's number.
+func (s *Shard) checkOverlap(w *worker, key runKey) {
+	other, ok := s.presumed.overlaps[key]
+	if !ok || w.heartbeat.sentAt < other.at {
+		return
+	}
+	delete(s.presumed.overlaps, key)
+	s.emit("runs-overlap", string(key.task.Job), key.task.String(), w, string(other.worker), int64(other.run))
+}
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -82,7 +82,7 @@
 		listed[runKey{end.Task, end.Run}] = true
 		s.applyEnd(w, end, &margin, now)
 	}
-	s.emitMargin(w, margin, now)
+	s.emitMargin(w, margin)
 	for _, row := range r.Running {
 		key := runKey{row.Task, row.Run}
 		listed[key] = true
@@ -179,13 +179,14 @@
 // applyRunning applies a reported run: its start is confirmed, and its progress and checkpoint are updated.
 func (s *Shard) applyRunning(w *worker, key runKey, row agent.ActiveRun, now time.Duration) {
 	s.checkPresumedRun(w, key, now)
+	s.checkOverlap(w, key)
 	a, ok := w.attempts[key]
 	if !ok {
 		switch {
 		case s.holdRun(w, key, now):
 		case s.adoptRun(w, key, now):
 			s.emit("run-unknown", string(key.task.Job), key.task.String(), w, "adopted", int64(key.run))
-			s.checkOverlap(w, key)
+			s.noteOverlap(w, key, now)
 		case w.unknownRuns[key] == nil:
 			s.addUnknownRun(w, key, unknownRun{})
 			s.emit("run-unknown", string(key.task.Job), key.task.String(), w, "", int64(key.run))
@@ -290,6 +291,7 @@
 		return
 	}
 	delete(w.attempts, a.key())
+	delete(s.presumed.overlaps, a.key())
 	w.noteInFlightStart(a, now)
 	t.waitForLateStart(a.reachesNextIncarnationUntil(), now, w.id)
 	w.used = w.used.Minus(a.size())
