--- a/internal/shard/gone_test.go
+++ b/internal/shard/gone_test.go
@@ -265,8 +265,8 @@
 		want []string
 	}{
 		{"running, then running", runningReport, runningReport, []string{EventPresumedEndRefuted}},
-		{"running, then lapsed", runningReport, lapsedReport, nil},
-		{"lapsed", lapsedReport, lapsedReport, nil},
+		{"running, then lapsed", runningReport, lapsedReport, []string{}},
+		{"lapsed", lapsedReport, lapsedReport, []string{}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -283,7 +283,7 @@
 			h.shard.ApplyReport("w1", early, h.now)
 			assert.Equal(t, len(*events), 0)
 			h.report("w1", tt.then(starts[0]))
-			var got []string
+			got := make([]string, 0, len(*events))
 			for _, e := range *events {
 				got = append(got, e.Name)
 			}
