fix(owner): a start isn't sent once the permission has run out

Cause: the permission was checked when a start was taken, and a process that stands still after that sent the start at any time. A ticket or the lease end that the start names refuse it, but on a queue without advice a worker that has restarted may carry it out. Fix: the permission is checked again before the start is sent. Evidence: TestStartIsNotSentAfterStandstill fails before (started).

--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -161,11 +161,11 @@
 
 // startNodeWith starts a node in a fleet of one worker, or of none.
 func startNodeWith(store ledger.Store, name string, workers agent.Workers) testNode {
-	return startNodeWithUptime(store, name, workers, testUptime)
+	return startNodeWithConfig(store, name, workers, func(*Config) {})
 }
 
-// startNodeWithUptime does the same for a node with an uptime of its own.
-func startNodeWithUptime(store ledger.Store, name string, workers agent.Workers, uptime func() time.Duration) testNode {
+// startNodeWithConfig does the same for a node whose configuration is changed before it starts.
+func startNodeWithConfig(store ledger.Store, name string, workers agent.Workers, change func(*Config)) testNode {
 	var entries []agent.Entry
 	if workers != nil {
 		entries = []agent.Entry{{ID: "w", Pool: "pool", Address: "w", Capacity: model.Resources{Cores: 1000, Memory: 1000}}}
@@ -176,12 +176,14 @@
 	self := peers.NodeInfo{Node: name, BootID: "1", Strength: 1}
 	log := zap.NewNop()
 	directory := NewDirectory(DirectoryConfig{Store: store, Self: self, Group: "owners", Client: peers.NewClient(), Log: log})
-	o := New(Config{
+	cfg := Config{
 		Self: self, Group: "owners", Store: store, Workers: workers, Directory: directory, Log: log,
 		Configuration: func() (terms.Configuration, bool) { return configuration, true },
 		Registry:      func(changed func([]agent.Entry)) Runner { return fixedRegistry{entries, changed} },
-		Shard:         testShard, Uptime: uptime,
-	})
+		Shard:         testShard, Uptime: testUptime,
+	}
+	change(&cfg)
+	o := New(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
 	done.Go(func() { _ = directory.Run(ctx) })
--- a/internal/owner/renewal_test.go
+++ b/internal/owner/renewal_test.go
@@ -229,7 +229,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		store, w := &faultyStore{memoryStore: newMemoryStore()}, &oneWorker{start: time.Now()}
 		var suspended atomic.Int64
-		node := startNodeWithUptime(store, "n0", w, func() time.Duration { return testUptime() + time.Duration(suspended.Load()) })
+		node := startNodeWithConfig(store, "n0", w, func(c *Config) {
+			c.Uptime = func() time.Duration { return testUptime() + time.Duration(suspended.Load()) }
+		})
 		defer node.stop()
 		time.Sleep(3 * time.Second)
 		assert.NilError(t, node.owner.Submit(work.Job{
@@ -255,7 +257,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := &faultyStore{memoryStore: newMemoryStore()}
 		var suspended atomic.Int64
-		node := startNodeWithUptime(store, "n0", nil, func() time.Duration { return testUptime() + time.Duration(suspended.Load()) })
+		node := startNodeWithConfig(store, "n0", nil, func(c *Config) {
+			c.Uptime = func() time.Duration { return testUptime() + time.Duration(suspended.Load()) }
+		})
 		defer node.stop()
 		time.Sleep(3 * time.Second)
 		_, err := node.owner.State("j")
@@ -292,6 +296,36 @@
 	})
 }
 
+// TestStartIsNotSentAfterStandstill guards against a start that leaves long after it was decided, when the next owner has started the
+// same task elsewhere.
+func TestStartIsNotSentAfterStandstill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, w := &faultyStore{memoryStore: newMemoryStore()}, &oneWorker{start: time.Now()}
+		var taken sync.Once
+		node := startNodeWithConfig(store, "n0", w, func(c *Config) {
+			c.Step = func(s Step) {
+				if s.Name == "send start" {
+					taken.Do(func() {
+						store.cutOff(true, true)
+						time.Sleep(testRenewLimit)
+					})
+				}
+			}
+		})
+		defer node.stop()
+		time.Sleep(3 * time.Second)
+		assert.NilError(t, node.owner.Submit(work.Job{
+			ID: "j", Queue: testQueue, Team: "north", Accepted: time.Now(),
+			Stages: []work.Stage{{Count: 1, Size: model.Resources{Cores: 1}, RunTime: model.Duration(time.Second)}},
+		}))
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, w.lastStart().IsZero(), "started")
+		store.cutOff(false, false)
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, !w.lastStart().IsZero())
+	})
+}
+
 // TestIdleFormerOwnerEnds guards against a former owner without records to write that joins the group again and goes on
 // renewing leases.
 func TestIdleFormerOwnerEnds(t *testing.T) {
--- a/internal/owner/session.go
+++ b/internal/owner/session.go
@@ -173,7 +173,7 @@
 
 func (ow *ownership) runStart(ctx context.Context, cmd shard.StartCommand) {
 	ow.step(Step{Name: "send start", Target: cmd.Target, Task: cmd.Start.Task, Run: cmd.Start.Run})
-	clock, err := ow.cfg.Workers.Start(ctx, cmd.Target, cmd.Start)
+	clock, err := ow.sendStart(ctx, cmd)
 	ow.step(Step{Name: "apply start result", Target: cmd.Target, Task: cmd.Start.Task, Run: cmd.Start.Run})
 	if ow.fencedByOther(cmd.Target, cmd.Start.Token, err) {
 		return
@@ -184,6 +184,17 @@
 	ow.signalDecide()
 }
 
+// sendStart sends a start unless the permission has run out since the start was taken: the process may have stood still.
+func (ow *ownership) sendStart(ctx context.Context, cmd shard.StartCommand) (time.Duration, error) {
+	ow.mu.Lock()
+	permitted := ow.permission.valid(ow.cfg.Uptime())
+	ow.mu.Unlock()
+	if !permitted {
+		return 0, agent.ErrNotSent
+	}
+	return ow.cfg.Workers.Start(ctx, cmd.Target, cmd.Start)
+}
+
 func (ow *ownership) runStop(ctx context.Context, cmd shard.StopCommand) {
 	ow.step(Step{Name: "send stop", Target: cmd.Target, Task: cmd.Stop.Task, Run: cmd.Stop.Run})
 	clock, err := ow.cfg.Workers.Stop(ctx, cmd.Target, cmd.Stop)
