test(owner): a simulated fleet whose workers restart, leave the registry and carry out commands late

The fleet of the takeover simulations had four workers without restarts, late commands, missing entries, gangs and advice. simFleet now plays these: commands that are lost, late or unanswered, silences one way and both, restarts under the same ID at the same or another address, entries that lag, go and come, tickets, gangs, checkpoints and stop graces. Its defaults play nothing new.

A seed doesn't repeat yet: the order of goroutines isn't drawn.

--- a/internal/owner/simfleet_test.go
+++ b/internal/owner/simfleet_test.go
@@ -1,22 +1,37 @@
 package owner
 
 import (
-	"context"
+	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"arbutuswing.example/internal/agent"
 	"arbutuswing.example/internal/model"
-	"arbutuswing.example/internal/pause"
+	"arbutuswing.example/internal/terms"
 	"arbutuswing.example/internal/work"
 )
 
 const (
-	simLease    = 7 * time.Second
-	simMaxLease = 10 * time.Second
+	simLease       = 7 * time.Second
+	simMaxLease    = 10 * time.Second
+	simKillGrace   = time.Second
+	simGangTimeout = 3 * time.Second
+	// simCheckpointInterval is the interval of work after which a task saves a checkpoint.
+	simCheckpointInterval = 2 * time.Second
+	// simCommandTimeout is how long a node waits for the answer of a worker, in addition to the wait of a heartbeat.
+	simCommandTimeout = 700 * time.Millisecond
+	// simEntryExpiry is how long the entry of a worker that has ended stays in the registry.
+	simEntryExpiry = 3 * time.Second
+	// simAdvisedQueue is a queue with advice.
+	simAdvisedQueue = "advised"
+	simAttempts     = 3
+	// never is later than any moment of a simulation.
+	never = time.Duration(math.MaxInt64)
 )
 
 // simRun identifies a run of a task.
@@ -25,244 +40,488 @@
 	run  int
 }
 
-// simFleet is a fleet of workers that notes what breaks a rule: two runs of a task at the same time, or a start after an
-// acknowledged success.
+func compareSimRuns(a, b simRun) int {
+	return cmp.Or(cmp.Compare(a.task.Job, b.task.Job), cmp.Compare(a.task.Stage, b.task.Stage),
+		cmp.Compare(a.task.Index, b.task.Index), cmp.Compare(a.run, b.run))
+}
+
+// simFleet is a fleet of workers, with a judge of what breaks a rule. Moments are counted from its begin. What it draws depends on
+// the draw's name only, and what happens on its workers is brought up to date, in the order of time, by each call.
 type simFleet struct {
-	mu       sync.Mutex
+	mu    sync.Mutex
+	begun time.Time
+	// at is the moment up to which the workers are brought up to date.
+	at       time.Duration
+	draws    simDraws
+	faults   simFaults
 	workers  map[model.WorkerID]*simWorker
+	order    []model.WorkerID
 	succeeds map[work.TaskRef]time.Duration
-	// done holds the tasks whose success has been acknowledged, finished also those whose worker lapsed before, and restarted
-	// those that were started after a success that isn't acknowledged.
-	done, finished, restarted map[work.TaskRef]bool
-	violations                []string
-	// starts counts the starts that were carried out, and lapsed the runs that ended with their lease.
-	starts, lapsed int
+	jobs     map[model.JobID]work.Job
+	// counts numbers the draws of each name.
+	counts map[string]int
+	// connections holds the open connections for heartbeats, opened how many there have been on each path.
+	connections map[simPath]simOpenConnection
+	opened      map[simPath]uint64
+	openedAll   uint64
+	// mutes holds until when the answers of a worker don't reach a node.
+	mutes map[simMute]time.Duration
+	// storms holds until when most commands to a worker are carried out late.
+	storms map[model.WorkerID]time.Duration
+	// addresses are those that workers have left.
+	addresses []string
+
+	simJudge
 }
 
-// simWorker is a worker whose clock may be slow and which may be silent while its tasks go on.
+// simTask is a run that is on a worker.
+type simTask struct {
+	simRun
+	stage work.Stage
+	// waitingSince is the clock reading since which a member of a gang waits for the others; working tells that it no longer does.
+	waitingSince time.Duration
+	working      bool
+	// saved is the work that its checkpoint contains, workBegun the clock reading at which it went on from there, and length the
+	// work after which it ends.
+	saved, workBegun, length time.Duration
+	fails                    bool
+	// stopAt is when a stop takes effect, or zero.
+	stopAt time.Duration
+	// orphaned is how the member of a gang that has ended will end once its silent worker learns of it.
+	orphaned agent.RunOutcome
+}
+
+// simWorker is a worker, with the state of its present incarnation if it is up.
 type simWorker struct {
-	id         model.WorkerID
-	begun      time.Time
-	rate       float64
-	token      int64
-	leaseEnd   time.Duration
-	running    map[simRun]time.Duration
+	id      model.WorkerID
+	index   int
+	address string
+	up      bool
+	// boot counts the incarnations, and born is how the worker names the present one.
+	boot  int
+	born  int64
+	begun time.Duration
+	rate  float64
+
+	capacity model.Resources
+	token    int64
+	leaseEnd time.Duration
+	// lapsed tells that the lease has expired.
+	lapsed     bool
+	running    map[simRun]*simTask
 	superseded map[work.TaskRef]int
 	ended      []agent.EndedRun
 	numbers    int64
 	// lapsedNumber is the number of the last end before the worker's lease lapsed.
 	lapsedNumber int64
-	silentUntil  time.Time
+	// woken is closed when a run ends, or the incarnation.
+	woken chan struct{}
+
+	// silentUntil is until when no command arrives, muteUntil until when no answer does, and unhealthyUntil until when the worker
+	// carries out no command.
+	silentUntil, muteUntil, unhealthyUntil time.Duration
+
+	// downSince is when the last incarnation ended. formerEntry is its entry, which stays until entryFrom.
+	downSince   time.Duration
+	formerEntry agent.Entry
+	entryFrom   time.Duration
+	// unlistedUntil is until when the worker's entry is missing while it lives.
+	unlistedUntil time.Duration
+	draining      bool
 }
 
-func newSimFleet(count int) *simFleet {
+func newSimFleet(count int) *simFleet { return newSimFleetWith(count, simDraws{}, simFaults{}) }
+
+// newSimFleetWith returns a fleet with faults, which are drawn.
+func newSimFleetWith(count int, draws simDraws, faults simFaults) *simFleet {
 	f := &simFleet{
-		workers: make(map[model.WorkerID]*simWorker), succeeds: make(map[work.TaskRef]time.Duration), done: make(map[work.TaskRef]bool),
-		finished: make(map[work.TaskRef]bool), restarted: make(map[work.TaskRef]bool),
+		begun: time.Now(), draws: draws, faults: faults, workers: make(map[model.WorkerID]*simWorker),
+		succeeds: make(map[work.TaskRef]time.Duration), jobs: make(map[model.JobID]work.Job), counts: make(map[string]int),
+		connections: make(map[simPath]simOpenConnection), opened: make(map[simPath]uint64), mutes: make(map[simMute]time.Duration),
+		storms: make(map[model.WorkerID]time.Duration), simJudge: newSimJudge(),
 	}
 	for i := range count {
-		id := model.WorkerID(fmt.Sprintf("w%d", i))
-		f.workers[id] = &simWorker{
-			id: id, begun: time.Now().Add(-time.Minute), rate: 1 - 0.02*float64(i%2), running: make(map[simRun]time.Duration),
-			superseded: make(map[work.TaskRef]int),
+		w := &simWorker{
+			id: model.WorkerID(fmt.Sprintf("w%d", i)), index: i, up: true, boot: 1, born: 1_000_000, begun: -time.Minute,
+			rate: 1 - 0.02*float64(i%2), capacity: model.Resources{Cores: 4, Memory: 1000},
 		}
+		w.address = string(w.id)
+		w.reset()
+		f.workers[w.id] = w
+		f.order = append(f.order, w.id)
 	}
 	return f
 }
 
-func (f *simFleet) entries() []agent.Entry {
-	entries := make([]agent.Entry, 0, len(f.workers))
-	for _, id := range slices.Sorted(maps.Keys(f.workers)) {
-		entries = append(entries, agent.Entry{
-			ID: id, Pool: "pool", Address: string(id), Capacity: model.Resources{Cores: 4, Memory: 1000},
-		})
+// reset forgets all that an incarnation knows.
+func (w *simWorker) reset() {
+	w.token, w.leaseEnd, w.lapsed, w.running = 0, 0, false, make(map[simRun]*simTask)
+	w.superseded, w.ended, w.numbers, w.lapsedNumber = make(map[work.TaskRef]int), nil, 0, 0
+	w.wake()
+}
+
+// wake lets the heartbeats that wait for an end look for one.
+func (w *simWorker) wake() {
+	if w.woken != nil {
+		close(w.woken)
 	}
-	return entries
+	w.woken = make(chan struct{})
+}
+
+// clock returns the reading of the worker's clock at a moment.
+func (w *simWorker) clock(at time.Duration) time.Duration {
+	return time.Duration(float64(at-w.begun) * w.rate)
+}
+
+// moment returns when the worker's clock shows a reading.
+func (w *simWorker) moment(clock time.Duration) time.Duration {
+	return w.begun + time.Duration(float64(clock)/w.rate)
+}
+
+func (w *simWorker) sortedRuns() []*simTask {
+	return slices.SortedFunc(maps.Values(w.running), func(a, b *simTask) int { return compareSimRuns(a.simRun, b.simRun) })
+}
+
+// queues returns the queues of the jobs that the fleet runs.
+func (f *simFleet) queues() []terms.Queue {
+	return []terms.Queue{
+		{Name: testQueue, Pool: "pool", Attempts: f.faults.attempts()},
+		{Name: simAdvisedQueue, Pool: "pool", Attempts: f.faults.attempts(), Advice: &terms.Advice{
+			BaseTime: simAdviceTime, TimePerWorker: simAdviceTimePerWorker, TicketValidity: simTicketValidity,
+		}},
+	}
+}
+
+// stageOf returns the stage of a task, which is empty if the fleet doesn't know the job.
+func (f *simFleet) stageOf(task work.TaskRef) work.Stage {
+	if job, ok := f.jobs[task.Job]; ok {
+		return job.Stages[task.Stage]
+	}
+	return work.Stage{}
 }
 
 func (f *simFleet) silence(id model.WorkerID, d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.workers[id].silentUntil = time.Now().Add(d)
+	f.settle()
+	f.workers[id].silentUntil = f.at + d
 }
 
-func (f *simFleet) violation(format string, args ...any) {
-	f.violations = append(f.violations, fmt.Sprintf("%v: ", time.Now().UTC().Format("04:05.000"))+fmt.Sprintf(format, args...))
+// simDue is the next change on a worker: the end of a run or, without one, that of the lease.
+type simDue struct {
+	at      time.Duration
+	worker  *simWorker
+	run     *simTask
+	outcome agent.RunOutcome
 }
 
-// advance ends the runs whose time or lease is over and returns the worker's clock; the lock is held.
-func (f *simFleet) advance(w *simWorker) time.Duration {
-	clock := time.Duration(float64(time.Since(w.begun)) * w.rate)
-	lapses := w.leaseEnd > 0 && clock > w.leaseEnd
-	for _, key := range slices.SortedFunc(maps.Keys(w.running), func(a, b simRun) int { return int(w.running[a] - w.running[b]) }) {
-		switch end := w.running[key]; {
-		case end <= clock && (!lapses || end <= w.leaseEnd):
-			f.end(w, key, agent.OutcomeDone)
-		case lapses:
-			f.lapsed++
-			f.end(w, key, agent.OutcomeLeaseExpired)
+// settle lets all happen that is due by now, in the order of time; the lock is held.
+func (f *simFleet) settle() {
+	now := time.Since(f.begun)
+	for due := f.nextDue(now); due.worker != nil; due = f.nextDue(now) {
+		f.at = max(f.at, due.at)
+		if due.run != nil {
+			f.end(due.worker, due.run, due.outcome)
+			continue
+		}
+		f.lapse(due.worker)
+	}
+	f.at = now
+}
+
+// nextDue returns the first change that is due by now.
+func (f *simFleet) nextDue(now time.Duration) simDue {
+	first := simDue{at: now + 1}
+	for _, id := range f.order {
+		w := f.workers[id]
+		if !w.up {
+			continue
 		}
+		if end := w.moment(w.leaseEnd) + 1; w.leaseEnd > 0 && !w.lapsed && end < first.at {
+			first = simDue{at: end, worker: w}
+		}
+		for _, run := range w.running {
+			at, outcome := f.endOf(w, run)
+			earlier := at < first.at
+			if at == first.at && first.run != nil && first.worker == w {
+				earlier = compareSimRuns(run.simRun, first.run.simRun) < 0
+			}
+			if earlier {
+				first = simDue{at, w, run, outcome}
+			}
+		}
+	}
+	return first
+}
+
+// endOf returns when and how a run ends unless something else happens before.
+func (f *simFleet) endOf(w *simWorker, run *simTask) (time.Duration, agent.RunOutcome) {
+	if run.orphaned != "" {
+		return w.silentUntil, run.orphaned
 	}
-	if lapses {
-		// A success from before a lapse doesn't count, unless it had been acknowledged.
-		w.lapsedNumber = w.numbers
+	at, outcome := never, agent.RunOutcome("")
+	switch {
+	case run.working && run.fails:
+		at, outcome = w.moment(run.workBegun+run.length-run.saved), agent.OutcomeFailed
+	case run.working:
+		at, outcome = w.moment(run.workBegun+run.length-run.saved), agent.OutcomeDone
+	default:
+		at, outcome = w.moment(run.waitingSince+simGangTimeout), agent.OutcomeGangIncomplete
 	}
-	return clock
+	if run.stopAt > 0 && run.stopAt < at {
+		at, outcome = run.stopAt, agent.OutcomeStopped
+	}
+	return at, outcome
 }
 
-func (f *simFleet) end(w *simWorker, key simRun, outcome agent.RunOutcome) {
-	delete(w.running, key)
-	w.superseded[key.task] = max(w.superseded[key.task], key.run)
+// lapse ends all runs on a worker whose lease has expired.
+func (f *simFleet) lapse(w *simWorker) {
+	w.lapsed = true
+	for _, run := range w.sortedRuns() {
+		if w.running[run.simRun] == run {
+			f.lapsed++
+			f.end(w, run, agent.OutcomeLeaseExpired)
+		}
+	}
+	// A success from before a lapse doesn't count, unless it had been acknowledged.
+	w.lapsedNumber = w.numbers
+	f.note(w, work.TaskRef{}, "lease lapses, ends up to %d don't count", w.numbers)
+}
+
+// end lists the end of a run and ends the other members of its gang.
+func (f *simFleet) end(w *simWorker, run *simTask, outcome agent.RunOutcome) {
+	f.list(w, run, outcome)
+	f.endGang(run, outcome)
+}
+
+func (f *simFleet) list(w *simWorker, run *simTask, outcome agent.RunOutcome) {
+	checkpoint := f.checkpoint(w, run, outcome == agent.OutcomeStopped)
+	delete(w.running, run.simRun)
+	w.superseded[run.task] = max(w.superseded[run.task], run.run)
 	w.numbers++
-	w.ended = append(w.ended, agent.EndedRun{Number: w.numbers, Task: key.task, Run: key.run, Outcome: outcome})
+	w.ended = append(w.ended, agent.EndedRun{
+		Number: w.numbers, Task: run.task, Run: run.run, Outcome: outcome, Checkpoint: checkpoint,
+	})
+	f.note(w, run.task, "run %d ends %s, end %d", run.run, outcome, w.numbers)
+	f.judgeEnd(run, outcome)
+	w.wake()
 }
 
-func (f *simFleet) succeeded(task work.TaskRef) bool {
-	for _, w := range f.workers {
-		for _, end := range w.ended {
-			if end.Task == task && end.Outcome == agent.OutcomeDone && end.Number > w.lapsedNumber {
-				return true
+// inGang reports whether two runs are members of one run of a gang.
+func (run *simTask) inGang(other *simTask) bool {
+	return run.stage.Gang && run.task.Job == other.task.Job && run.task.Stage == other.task.Stage && run.run == other.run
+}
+
+// gang returns the members of a run of a gang that don't know yet that it has ended, with their workers.
+func (f *simFleet) gang(of *simTask) (runs []*simTask, workers []*simWorker) {
+	if !of.stage.Gang {
+		return nil, nil
+	}
+	for _, id := range f.order {
+		for _, run := range f.workers[id].sortedRuns() {
+			if run.inGang(of) && run.orphaned == "" {
+				runs, workers = append(runs, run), append(workers, f.workers[id])
 			}
 		}
 	}
-	return false
+	return runs, workers
 }
 
-// carryOut carries out a command unless the worker is silent or has seen a higher token.
-func (f *simFleet) carryOut(to agent.Target, token int64, command func(*simWorker, time.Duration) error) (time.Duration, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	w := f.workers[to.ID]
-	if time.Now().Before(w.silentUntil) {
-		return 0, agent.ErrNoAnswer
+// endGang ends the other members of a gang of which one has ended: with its success, or because it is broken.
+func (f *simFleet) endGang(ended *simTask, outcome agent.RunOutcome) {
+	runs, workers := f.gang(ended)
+	for i, run := range runs {
+		other := agent.OutcomeGangBroken
+		if outcome == agent.OutcomeDone {
+			other = agent.OutcomeDone
+		}
+		if f.faults.gangsOutlive && workers[i].silentUntil > f.at {
+			run.orphaned = other
+			continue
+		}
+		f.list(workers[i], run, other)
 	}
-	clock := f.advance(w)
+}
+
+// startGang lets a gang work once all its members are present.
+func (f *simFleet) startGang(member *simTask) {
+	runs, workers := f.gang(member)
+	if len(runs) < member.stage.Count {
+		return
+	}
+	f.met["gangs that were complete"]++
+	for i, run := range runs {
+		run.working, run.workBegun = true, workers[i].clock(f.at)
+	}
+}
+
+// checkpointName returns the name of a task's checkpoints, which the members of a gang share.
+func checkpointName(task work.TaskRef, gang bool) string {
+	if gang {
+		return fmt.Sprintf("%s.%d@", task.Job, task.Stage)
+	}
+	return fmt.Sprintf("%s.%d.%d@", task.Job, task.Stage, task.Index)
+}
+
+// checkpoint returns the newest checkpoint of a run, or one of all its work if it is stopped.
+func (f *simFleet) checkpoint(w *simWorker, run *simTask, stopped bool) string {
+	if !run.stage.Checkpoints || !run.working {
+		return ""
+	}
+	saved := run.saved + w.clock(f.at) - run.workBegun
+	if !stopped {
+		saved = saved.Truncate(simCheckpointInterval)
+	}
+	if saved = max(saved, run.saved); saved <= 0 {
+		return ""
+	}
+	return checkpointName(run.task, run.stage.Gang) + saved.String()
+}
+
+// extendLease extends the lease to a reading of the worker's clock.
+func (w *simWorker) extendLease(clock, end time.Duration) {
+	w.leaseEnd = max(w.leaseEnd, min(end, clock+simMaxLease))
+	w.lapsed = w.lapsed && w.leaseEnd < clock
+}
+
+// process returns the worker that a command reaches which is sent to an address.
+func (f *simFleet) process(to agent.Target) (*simWorker, error) {
+	for _, id := range f.order {
+		switch w := f.workers[id]; {
+		case !w.up || w.address != to.Address:
+		case w.id != to.ID:
+			return nil, agent.ErrOtherIncarnation
+		default:
+			return w, nil
+		}
+	}
+	return nil, agent.ErrNotSent
+}
+
+// simAnswer is what a worker answers.
+type simAnswer struct {
+	clock  time.Duration
+	report agent.Report
+	err    error
+}
+
+// carryOut carries out a command on a worker unless that is unhealthy or has seen a higher token.
+func (f *simFleet) carryOut(w *simWorker, token int64, command func(clock time.Duration) error) simAnswer {
+	if w.unhealthyUntil > f.at {
+		return simAnswer{err: agent.ErrUnhealthy}
+	}
+	clock := w.clock(f.at)
 	if token < w.token {
-		return clock, agent.ErrFenced
+		f.met["commands that were fenced"]++
+		return simAnswer{clock: clock, err: agent.ErrFenced}
 	}
 	w.token = token
-	return clock, command(w, clock)
+	return simAnswer{clock: clock, err: command(clock)}
 }
 
-func (f *simFleet) start(to agent.Target, cmd agent.Start) (time.Duration, error) {
-	return f.carryOut(to, cmd.Token, func(w *simWorker, clock time.Duration) error {
-		key := simRun{cmd.Task, cmd.Run}
-		if _, there := w.running[key]; there {
+// start carries out a start that arrives the given time after it was sent.
+func (f *simFleet) start(w *simWorker, cmd agent.Start, late time.Duration) simAnswer {
+	return f.carryOut(w, cmd.Token, func(clock time.Duration) error {
+		key, stage := simRun{cmd.Task, cmd.Run}, f.stageOf(cmd.Task)
+		leaseEnd := f.leaseEnd(cmd.LeaseEnd, late)
+		switch {
+		case w.running[key] != nil:
+			w.extendLease(clock, leaseEnd)
 			return nil
-		}
-		if cmd.Run <= w.superseded[cmd.Task] {
+		case cmd.Run <= w.superseded[cmd.Task]:
+			w.extendLease(clock, leaseEnd)
 			return agent.ErrRunSuperseded
-		}
-		if cmd.LeaseEnd <= clock {
+		case leaseEnd <= clock:
 			return agent.ErrDeadlinePassed
+		case f.jobs[cmd.Task.Job].Queue == simAdvisedQueue && !f.acceptsTicket(w, cmd):
+			f.met["tickets that were refused"]++
+			return agent.ErrTicket
+		case f.faults.enforcesCapacity && !w.used().Plus(stage.Size).Fits(w.capacity):
+			w.extendLease(clock, leaseEnd)
+			return agent.ErrNoCapacity
 		}
-		for _, other := range f.workers {
-			f.advance(other)
-			for running := range other.running {
-				if running.task == cmd.Task {
-					f.violation("run %d of %v starts on %s under %d while run %d is on %s",
-						cmd.Run, cmd.Task, w.id, cmd.Token, running.run, other.id)
-				}
-			}
-		}
-		if f.done[cmd.Task] {
-			f.violation("run %d of %v starts on %s under %d after its acknowledged success", cmd.Run, cmd.Task, w.id, cmd.Token)
-		}
-		if f.succeeded(cmd.Task) {
-			f.restarted[cmd.Task] = true
+		w.extendLease(clock, leaseEnd)
+		run := &simTask{simRun: key, stage: stage, waitingSince: clock, working: !stage.Gang, workBegun: clock}
+		f.plan(run, cmd.Checkpoint)
+		f.judgeStart(w, run, cmd, late)
+		w.running[key] = run
+		if stage.Gang {
+			f.startGang(run)
 		}
-		f.starts++
-		w.leaseEnd = max(w.leaseEnd, min(cmd.LeaseEnd, clock+simMaxLease))
-		w.running[key] = clock + f.succeeds[cmd.Task]
 		return nil
 	})
 }
 
-func (f *simFleet) stop(to agent.Target, cmd agent.Stop) (time.Duration, error) {
-	return f.carryOut(to, cmd.Token, func(w *simWorker, _ time.Duration) error {
-		if key := (simRun{cmd.Task, cmd.Run}); w.running[key] > 0 {
-			f.end(w, key, agent.OutcomeStopped)
+// leaseEnd returns the end of the lease that a command grants which arrives late.
+func (f *simFleet) leaseEnd(end, late time.Duration) time.Duration {
+	if f.faults.leasesFromArrival && end > 0 {
+		return end + late
+	}
+	return end
+}
+
+// plan decides how long a run works, and how it ends.
+func (f *simFleet) plan(run *simTask, checkpoint string) {
+	run.length = f.succeeds[run.task]
+	if checkpoint != "" {
+		text, ok := strings.CutPrefix(checkpoint, checkpointName(run.task, run.stage.Gang))
+		saved, err := time.ParseDuration(text)
+		if !ok || err != nil {
+			f.violation(run.task, "run %d of %v starts with the checkpoint %s", run.run, run.task, checkpoint)
+		}
+		run.saved = min(saved, run.length)
+	}
+	random := f.draws.rand("outcome "+run.task.String(), run.run)
+	if run.fails = random.Float64() < f.faults.failures; run.fails {
+		run.length = run.saved + time.Duration(random.Float64()*float64(run.length-run.saved))
+	}
+}
+
+// used returns the capacity that the worker's runs use.
+func (w *simWorker) used() model.Resources {
+	used := model.Resources{}
+	for _, run := range w.running {
+		used = used.Plus(run.stage.Size)
+	}
+	return used
+}
+
+func (f *simFleet) stop(w *simWorker, cmd agent.Stop) simAnswer {
+	return f.carryOut(w, cmd.Token, func(time.Duration) error {
+		if run := w.running[simRun{cmd.Task, cmd.Run}]; run != nil && run.stopAt == 0 {
+			grace := f.draws.rand("grace "+cmd.Task.String(), cmd.Run).Float64() * f.faults.stopGrace
+			run.stopAt = max(f.at, 1) + time.Duration(grace*float64(simKillGrace))
+			f.note(w, cmd.Task, "run %d is stopped", cmd.Run)
 		}
 		w.superseded[cmd.Task] = max(w.superseded[cmd.Task], cmd.Run)
+		f.settle()
 		return nil
 	})
 }
 
-func (f *simFleet) heartbeat(to agent.Target, cmd agent.Heartbeat) (report agent.Report, err error) {
-	clock, err := f.carryOut(to, cmd.Token, func(w *simWorker, clock time.Duration) error {
+// heartbeat carries out a heartbeat, without a report.
+func (f *simFleet) heartbeat(w *simWorker, cmd agent.Heartbeat, late time.Duration) simAnswer {
+	return f.carryOut(w, cmd.Token, func(clock time.Duration) error {
 		if cmd.LeaseEnd > 0 {
-			w.leaseEnd = max(w.leaseEnd, min(cmd.LeaseEnd, clock+simMaxLease))
+			w.extendLease(clock, f.leaseEnd(cmd.LeaseEnd, late))
 		}
 		for len(w.ended) > 0 && w.ended[0].Number <= cmd.Acked {
 			end := w.ended[0]
-			f.finished[end.Task] = f.finished[end.Task] || end.Outcome == agent.OutcomeDone
-			if end.Outcome == agent.OutcomeDone && end.Number > w.lapsedNumber {
-				f.done[end.Task] = true
-				if f.restarted[end.Task] {
-					f.violation("success of run %d of %v is acknowledged, though the task was started after it", end.Run, end.Task)
-				}
-			}
 			w.ended = w.ended[1:]
-		}
-		report.Ended = slices.Clone(w.ended)
-		for key := range w.running {
-			report.Running = append(report.Running, agent.ActiveRun{Task: key.task, Run: key.run, Percent: int(clock/time.Second) % 100})
+			f.judgeAcknowledgement(w, end)
 		}
 		return nil
 	})
-	report.Clock = clock
-	return report, err
-}
-
-// simWorkers is a node's connection to the fleet. Commands and answers wait while the node's process stands still.
-type simWorkers struct {
-	fleet      *simFleet
-	connection *simConnection
-}
-
-func (s simWorkers) call(ctx context.Context, to agent.Target, command func() error) error {
-	s.connection.thaw(ctx)
-	s.connection.mu.Lock()
-	cut := s.connection.cutWorkers[to.ID]
-	s.connection.mu.Unlock()
-	if cut {
-		pause.For(ctx, simCallTimeout)
-		return agent.ErrNoAnswer
-	}
-	pause.For(ctx, time.Millisecond)
-	err := command()
-	pause.For(ctx, time.Millisecond)
-	s.connection.thaw(ctx)
-	return err
-}
-
-func (s simWorkers) Start(ctx context.Context, to agent.Target, cmd agent.Start) (clock time.Duration, err error) {
-	err = s.call(ctx, to, func() (err error) {
-		clock, err = s.fleet.start(to, cmd)
-		return err
-	})
-	return clock, err
 }
 
-func (s simWorkers) Stop(ctx context.Context, to agent.Target, cmd agent.Stop) (clock time.Duration, err error) {
-	err = s.call(ctx, to, func() (err error) {
-		clock, err = s.fleet.stop(to, cmd)
-		return err
-	})
-	return clock, err
-}
-
-func (s simWorkers) Heartbeat(ctx context.Context, to agent.Target, cmd agent.Heartbeat) (report agent.Report, err error) {
-	if cmd.ReportConnection == 0 {
-		cmd.LeaseEnd, cmd.Acked, cmd.Wait = 0, 0, 0
-	}
-	err = s.call(ctx, to, func() error {
-		report, err = s.fleet.heartbeat(to, cmd)
-		return err
-	})
-	report.Incarnation, report.Connection = 1, 1
-	if len(report.Ended) == 0 {
-		pause.For(ctx, min(cmd.Wait, 200*time.Millisecond))
+// report returns the worker's report.
+func (f *simFleet) report(w *simWorker) agent.Report {
+	clock := w.clock(f.at)
+	r := agent.Report{Clock: clock, Incarnation: w.born, Ended: slices.Clone(w.ended)}
+	for _, run := range w.sortedRuns() {
+		r.Running = append(r.Running, agent.ActiveRun{
+			Task: run.task, Run: run.run, Percent: int(clock/time.Second) % 100, Checkpoint: f.checkpoint(w, run, false),
+		})
 	}
-	return report, err
+	return r
 }
--- /dev/null
+++ b/internal/owner/simfleetjudge_test.go
@@ -0,0 +1,236 @@
+package owner
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"arbutuswing.example/internal/agent"
+	"arbutuswing.example/internal/work"
+)
+
+// simJudge notes what breaks a rule, judged by what happens on the workers: two runs of a task at the same time, a start after an
+// acknowledged success, and a start after as many acknowledged failures as a task has attempts.
+type simJudge struct {
+	// done holds the tasks whose success has been acknowledged, finished also those whose worker lapsed before, succeeded those with
+	// any success, and restarted those that were started after a success that isn't acknowledged.
+	done, finished, succeeded, restarted map[work.TaskRef]bool
+	// events counts starts and ends. lastStart holds the number of the last start of a task, failedAt those of the failed ends by
+	// run, and failures those that have been acknowledged.
+	events             int
+	lastStart          map[work.TaskRef]int
+	failedAt, failures map[work.TaskRef]map[int]int
+	violations         []string
+	// starts counts the starts that were carried out, and lapsed the runs that ended with their lease. met counts how often a fault
+	// met a run.
+	starts, lapsed int
+	met            map[string]int
+	trace          []simEvent
+	// suspects are the tasks with a violation.
+	suspects map[work.TaskRef]bool
+}
+
+// simEvent is a line of the trace, of what happens on a worker or of a node's log. A line without a task is about the worker.
+type simEvent struct {
+	at                 time.Duration
+	node, worker, task string
+	text               string
+}
+
+func (e simEvent) String() string {
+	return fmt.Sprintf("%10.6f %-3s %-4s %s", e.at.Seconds(), e.node, e.worker, e.text)
+}
+
+func newSimJudge() simJudge {
+	return simJudge{
+		done: make(map[work.TaskRef]bool), finished: make(map[work.TaskRef]bool), succeeded: make(map[work.TaskRef]bool),
+		restarted: make(map[work.TaskRef]bool), lastStart: make(map[work.TaskRef]int),
+		failedAt: make(map[work.TaskRef]map[int]int), failures: make(map[work.TaskRef]map[int]int), met: make(map[string]int),
+		suspects: make(map[work.TaskRef]bool),
+	}
+}
+
+// note adds a line to the trace.
+func (f *simFleet) note(w *simWorker, task work.TaskRef, format string, args ...any) {
+	e := simEvent{at: f.at, worker: string(w.id), text: fmt.Sprintf(format, args...)}
+	if task != noTask {
+		e.task = task.String()
+		e.text = e.task + " " + e.text
+	}
+	f.trace = append(f.trace, e)
+}
+
+// simLog is the core of a node's log, which adds lines to the trace.
+type simLog struct {
+	zapcore.LevelEnabler
+	fleet *simFleet
+	node  string
+}
+
+// log returns the log of a node.
+func (f *simFleet) log(node string) *zap.Logger { return zap.New(simLog{zapcore.InfoLevel, f, node}) }
+
+func (l simLog) With([]zapcore.Field) zapcore.Core { return l }
+
+func (l simLog) Check(e zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if e.Message == "load" {
+		return checked
+	}
+	return checked.AddCore(e, l)
+}
+
+func (l simLog) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	values := zapcore.NewMapObjectEncoder()
+	for _, field := range fields {
+		field.AddTo(values)
+	}
+	event := simEvent{node: l.node, text: fmt.Sprint(e.Message, " ", values.Fields)}
+	event.worker, _ = values.Fields["worker"].(string)
+	event.task, _ = values.Fields["task"].(string)
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	event.at = time.Since(l.fleet.begun)
+	l.fleet.trace = append(l.fleet.trace, event)
+	return nil
+}
+
+func (l simLog) Sync() error { return nil }
+
+func (f *simFleet) violation(task work.TaskRef, format string, args ...any) {
+	f.suspects[task] = true
+	f.violations = append(f.violations, fmt.Sprintf("%.3f: ", f.at.Seconds())+fmt.Sprintf(format, args...))
+}
+
+// traceOfSuspects returns the part of the trace that is about the tasks with a violation, the workers that ran them, and the nodes.
+func (f *simFleet) traceOfSuspects() string {
+	if len(f.suspects) == 0 {
+		return ""
+	}
+	tasks, workers := make(map[string]bool), map[string]bool{"": true}
+	for task := range f.suspects {
+		tasks[task.String()] = true
+	}
+	for _, e := range f.trace {
+		if tasks[e.task] {
+			workers[e.worker] = true
+		}
+	}
+	var text strings.Builder
+	for _, e := range f.trace {
+		if tasks[e.task] || (e.task == "" && workers[e.worker]) {
+			fmt.Fprintln(&text, e)
+		}
+	}
+	return text.String()
+}
+
+// judgeStart checks a start that is carried out before its run is on the worker.
+func (f *simFleet) judgeStart(w *simWorker, run *simTask, cmd agent.Start, late time.Duration) {
+	f.starts++
+	f.events++
+	f.lastStart[run.task] = f.events
+	f.note(w, run.task, "run %d starts under %d on boot %d, sent %v before, lease until %v of %v", run.run, cmd.Token, w.boot, late,
+		w.leaseEnd, w.clock(f.at))
+	for _, id := range f.order {
+		for _, other := range f.workers[id].sortedRuns() {
+			if other.task == run.task {
+				f.violation(run.task, "run %d of %v starts on %s under %d while run %d is on %s",
+					run.run, run.task, w.id, cmd.Token, other.run, id)
+			}
+		}
+	}
+	if f.done[run.task] {
+		f.violation(run.task, "run %d of %v starts on %s under %d after its acknowledged success", run.run, run.task, w.id, cmd.Token)
+	}
+	if f.listsSuccess(run.task) {
+		f.restarted[run.task] = true
+	}
+	f.judgeFailures(run.task)
+	if late > simCommandTimeout {
+		f.met["starts that were carried out late"]++
+	}
+}
+
+// listsSuccess reports whether a worker lists a success of the task that its acknowledgement would make count.
+func (f *simFleet) listsSuccess(task work.TaskRef) bool {
+	for _, id := range f.order {
+		w := f.workers[id]
+		if !w.up {
+			continue
+		}
+		if slices.ContainsFunc(w.ended, func(end agent.EndedRun) bool {
+			return end.Task == task && end.Outcome == agent.OutcomeDone && end.Number > w.lapsedNumber
+		}) {
+			return true
+		}
+	}
+	return false
+}
+
+// judgeEnd notes an end that a worker lists.
+func (f *simFleet) judgeEnd(run *simTask, outcome agent.RunOutcome) {
+	f.events++
+	switch outcome {
+	case agent.OutcomeDone:
+		f.eachMember(run.task, func(task work.TaskRef) { f.succeeded[task] = true })
+	case agent.OutcomeFailed:
+		noteEvent(f.failedAt, run.simRun, f.events)
+	}
+}
+
+func noteEvent(events map[work.TaskRef]map[int]int, run simRun, event int) {
+	if events[run.task] == nil {
+		events[run.task] = make(map[int]int)
+	}
+	events[run.task][run.run] = event
+}
+
+// eachMember calls do for a task or, if it belongs to a gang, for all tasks of that: the success of one is that of all.
+func (f *simFleet) eachMember(task work.TaskRef, do func(work.TaskRef)) {
+	stage := f.stageOf(task)
+	if !stage.Gang {
+		do(task)
+		return
+	}
+	for i := range stage.Count {
+		member := task
+		member.Index = i
+		do(member)
+	}
+}
+
+// judgeAcknowledgement notes that an end has been acknowledged.
+func (f *simFleet) judgeAcknowledgement(w *simWorker, end agent.EndedRun) {
+	f.note(w, end.Task, "end %d of run %d, %s, is acknowledged", end.Number, end.Run, end.Outcome)
+	counts := end.Number > w.lapsedNumber
+	switch {
+	case end.Outcome == agent.OutcomeDone:
+		f.eachMember(end.Task, func(task work.TaskRef) {
+			f.finished[task] = true
+			f.done[task] = f.done[task] || counts
+		})
+		if counts && f.restarted[end.Task] {
+			f.violation(end.Task, "success of run %d of %v is acknowledged, though the task was started after it", end.Run, end.Task)
+		}
+	case end.Outcome == agent.OutcomeFailed && counts:
+		noteEvent(f.failures, simRun{end.Task, end.Run}, f.failedAt[end.Task][end.Run])
+		f.judgeFailures(end.Task)
+	}
+}
+
+// judgeFailures checks that a task hasn't started after as many acknowledged failures as it has attempts.
+func (f *simFleet) judgeFailures(task work.TaskRef) {
+	failures := 0
+	for _, event := range f.failures[task] {
+		if event < f.lastStart[task] {
+			failures++
+		}
+	}
+	if failures >= f.faults.attempts() {
+		f.violation(task, "%v starts after %d acknowledged failures", task, failures)
+	}
+}
--- a/internal/owner/takeoversim_test.go
+++ b/internal/owner/takeoversim_test.go
@@ -69,9 +69,11 @@
 }
 
 func newSimSystem(t *testing.T, seed int64, troubles simTroubles) *simSystem {
-	s := &simSystem{
-		t: t, random: rand.New(rand.NewSource(seed)), troubles: troubles, store: newSimStore(), fleet: newSimFleet(simWorkerNum),
-	}
+	return newSimSystemWith(t, seed, troubles, newSimFleet(simWorkerNum))
+}
+
+func newSimSystemWith(t *testing.T, seed int64, troubles simTroubles, fleet *simFleet) *simSystem {
+	s := &simSystem{t: t, random: rand.New(rand.NewSource(seed)), troubles: troubles, store: newSimStore(), fleet: fleet}
 	s.store.fencesTakeNumbers, s.store.repeatsGenerations = troubles.fencesTakeNumbers, troubles.repeatsGenerations
 	for i := range s.nodes {
 		s.startNode(i)
@@ -84,13 +86,10 @@
 	s.boots++
 	connection := newSimConnection(s.store, s.random.Int63())
 	configuration := terms.New(terms.Params{
-		Version: 1, Queues: []terms.Queue{{Name: testQueue, Pool: "pool", Attempts: 1}}, Teams: []terms.Team{{ID: "north", Share: 1}},
+		Version: 1, Queues: s.fleet.queues(), Teams: []terms.Team{{ID: "north", Share: 1}},
 	})
 	self := peers.NodeInfo{Node: fmt.Sprintf("n%d", i), BootID: fmt.Sprint(s.boots), Strength: 1}
-	log := zap.NewNop()
-	if testing.Verbose() {
-		log = zap.NewExample().With(zap.String("node", self.Node)).WithOptions(zap.AddStacktrace(zap.DPanicLevel))
-	}
+	log := s.fleet.log(self.Node)
 	directory := NewDirectory(DirectoryConfig{
 		Store: connection, Self: self, Group: "owners", Client: peers.NewClient(), Log: zap.NewNop(),
 	})
@@ -98,9 +97,11 @@
 	o := New(Config{
 		Self: self, Group: "owners", Store: connection, Workers: simWorkers{s.fleet, connection}, Directory: directory, Log: log,
 		Configuration: func() (terms.Configuration, bool) { return configuration, true },
-		Registry:      func(changed func([]agent.Entry)) Runner { return fixedRegistry{s.fleet.entries(), changed} },
+		Registry:      func(changed func([]agent.Entry)) Runner { return s.fleet.registry(connection, self.BootID, changed) },
+		Advisor:       simAdvisor{s.fleet, connection}, Peers: peers.NewClient(),
 		Shard: shard.Config{
-			Lease: simLease, MaxLease: simMaxLease, RenewLimit: testRenewLimit, Retention: simRetention, KillGrace: time.Second,
+			Lease: simLease, MaxLease: simMaxLease, RenewLimit: testRenewLimit, Retention: simRetention, KillGrace: simKillGrace,
+			GangTimeout: simGangTimeout, TasksPerRecord: s.fleet.faults.tasksPerRecord,
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
