fix(shard): an end without a run is acknowledged only once no late start can follow it

An unanswered start may reach the next incarnation of its worker up to 15 s later, so the end of its run isn't acknowledged before. That held only for ends whose run the owner still had. The success of a run that a former owner had recorded but not acknowledged, or that had been given up, was acknowledged at once, and that of a run beside a later one with an unanswered start too: the late start then followed an acknowledged success (TWICE).

--- a/internal/shard/grant.go
+++ b/internal/shard/grant.go
@@ -152,19 +152,43 @@
 	return a.startInFlightUntil
 }
 
-// lateStartsUntil is the same for the run and, of a gang, the other members of the run: the success of one is that of all.
-func (a *attempt) lateStartsUntil() time.Duration {
-	until := a.reachesNextIncarnationUntil()
-	if a.stage.spec.Gang {
-		for i := range a.stage.tasks {
-			for _, member := range a.stage.tasks[i].attempts {
-				until = max(until, member.reachesNextIncarnationUntil())
-			}
+// lateStartsUntil returns until when a start of a task may reach a later incarnation of a worker, or zero. Of a gang, the starts of
+// all tasks count: the success of one is that of all.
+func (st *stage) lateStartsUntil(index int) time.Duration {
+	first, end := index, index+1
+	if st.spec.Gang {
+		first, end = 0, len(st.tasks)
+	}
+	until := time.Duration(0)
+	for i := range st.tasks[first:end] {
+		t := &st.tasks[first+i]
+		until = max(until, t.notBefore)
+		for _, a := range t.attempts {
+			until = max(until, a.reachesNextIncarnationUntil())
 		}
 	}
 	return until
 }
 
+// lateStartsUntil returns the same for the task of an ended run. Without an attempt, a former owner may have recorded the end.
+func (s *Shard) lateStartsUntil(key runKey, attempted bool) time.Duration {
+	until := time.Duration(0)
+	if !attempted {
+		until = s.formerStartsUntil
+	}
+	j := s.jobs[key.task.Job]
+	if j == nil {
+		return until
+	}
+	if j.queue.Advice != nil {
+		return 0
+	}
+	if st := j.stage(key.task.Occurrence, key.task.Stage); st != nil && key.task.Index >= 0 && key.task.Index < len(st.tasks) {
+		until = max(until, st.lateStartsUntil(key.task.Index))
+	}
+	return until
+}
+
 // HeartbeatFailed notes that a worker's heartbeat failed, with the error that it returned.
 func (s *Shard) HeartbeatFailed(id model.WorkerID, err error, now time.Duration) {
 	w, ok := s.workers[id]
--- a/internal/shard/grant_test.go
+++ b/internal/shard/grant_test.go
@@ -137,6 +137,82 @@
 	}
 }
 
+// TestLateStartFollowsNoEndWithoutRun guards against a start after an acknowledged success whose run the owner doesn't have: a former
+// owner recorded the success but hadn't acknowledged it, or the run was given up. A start of the task that stayed unanswered may
+// still reach the next incarnation of a worker.
+func TestLateStartFollowsNoEndWithoutRun(t *testing.T) {
+	recorded := func(h *harness, start StartCommand, jobs func(work.Job) []work.Job) {
+		h.shard.ApplyStartResult(start, 0, agent.ErrNoAnswer, h.now)
+		h.report("w1", agent.Report{Ended: []agent.EndedRun{firstEnd(start, agent.OutcomeDone)}})
+		progress := h.commit()
+		h.takeOver(RecordedState{
+			Jobs: jobs(h.shard.jobs["j"].spec), Progress: map[model.JobID]work.Progress{"j": progress[0].Progress},
+		})
+	}
+	tests := []struct {
+		name   string
+		stages []work.Stage
+		// lose leaves the owner without the run, whose end is still reported.
+		lose func(*harness, StartCommand)
+		held time.Duration
+	}{
+		{"recorded success", []work.Stage{tasks(1), {Count: 1, After: []int{0}, Size: tasks(1).Size}}, func(h *harness, start StartCommand) {
+			recorded(h, start, func(j work.Job) []work.Job { return []work.Job{j} })
+		}, maxCommandDelay + 3*time.Second},
+		{"recorded final state", []work.Stage{tasks(1)}, func(h *harness, start StartCommand) {
+			recorded(h, start, func(j work.Job) []work.Job { return []work.Job{j} })
+		}, maxCommandDelay + 3*time.Second},
+		{"final job without its submission", []work.Stage{tasks(1)}, func(h *harness, start StartCommand) {
+			recorded(h, start, func(work.Job) []work.Job { return nil })
+		}, maxCommandDelay + 3*time.Second},
+		{"run given up", []work.Stage{tasks(1)}, func(h *harness, start StartCommand) {
+			h.shard.ApplyStartResult(start, 0, agent.ErrNoAnswer, h.now)
+			h.shard.endUnreported(h.shard.jobs["j"].stages[0].tasks[0].attempts[0], goneLease, h.now)
+		}, maxCommandDelay},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newAgedHarness(t, "w1")
+			h.submitJob(tt.stages...)
+			start := h.nextCommands().Starts[0]
+			begun := h.now
+			tt.lose(h, start)
+			h.report("w1", agent.Report{Ended: []agent.EndedRun{firstEnd(start, agent.OutcomeDone)}})
+			// The acknowledgement waits for a commit, also if the end changed nothing.
+			h.submitAs("other", testQueue, tasks(1))
+			h.nextCommands()
+			acknowledged := func() bool {
+				heartbeat, ok := h.shard.HeartbeatFor("w1", h.now, true)
+				assert.Assert(t, ok)
+				return heartbeat.Acked == 1
+			}
+			for h.now-begun < tt.held {
+				assert.Assert(t, !acknowledged(), "acknowledged after %v", h.now-begun)
+				h.advance(500 * time.Millisecond)
+			}
+			h.advance(500 * time.Millisecond)
+			assert.Assert(t, acknowledged())
+		})
+	}
+}
+
+// TestLateStartOfOtherRunFollowsNoAcknowledgedEnd guards against the same start if it is that of a later run, which began when the run
+// that succeeds had been given up.
+func TestLateStartOfOtherRunFollowsNoAcknowledgedEnd(t *testing.T) {
+	h := newAgedHarness(t, "w1", "w2")
+	h.submitJob(tasks(1))
+	first := h.confirmStarts()[0]
+	h.shard.endUnreported(h.shard.jobs["j"].stages[0].tasks[0].attempts[0], goneLease, h.now)
+	second := h.nextCommands().Starts[0]
+	h.shard.ApplyStartResult(second, 0, agent.ErrNoAnswer, h.now)
+	h.report(first.Target.ID, agent.Report{Ended: []agent.EndedRun{firstEnd(first, agent.OutcomeDone)}})
+	h.commit()
+	for begun := h.now; h.now-begun < maxCommandDelay-time.Second; h.advance(500 * time.Millisecond) {
+		heartbeat, ok := h.shard.HeartbeatFor(first.Target.ID, h.now, true)
+		assert.Assert(t, ok && heartbeat.Acked == 0, "acknowledged after %v", h.now-begun)
+	}
+}
+
 // TestWaitingHeartbeatLeavesNoDoubt guards against a task that waits for a late renewal of a lease, because its worker went silent
 // while it delayed its answer to a heartbeat.
 func TestWaitingHeartbeatLeavesNoDoubt(t *testing.T) {
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -162,9 +162,9 @@
 	key := runKey{end.Task, end.Run}
 	if end.Number > w.lastEndSeen && !s.holdEnd(w, end) {
 		w.lastEndSeen = end.Number
-		notBefore := time.Duration(0)
-		if a, ok := w.attempts[key]; ok {
-			notBefore = a.lateStartsUntil()
+		a, attempted := w.attempts[key]
+		notBefore := s.lateStartsUntil(key, attempted)
+		if attempted {
 			s.endRun(a, end.Outcome, end.Checkpoint, now)
 		} else {
 			s.countLateEnd(end, now)
--- a/internal/shard/restore.go
+++ b/internal/shard/restore.go
@@ -22,6 +22,7 @@
 // Restore loads the recorded state. Bound runs may still be on their workers until these report under the new token, or
 // until the longest lease that the former owner may have granted has expired.
 func (s *Shard) Restore(r RecordedState, now time.Duration, wall time.Time) {
+	s.formerStartsUntil = now + s.cfg.RenewLimit + maxCommandDelay
 	for _, id := range r.Unreadable {
 		if r.Progress[id].Final == "" {
 			s.Hold(id)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -33,6 +33,8 @@
 	lastGeneration int64
 	// inFlightStarts holds what workers knew that are no longer listed; see worker.inFlightStarts.
 	inFlightStarts map[model.WorkerID]map[runKey]time.Duration
+	// formerStartsUntil is when the starts of former owners have arrived or are lost for certain.
+	formerStartsUntil time.Duration
 	// toCommand holds at least the workers with a run that may have to be started or stopped.
 	toCommand map[*worker]bool
 	teamUsage map[model.TeamID]model.Resources
