--- a/internal/owner/simfleetjudge_test.go
+++ b/internal/owner/simfleetjudge_test.go
@@ -105,6 +105,19 @@
 	f.violations = append(f.violations, fmt.Sprintf("%.3f: ", f.at.Seconds())+fmt.Sprintf(format, args...))
 }
 
+// suspect adds the tasks of a job that haven't succeeded to those with a violation.
+func (f *simFleet) suspect(job work.Job) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, stage := range job.Stages {
+		for k := range stage.Count {
+			if task := (work.TaskRef{Job: job.ID, Stage: i, Index: k}); !f.succeeded[task] {
+				f.suspects[task] = true
+			}
+		}
+	}
+}
+
 // traceOfSuspects returns the part of the trace that is about the tasks with a violation, the workers that ran them, and the nodes.
 func (f *simFleet) traceOfSuspects() string {
 	if len(f.suspects) == 0 {
