--- a/internal/owner/simnodes_test.go
+++ b/internal/owner/simnodes_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -24,18 +25,15 @@
 	simSeriesPause  = 15 * time.Second
 )
 
-// simConfiguration returns a version of the configuration, with the queue of the jobs or without it.
-func simConfiguration(version int64, queue bool) terms.Configuration {
-	params := terms.Params{Version: version, Teams: []terms.Team{{ID: "north", Share: 1}}}
-	if queue {
-		params.Queues = []terms.Queue{{Name: testQueue, Pool: "pool", Attempts: 1}}
-	}
-	return terms.New(params)
+// simConfiguration returns a version of the configuration.
+func simConfiguration(version int64, queues []terms.Queue) terms.Configuration {
+	return terms.New(terms.Params{Version: version, Teams: []terms.Team{{ID: "north", Share: 1}}, Queues: queues})
 }
 
-// configure changes the configuration, often by removing the queue or adding it again.
+// configure changes the configuration, often by removing a queue or adding it again.
 func (s *simSystem) configure(r *rand.Rand) {
-	s.setConfiguration(simConfiguration(s.configuration.Version+1, r.Intn(2) == 0), r)
+	queues := slices.DeleteFunc(s.fleet.queues(), func(terms.Queue) bool { return r.Intn(2) == 0 })
+	s.setConfiguration(simConfiguration(s.configuration.Version+1, queues), r)
 }
 
 // setConfiguration changes the configuration, which the nodes read at different times.
@@ -187,6 +185,7 @@
 		}
 		ow.mu.Unlock()
 	}
+	alive := s.fleet.alive()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.counts[trouble]++
@@ -196,41 +195,16 @@
 	if restored+takeovers > 1 {
 		m.counts[trouble+" with two owners"]++
 	}
-	for run := range m.presumedGone {
-		if s.fleet.alive(run) {
-			m.counts[trouble+" with a run presumed gone while alive"]++
-			break
-		}
-	}
-}
-
-// alive reports whether a run goes on.
-func (f *simFleet) alive(run simRun) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, w := range f.workers {
-		f.advance(w)
-		if _, there := w.running[run]; there {
-			return true
-		}
+	if slices.ContainsFunc(alive, func(run simRun) bool { return m.presumedGone[run] }) {
+		m.counts[trouble+" with a run presumed gone while alive"]++
 	}
-	return false
 }
 
-// aliveRuns returns the runs of a task that go on.
-func (f *simFleet) aliveRuns(task string) []simRun {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var list []simRun
-	for _, w := range f.workers {
-		f.advance(w)
-		for run := range w.running {
-			if run.task.String() == task {
-				list = append(list, run)
-			}
-		}
-	}
-	return list
+// count counts one thing, whatever it meets.
+func (m *simMeetings) count(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counts[name]++
 }
 
 // core returns a core that watches the logs of nodes for runs that are presumed gone.
@@ -262,7 +236,7 @@
 			detail = f.String
 		}
 	}
-	alive := c.met.system.fleet.aliveRuns(task)
+	alive := slices.DeleteFunc(c.met.system.fleet.alive(), func(run simRun) bool { return run.task.String() != task })
 	c.met.mu.Lock()
 	defer c.met.mu.Unlock()
 	name := e.Message
@@ -295,19 +269,28 @@
 	for seed := *simFirst; seed < *simFirst+int64(min(*simSeeds, simRepeatedSeeds)); seed++ {
 		first, _ := play(t, seed, wholeTroubles())
 		second, _ := play(t, seed, wholeTroubles())
-		if first.trace.hash() != second.trace.hash() {
-			a, b := first.trace.sorted(), second.trace.sorted()
-			i := 0
-			for i < min(len(a), len(b)) && a[i] == b[i] {
-				i++
-			}
-			t.Errorf("seed %d differs at line %d of %d: %v and %v", seed, i, len(a), a[i:min(i+5, len(a))], b[i:min(i+5, len(b))])
-		}
+		checkSame(t, seed, first, second)
 	}
 }
 
+// checkSame checks that a seed has been played twice in the same way.
+func checkSame(t *testing.T, seed int64, first, second *simSystem) {
+	t.Helper()
+	if first.trace.hash() == second.trace.hash() {
+		return
+	}
+	a, b := first.trace.sorted(), second.trace.sorted()
+	i := 0
+	for i < min(len(a), len(b)) && a[i] == b[i] {
+		i++
+	}
+	t.Errorf("seed %d differs at line %d of %d: %v and %v", seed, i, len(a), a[i:min(i+5, len(a))], b[i:min(i+5, len(b))])
+}
+
 // TestWholeUnderNodeTroubles guards against two runs at the same time, and jobs that never finish, while nodes are killed, stand
 // still between any two steps or starve, owners fail one after the other, jobs are cancelled and the configuration changes.
 func TestWholeUnderNodeTroubles(t *testing.T) {
-	checkSeeds(t, wholeTroubles(), *simFirst, *simSeeds)
+	checkSeeds(t, *simFirst, *simSeeds, func(t *testing.T, seed int64) (*simSystem, []string) {
+		return play(t, seed, wholeTroubles())
+	})
 }
--- a/internal/owner/simstore_test.go
+++ b/internal/owner/simstore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"math"
@@ -374,7 +375,8 @@
 	return from + time.Duration(r.Int63n(int64(to-from)))
 }
 
-// deliver sends a call on its way and waits for its answer. The call goes on if the caller gives up.
+// deliver sends a call on its way and waits for its answer. The call goes on if the caller gives up, and has no answer if its
+// execution says so.
 func deliver[T any](ctx context.Context, f fate, timeout time.Duration, execute func() (T, error)) (T, error) {
 	type answer struct {
 		value T
@@ -391,7 +393,7 @@
 			if !f.refused {
 				a.value, a.err = execute()
 			}
-			if f.answered {
+			if f.answered && !errors.Is(a.err, ledger.ErrNoAnswer) {
 				time.AfterFunc(f.back, func() { answers <- a })
 			}
 		})
