--- a/internal/owner/simstore_test.go
+++ b/internal/owner/simstore_test.go
@@ -28,7 +28,7 @@
 	// simMinStall and simMaxStall bound how long a process stands still between two steps, and simStallShare and simFirstStallShare
 	// tell how often it does before a step that was taken often, and before one that wasn't.
 	simMinStall, simMaxStall          = 50 * time.Millisecond, 12 * time.Second
-	simStallShare, simFirstStallShare = 0.0005, 0.05
+	simStallShare, simFirstStallShare = 0.001, 0.1
 )
 
 // simStore is a store whose appends are fenced by the epochs of their producers, topic by topic, and whose pages of newest records
@@ -245,6 +245,8 @@
 	// cutAppends and cutReads tell which topics don't answer, and cutGroups that the groups don't answer.
 	cutAppends, cutReads map[ledger.Topic]bool
 	cutGroups            bool
+	// membersDelay delays reads of a group's members.
+	membersDelay time.Duration
 	// cutWorkers tells which workers the node doesn't reach.
 	cutWorkers map[model.WorkerID]bool
 }
@@ -511,6 +513,10 @@
 }
 
 func (c *simConnection) Holders(ctx context.Context, group string) ([]ledger.Holder, error) {
+	c.mu.Lock()
+	delay := c.membersDelay
+	c.mu.Unlock()
+	pause.For(ctx, delay)
 	return simCall(ctx, c, "holders of "+group, false, c.groupsCut(), func() ([]ledger.Holder, error) {
 		return c.store.holders(group), nil
 	})
--- a/internal/owner/simwhole_test.go
+++ b/internal/owner/simwhole_test.go
@@ -74,6 +74,7 @@
 	if random.Intn(2) == 0 {
 		job.Queue = simAdvisedQueue
 	}
+	s.setTerms(job)
 	for i := range 1 + random.Intn(3) {
 		stage := work.Stage{
 			Count: 1 + random.Intn(4), Size: model.Resources{Cores: model.MilliCores(1 + random.Intn(2))},
--- a/internal/shard/gone_test.go
+++ b/internal/shard/gone_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -254,11 +255,11 @@
 			h.shard.ApplyReport("w1", early, h.now)
 			assert.Equal(t, len(*events), 0)
 			h.report("w1", tt.then(starts[0]))
-			var got []string
+			got := make([]string, 0, len(*events))
 			for _, e := range *events {
 				got = append(got, e.Name)
 			}
-			assert.DeepEqual(t, got, tt.want)
+			assert.Assert(t, slices.Equal(got, tt.want), "%q", got)
 		})
 	}
 }
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -20,16 +20,18 @@
 		s.HeartbeatFailed(id, agent.ErrNoAnswer, now)
 	}
 	w.heartbeat = sentHeartbeat{pending: true, sentAt: now, generation: w.generation}
-	heartbeat := agent.Heartbeat{Token: s.token(w), Acked: s.numberToAck(w, now), ReportConnection: w.reportConnection}
-	w.heartbeat.acked = heartbeat.Acked
+	heartbeat := agent.Heartbeat{Token: s.token(w), ReportConnection: w.reportConnection}
+	if !s.startMayArriveLate(w, now) {
+		heartbeat.Acked = w.ackableEnd(s.lastCommitted, now)
+	}
+	w.heartbeat.acknowledges = heartbeat.Acked > 0
 	// The lease of a silent worker is not extended, so that its runs expire at a known time.
 	if renew && now-w.lastReportAt < suspectAfter && s.renewalDue(w, now) {
 		heartbeat.LeaseEnd = s.presumed.noteLease(w, w.newLeaseEnd(now, s.cfg.Lease))
 		w.heartbeat.grant = s.addGrant(w, now+maxCommandDelay, now)
 		w.renewedAt = now
 	}
-	// Starts without a ticket wait for the answer to an acknowledgement.
-	heartbeat.Prompt = heartbeat.LeaseEnd > 0 || !w.tokenSeen || w.hasDoubts() || (heartbeat.Acked > 0 && s.unadvisedQueues)
+	heartbeat.Prompt = heartbeat.LeaseEnd > 0 || !w.tokenSeen || w.hasDoubts()
 	return heartbeat, true
 }
 
@@ -42,8 +44,11 @@
 // EndsAcknowledgeable reports whether all ended runs that a worker has reported can be acknowledged.
 func (s *Shard) EndsAcknowledgeable(id model.WorkerID, now time.Duration) bool {
 	w, ok := s.workers[id]
-	return !ok || !slices.ContainsFunc(w.pendingAcks, func(p pendingAck) bool { return !p.due(s.lastCommitted, now) }) &&
-		(w.ackableEnd(s.lastCommitted, now) <= w.answeredAck || !w.startMayArrive(now))
+	if !ok || len(w.pendingAcks) == 0 {
+		return true
+	}
+	return !s.startMayArriveLate(w, now) &&
+		!slices.ContainsFunc(w.pendingAcks, func(p pendingAck) bool { return !p.due(s.lastCommitted, now) })
 }
 
 // ApplyReport applies a worker's report.
@@ -73,8 +78,8 @@
 	}
 	s.voidGrants(w, w.heartbeat.generation, now)
 	w.settleGrant(w.heartbeat.grant)
-	w.noteAckAnswered(r.Connection)
 	w.heartbeat.pending = false
+	heldRun := w.holdsHeldRun()
 	w.tokenSeen, w.clock, w.clockReadAt, w.lastReportAt = true, r.Clock, now, now
 	w.reportConnection = r.Connection
 	listed := make(map[runKey]bool, len(r.Running)+len(r.Ended))
@@ -89,15 +94,18 @@
 		listed[key] = true
 		s.applyRunning(w, key, row, now)
 	}
+	if r.Incomplete {
+		if heldRun {
+			w.heldRunAt = now
+		}
+		return
+	}
 	for key, unknown := range w.unknownRuns {
 		if !listed[key] && !unknown.mayArrive {
 			delete(w.unknownRuns, key)
 			s.freedWorkers[w] = true
 		}
 	}
-	if r.Incomplete {
-		return
-	}
 	gone := func(a *attempt) bool {
 		// The clock in the answer to a start is that of the incarnation which answered, the report may be of the one before.
 		overtaken := answeredUnlisted(a) && a.answeredAt >= w.heartbeat.sentAt
@@ -121,7 +129,7 @@
 // reports: their start reached it.
 func (s *Shard) replaceIncarnation(w *worker, r agent.Report, now time.Duration) {
 	first, incarnation := w.incarnation == 0, r.Incarnation
-	w.incarnation, w.clock, w.lastEndSeen, w.ackedEnd, w.answeredAck, w.pendingAcks = incarnation, 0, 0, 0, 0, nil
+	w.incarnation, w.clock, w.lastEndSeen, w.ackedEnd, w.pendingAcks = incarnation, 0, 0, 0, nil
 	w.unknownRuns, w.firstHeldEnd = make(map[runKey]*unknownRun), 0
 	for _, g := range w.grants {
 		// This incarnation shortens a lease end on the clock of the one before to the longest lease.
@@ -174,7 +182,7 @@
 			s.checkPresumedEnd(w, key, end.Outcome, margin, now)
 			s.countLateEnd(end, now)
 		}
-		w.pendingAcks = append(w.pendingAcks, pendingAck{end.Number, s.nextCommit, notBefore})
+		w.pendingAcks = append(w.pendingAcks, pendingAck{end.Number, s.lastChange(), notBefore})
 	}
 }
 
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -58,18 +58,12 @@
 	lastEndSeen int64
 	ackedEnd    int64
 	pendingAcks []pendingAck
-	// answeredAck is the number up to which the incarnation has answered an acknowledgement, and ackArrivesBy is when one that stayed
-	// unanswered has been carried out or is lost for certain.
-	answeredAck  int64
-	ackArrivesBy time.Duration
-	// lateStartUntil is until when a start of a run without an attempt may reach a later incarnation of the worker.
-	lateStartUntil time.Duration
 	// reportConnection identifies the connection of the last report. Over another one, the worker's next incarnation may
 	// answer, in which the numbers of ended runs mean others.
 	reportConnection uint64
 
 	// firstHeldEnd is the number of the first ended run of a held job, or zero; no end from it on is acknowledged. heldRunAt
-	// is when the worker last reported a run of a held job.
+	// is when the worker last reported a run of a held job, or left open whether it still has it.
 	firstHeldEnd int64
 	heldRunAt    time.Duration
 
@@ -115,7 +109,6 @@
 	if now < a.startInFlightUntil {
 		w.inFlightStarts[a.key()] = a.startInFlightUntil
 	}
-	w.lateStartUntil = max(w.lateStartUntil, a.reachesNextIncarnationUntil())
 }
 
 // keepInFlightStarts keeps the starts in flight of a worker that is no longer listed: it may start again under its ID.
@@ -139,10 +132,12 @@
 	return w.entry.Incarnation == 0 || w.incarnation == 0 || w.entry.Incarnation == w.incarnation
 }
 
+// holdsHeldRun reports whether the worker may have a run of a held job: the last report that lists all runs lists one.
+func (w *worker) holdsHeldRun() bool { return w.heldRunAt > 0 && w.heldRunAt >= w.lastReportAt }
+
 // usable reports whether new tasks may be sent to the worker.
 func (w *worker) usable(now time.Duration) bool {
-	holdsRun := w.heldRunAt > 0 && w.heldRunAt >= w.lastReportAt
-	return w.listed && w.tokenSeen && w.entryIsCurrent() && !w.entry.Draining && len(w.unknownRuns) == 0 && !holdsRun &&
+	return w.listed && w.tokenSeen && w.entryIsCurrent() && !w.entry.Draining && len(w.unknownRuns) == 0 && !w.holdsHeldRun() &&
 		now-w.lastReportAt < suspectAfter
 }
 
