--- a/internal/owner/simfleet_test.go
+++ b/internal/owner/simfleet_test.go
@@ -256,7 +256,8 @@
 	if run.orphaned != "" {
 		return w.silentUntil, run.orphaned
 	}
-	at, outcome := never, agent.RunOutcome("")
+	var at time.Duration
+	var outcome agent.RunOutcome
 	switch {
 	case run.working && run.fails:
 		at, outcome = w.moment(run.workBegun+run.length-run.saved), agent.OutcomeFailed
--- a/internal/owner/simfleetfault_test.go
+++ b/internal/owner/simfleetfault_test.go
@@ -47,9 +47,14 @@
 
 // simWorkerTroubles are all troubles of workers.
 var simWorkerTroubles = []simWorkerTrouble{
-	{"restart of a worker", restartWorker}, {"restart of a worker among late commands", restartAfterStorm},
-	{"missing entry", unlistWorker}, {"silence of a worker", silenceWorker}, {"silence of all workers", silenceAll},
-	{"spell of late commands", stormAt}, {"drain", drainWorker}, {"unhealthy worker", sickenWorker},
+	{"restart of a worker", restartWorker},
+	{"restart of a worker among late commands", restartAfterStorm},
+	{"missing entry", unlistWorker},
+	{"silence of a worker", silenceWorker},
+	{"silence of all workers", silenceAll},
+	{"spell of late commands", stormAt},
+	{"drain", drainWorker},
+	{"unhealthy worker", sickenWorker},
 }
 
 // drawTime draws a time from a range of seconds.
--- a/internal/owner/simwhole_test.go
+++ b/internal/owner/simwhole_test.go
@@ -203,7 +203,7 @@
 
 // describe returns what the nodes say of a job that isn't finished.
 func (s *simWhole) describe(job work.Job) string {
-	var text []string
+	text := make([]string, 0, len(job.Stages)+simNodes)
 	for _, stage := range job.Stages {
 		text = append(text, fmt.Sprintf("%d tasks after %v, gang %v", stage.Count, stage.After, stage.Gang))
 	}
