--- a/internal/owner/series_test.go
+++ b/internal/owner/series_test.go
@@ -173,7 +173,7 @@
 func playSeries(t *testing.T, seed int64) (problems []string, lapsed int, epochs int64) {
 	t.Helper()
 	random := rand.New(rand.NewSource(seed))
-	store, fleet := newSimStore(), newSimFleet(simWorkerNum)
+	store, fleet := newSimStore(), newSimFleet(simWorkerNum, simDraws{seed}, simFaults{}, &simTrace{begun: time.Now()})
 	var isolated model.WorkerID
 	hidden := random.Intn(2) == 0
 	nodes := make([]*seriesNode, 0, seriesNodes)
@@ -236,6 +236,7 @@
 	completed := false
 	for begun := time.Now(); time.Since(begun) < simRecovery && !completed; time.Sleep(time.Second) {
 		fleet.mu.Lock()
+		fleet.settle()
 		completed = true
 		for k := range job.Stages[0].Count {
 			completed = completed && fleet.finished[work.TaskRef{Job: job.ID, Index: k}]
@@ -247,6 +248,7 @@
 	}
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
+	fleet.settle()
 	problems = fleet.violations
 	if !completed {
 		problems = append(problems, "the job isn't finished")
--- a/internal/owner/simtrace_test.go
+++ b/internal/owner/simtrace_test.go
@@ -15,6 +15,8 @@
 	"go.uber.org/zap/zapcore"
 
 	"arbutuswing.example/internal/agent"
+	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/work"
 )
 
 // simTrace holds what happened in a simulation, by time.
@@ -25,17 +27,26 @@
 	lines []simLine
 }
 
-// simLine is one line of a trace.
+// simLine is one line of a trace. Lines about what happens on a worker name it.
 type simLine struct {
-	at   time.Duration
-	text string
+	at     time.Duration
+	worker model.WorkerID
+	text   string
+}
+
+func (l simLine) String() string {
+	return fmt.Sprintf("%10.6f %-4s %s", l.at.Seconds(), l.worker, l.text)
 }
 
 func (t *simTrace) add(format string, args ...any) {
-	at := time.Since(t.begun)
+	t.addAt(time.Since(t.begun), "", fmt.Sprintf(format, args...))
+}
+
+// addAt adds a line about a moment that may have passed.
+func (t *simTrace) addAt(at time.Duration, worker model.WorkerID, text string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.lines = append(t.lines, simLine{at, fmt.Sprintf(format, args...)})
+	t.lines = append(t.lines, simLine{at, worker, text})
 }
 
 // sorted returns the lines by time, and those of the same moment by their text.
@@ -43,7 +54,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return slices.SortedFunc(slices.Values(t.lines), func(a, b simLine) int {
-		return cmp.Or(cmp.Compare(a.at, b.at), strings.Compare(a.text, b.text))
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.worker, b.worker), strings.Compare(a.text, b.text))
 	})
 }
 
@@ -51,15 +62,41 @@
 func (t *simTrace) hash() uint64 {
 	h := fnv.New64a()
 	for _, l := range t.sorted() {
-		_, _ = fmt.Fprintln(h, int64(l.at), l.text)
+		_, _ = fmt.Fprintln(h, int64(l.at), l.worker, l.text)
 	}
 	return h.Sum64()
 }
 
 func (t *simTrace) print(w io.Writer) {
 	for _, l := range t.sorted() {
-		_, _ = fmt.Fprintf(w, "%10.3f %s\n", l.at.Seconds(), l.text)
+		_, _ = fmt.Fprintln(w, l)
+	}
+}
+
+// about returns the lines that name one of the tasks, those about the workers that had one, and the takeovers.
+func (t *simTrace) about(tasks map[work.TaskRef]bool) string {
+	lines := t.sorted()
+	names := make([]string, 0, len(tasks))
+	for task := range tasks {
+		names = append(names, task.String())
+	}
+	names = slices.Sorted(slices.Values(names))
+	named := func(l simLine) bool {
+		return slices.ContainsFunc(names, func(name string) bool { return strings.Contains(l.text, name) })
+	}
+	workers := make(map[model.WorkerID]bool)
+	for _, l := range lines {
+		if l.worker != "" && named(l) {
+			workers[l.worker] = true
+		}
+	}
+	var text strings.Builder
+	for _, l := range lines {
+		if named(l) || (workers[l.worker] && !strings.Contains(l.text, "/")) || strings.Contains(l.text, "takeover") {
+			fmt.Fprintln(&text, l)
+		}
 	}
+	return text.String()
 }
 
 // core returns a core that writes the log of a node into the trace.
--- a/internal/owner/takeoversim_test.go
+++ b/internal/owner/takeoversim_test.go
@@ -85,6 +85,8 @@
 	met       *simMeetings
 	// seriesEnded tells that owners no longer fail one after the other.
 	seriesEnded atomic.Bool
+	// shape draws the queue and the stages of a job, with how long their tasks work.
+	shape func(job *work.Job, r *rand.Rand)
 
 	mu    sync.Mutex
 	nodes [simNodes]*simNode
@@ -95,10 +97,18 @@
 }
 
 func newSimSystem(t *testing.T, seed int64, troubles simTroubles) *simSystem {
+	return newSimSystemWith(t, seed, troubles, simWorkerNum, simFaults{})
+}
+
+// newSimSystemWith returns a system with a fleet of so many workers, which have faults.
+func newSimSystemWith(t *testing.T, seed int64, troubles simTroubles, workers int, faults simFaults) *simSystem {
+	draws, trace := simDraws{seed}, &simTrace{begun: time.Now()}
 	s := &simSystem{
-		t: t, draws: simDraws{seed}, trace: &simTrace{begun: time.Now()}, troubles: troubles, store: newSimStore(),
-		fleet: newSimFleet(simWorkerNum), cancelled: make(map[model.JobID]bool), configuration: simConfiguration(1, true),
+		t: t, draws: draws, trace: trace, troubles: troubles, store: newSimStore(),
+		fleet: newSimFleet(workers, draws, faults, trace), cancelled: make(map[model.JobID]bool),
 	}
+	s.shape = s.shapeOfSingleTasks
+	s.configuration = simConfiguration(1, s.fleet.queues())
 	s.met = newSimMeetings(s)
 	s.store.fencesTakeNumbers, s.store.repeatsGenerations = troubles.fencesTakeNumbers, troubles.repeatsGenerations
 	for i := range s.nodes {
@@ -131,9 +141,11 @@
 			defer s.mu.Unlock()
 			return node.configuration, true
 		},
-		Registry: func(changed func([]agent.Entry)) Runner { return fixedRegistry{s.fleet.entries(), changed} },
+		Registry: func(changed func([]agent.Entry)) Runner { return simRegistry{s.fleet, connection, changed} },
+		Advisor:  simAdvisor{s.fleet, connection}, Peers: peers.NewClient(),
 		Shard: shard.Config{
-			Lease: simLease, MaxLease: simMaxLease, RenewLimit: testRenewLimit, Retention: simRetention, KillGrace: time.Second,
+			Lease: simLease, MaxLease: simMaxLease, RenewLimit: testRenewLimit, Retention: simRetention, KillGrace: simKillGrace,
+			GangTimeout: simGangTimeout, TasksPerRecord: s.fleet.faults.tasksPerRecord,
 		},
 		Uptime: testUptime,
 		Step:   func(step Step) { connection.step(fmt.Sprintf("%+v", step)) },
@@ -167,10 +179,31 @@
 	return claimed
 }
 
-// submit stores a job, or does so late, again, or on the notice of a node only after a while.
+// submit draws a job and stores it.
 func (s *simSystem) submit() {
 	r := s.draws.rand("job", len(s.jobs))
-	job := work.Job{ID: model.JobID(fmt.Sprintf("j%03d", len(s.jobs))), Queue: testQueue, Team: "north", Accepted: time.Now()}
+	job := work.Job{ID: model.JobID(fmt.Sprintf("j%03d", len(s.jobs))), Team: "north", Accepted: time.Now()}
+	s.shape(&job, r)
+	s.fleet.mu.Lock()
+	s.fleet.jobs[job.ID] = job
+	s.fleet.mu.Unlock()
+	s.jobs = append(s.jobs, job)
+	s.storeJob(job, r)
+}
+
+// setTerms gives a job the terms of its queue, under which it goes on once the queue is removed.
+func (s *simSystem) setTerms(job *work.Job) {
+	for _, queue := range s.fleet.queues() {
+		if queue.Name == job.Queue {
+			job.QueueTerms = work.NewQueueTerms(queue)
+		}
+	}
+}
+
+// shapeOfSingleTasks draws stages of single tasks.
+func (s *simSystem) shapeOfSingleTasks(job *work.Job, r *rand.Rand) {
+	job.Queue = testQueue
+	s.setTerms(job)
 	for range 1 + r.Intn(2) {
 		job.Stages = append(job.Stages, work.Stage{
 			Count: 1 + r.Intn(2), Size: model.Resources{Cores: 1}, RunTime: model.Duration(time.Second),
@@ -193,7 +226,10 @@
 			s.fleet.mu.Unlock()
 		}
 	}
-	s.jobs = append(s.jobs, job)
+}
+
+// storeJob stores a job, or does so late, again, or on the notice of a node only after a while.
+func (s *simSystem) storeJob(job work.Job, r *rand.Rand) {
 	value, err := job.Encode()
 	assert.NilError(s.t, err)
 	delays := []time.Duration{simDuration(r, 1, time.Millisecond)}
@@ -313,7 +349,7 @@
 }
 
 func (s *simSystem) pickWorker(r *rand.Rand) model.WorkerID {
-	return model.WorkerID(fmt.Sprintf("w%d", r.Intn(simWorkerNum)))
+	return s.fleet.order[r.Intn(len(s.fleet.order))]
 }
 
 // cutFromOthers lets only one node reach a worker.
@@ -336,14 +372,7 @@
 		s.trouble()
 		time.Sleep(simDuration(r, 100*time.Millisecond, 1600*time.Millisecond))
 	}
-	s.trace.add("troubles end")
-	s.setConfiguration(simConfiguration(s.configuration.Version+1, true), simDraws{0}.rand("heal", 0))
-	s.seriesEnded.Store(true)
-	for _, n := range s.running() {
-		n.connection.heal()
-		n.connection.freeze(0)
-	}
-	s.trace.add("all is healed")
+	s.heal()
 	unfinished := map[model.JobID]bool{}
 	for _, job := range s.jobs {
 		if !s.cancelled[job.ID] {
@@ -352,6 +381,7 @@
 	}
 	for begun := time.Now(); time.Since(begun) < simRecovery && len(unfinished) > 0; time.Sleep(500 * time.Millisecond) {
 		s.fleet.mu.Lock()
+		s.fleet.settle()
 		for _, job := range s.jobs {
 			if s.completed(job) {
 				delete(unfinished, job.ID)
@@ -363,15 +393,29 @@
 		n.stop()
 	}
 	s.clients.Wait()
-	s.fleet.mu.Lock()
-	defer s.fleet.mu.Unlock()
-	problems := s.fleet.violations
-	for _, id := range slices.Sorted(maps.Keys(unfinished)) {
-		problems = append(problems, fmt.Sprintf("job %s isn't finished", id))
+	problems := s.fleet.takeViolations()
+	for _, job := range s.jobs {
+		if unfinished[job.ID] {
+			problems = append(problems, fmt.Sprintf("job %s isn't finished", job.ID))
+			s.fleet.suspect(job)
+		}
 	}
 	return problems
 }
 
+// heal ends all troubles.
+func (s *simSystem) heal() {
+	s.trace.add("troubles end")
+	s.setConfiguration(simConfiguration(s.configuration.Version+1, s.fleet.queues()), simDraws{0}.rand("heal", 0))
+	s.seriesEnded.Store(true)
+	for _, n := range s.running() {
+		n.connection.heal()
+		n.connection.freeze(0)
+	}
+	s.fleet.heal()
+	s.trace.add("all is healed")
+}
+
 // completed reports whether the success of all tasks of a job has been acknowledged; the fleet's lock is held.
 func (s *simSystem) completed(job work.Job) bool {
 	for i, stage := range job.Stages {
@@ -399,21 +443,23 @@
 // checkTakeovers plays the seeds of the takeover simulations.
 func checkTakeovers(t *testing.T, troubles simTroubles) {
 	t.Helper()
-	checkSeeds(t, troubles, *takeoverFirst, *takeoverSeeds)
+	checkSeeds(t, *takeoverFirst, *takeoverSeeds, func(t *testing.T, seed int64) (*simSystem, []string) {
+		return play(t, seed, troubles)
+	})
 }
 
 // checkSeeds plays seeds, goes on after a failing one and sums up.
-func checkSeeds(t *testing.T, troubles simTroubles, first int64, count int) {
+func checkSeeds(t *testing.T, first int64, count int, play func(t *testing.T, seed int64) (*simSystem, []string)) {
 	t.Helper()
 	oneThread(t)
 	starts, lapsed, jobs, epochs := 0, 0, 0, int64(0)
 	met := make(map[string]int)
 	var failed []int64
 	for seed := first; seed < first+int64(count); seed++ {
-		s, problems := play(t, seed, troubles)
+		s, problems := play(t, seed)
 		if len(problems) > 0 {
 			failed = append(failed, seed)
-			t.Errorf("seed %d: %q", seed, problems)
+			t.Errorf("seed %d: %q\n%+v\n%+v\n%s", seed, problems, s.troubles, s.fleet.faults, s.trace.about(s.fleet.suspects))
 			writeTrace(t, s, seed)
 		}
 		starts, lapsed, jobs = starts+s.fleet.starts, lapsed+s.fleet.lapsed, jobs+len(s.jobs)
@@ -423,6 +469,9 @@
 		for meeting, n := range s.met.counts {
 			met[meeting] += n
 		}
+		for fault, n := range s.fleet.met {
+			met[fault] += n
+		}
 	}
 	t.Logf("%d jobs, %d starts, %d runs lapsed, last epochs sum up to %d", jobs, starts, lapsed, epochs)
 	for _, meeting := range slices.Sorted(maps.Keys(met)) {
