fix(shard): a refused repeat of a start ends no run that a report has listed

A start whose answer is lost is repeated. If a report lists the run while the repeat is under way, the start counts as answered; if the worker then refuses the repeat (unhealthy, ticket expired, deadline passed, another worker at the address), the refusal counted as that of the only start and the run as never begun. On a queue with advice, where late starts aren't waited for, the task then started at once on another worker while its run was alive (TWICE); on other queues the run was adopted and stopped.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -152,7 +152,8 @@
 }
 
 // startRefused handles a start that the worker refused: the task becomes startable again. If an earlier start went
-// unanswered, the run may still appear on the worker, so it is stopped first.
+// unanswered, the run may still appear on the worker, so it is stopped first. If a report has listed the run since, the worker
+// has refused a repeat, which proves nothing.
 func (s *Shard) startRefused(a *attempt, err error, now time.Duration) {
 	st, w := a.stage, a.worker
 	s.emit("start-refused", string(st.job.spec.ID), a.ref().String(), w, err.Error(), int64(a.run))
@@ -168,6 +169,9 @@
 		s.stopRun(a, now)
 		return
 	}
+	if a.listed {
+		return
+	}
 	s.endRun(a, agent.OutcomeLeaseExpired, "", now)
 }
 
--- a/internal/shard/incarnation_test.go
+++ b/internal/shard/incarnation_test.go
@@ -356,3 +356,51 @@
 	waited := h.startElsewhere(id, 30*time.Second)
 	assert.Assert(t, waited > maxCommandDelay+testLease, "started elsewhere after %v", waited)
 }
+
+// TestRefusalOfRepeatedStartEndsNoListedRun guards against two runs of a task at the same time: a start stayed unanswered, a report
+// listed its run while the start was repeated, and the worker refused the repeat.
+func TestRefusalOfRepeatedStartEndsNoListedRun(t *testing.T) {
+	refusals := []error{
+		agent.ErrUnhealthy, agent.ErrTicket, agent.ErrDeadlinePassed, agent.ErrNoCapacity, agent.ErrOtherIncarnation, agent.ErrRejected,
+	}
+	for _, queue := range []string{testQueue, "advised"} {
+		for _, refusal := range refusals {
+			t.Run(queue+" "+refusal.Error(), func(t *testing.T) {
+				h := newAgedHarness(t, "w1", "w2")
+				h.submitAs("j", queue, tasks(1))
+				h.permitAll()
+				first := h.nextCommands().Starts[0]
+				h.shard.ApplyStartResult(first, 0, agent.ErrNoAnswer, h.now)
+				h.advance(commandRetryDelay)
+				repeated := h.nextCommands().Starts[0]
+				assert.Equal(t, repeated.Start.Run, first.Start.Run)
+				running := agent.Report{Running: []agent.ActiveRun{{Task: first.Start.Task, Run: first.Start.Run}}}
+				h.report(first.Target.ID, running)
+				h.shard.ApplyStartResult(repeated, 0, refusal, h.now)
+				for range 10 {
+					h.permitAll()
+					commands := h.nextCommands()
+					assert.Equal(t, len(commands.Starts), 0, "the task starts again while its run is on %s", first.Target.ID)
+					assert.Equal(t, len(commands.Stops), 0)
+					h.advance(100 * time.Millisecond)
+					h.report(first.Target.ID, running)
+				}
+				h.report(first.Target.ID, agent.Report{Ended: []agent.EndedRun{firstEnd(first, agent.OutcomeDone)}})
+				h.commit()
+				h.requireState(work.StateCompleted)
+			})
+		}
+	}
+}
+
+// permitAll answers all advice calls with a ticket for each worker.
+func (h *harness) permitAll() {
+	h.shard.Tick(h.now, h.wall)
+	for _, call := range allAdviceCalls(h.shard, h.now) {
+		tickets := make(map[model.WorkerID]string)
+		for _, id := range call.Request.Workers {
+			tickets[id] = "ticket"
+		}
+		h.shard.ApplyAdvice(call, agent.Advice{Tickets: tickets, Valid: model.Duration(2 * time.Second)}, nil, h.now)
+	}
+}
