--- a/internal/owner/simfleetcall_test.go
+++ b/internal/owner/simfleetcall_test.go
@@ -222,8 +222,9 @@
 		if w := f.workers[to.ID]; f.faults.lateFollows && w.up {
 			to.Address = w.address
 		}
+		// A worker that falls silent may have received the command before.
 		w, err := f.process(to)
-		if err != nil || w.silentUntil > f.at {
+		if err != nil {
 			return
 		}
 		if len(w.running) > 0 {
--- a/internal/owner/simfleetfault_test.go
+++ b/internal/owner/simfleetfault_test.go
@@ -95,16 +95,32 @@
 	f.meet(w, "restarts among late commands")
 	f.storms[w.id] = f.at + drawTime(random, 1, 6)
 	down, boot := drawTime(random, 0, 1), w.boot
+	silence := time.Duration(random.Intn(2)) * drawTime(random, 2, 25)
 	time.AfterFunc(drawTime(random, 0.3, 3), func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.settle()
 		if w.up && w.boot == boot {
 			f.restart(w, random, down)
+			w.silentUntil = max(w.silentUntil, f.at+silence)
 		}
 	})
 }
 
+// silenceAfterStorm lets commands to a worker arrive late and then no others, for longer than a lease.
+func silenceAfterStorm(f *simFleet, w *simWorker, random *rand.Rand) {
+	f.meet(w, "silences among late commands")
+	f.storms[w.id] = f.at + drawTime(random, 1, 4)
+	length := drawTime(random, 8, 25)
+	time.AfterFunc(drawTime(random, 0.3, 3), func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.settle()
+		w.silentUntil = f.at + length
+		f.note(w, noTask, "no command arrives until %v", w.silentUntil)
+	})
+}
+
 // restart ends the worker's process, and starts it again after a while.
 func (f *simFleet) restart(w *simWorker, random *rand.Rand, down time.Duration) {
 	f.crash(w)
@@ -265,6 +281,23 @@
 	f.note(w, noTask, "unhealthy until %v", w.unhealthyUntil)
 }
 
+// isolateWorker lets commands to a worker with a run arrive late and then no others.
+func (f *simFleet) isolateWorker(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settle()
+	random := f.draws.rand("isolated worker", n)
+	var busy []*simWorker
+	for _, id := range f.order {
+		if w := f.workers[id]; len(w.running) > 0 {
+			busy = append(busy, w)
+		}
+	}
+	if len(busy) > 0 {
+		silenceAfterStorm(f, busy[random.Intn(len(busy))], random)
+	}
+}
+
 // muteNode lets no answer of a worker arrive at one node.
 func (f *simFleet) muteNode(connection *simConnection, n int) {
 	f.mu.Lock()
--- a/internal/owner/simwhole_test.go
+++ b/internal/owner/simwhole_test.go
@@ -58,6 +58,7 @@
 	}
 	for _, trouble := range []simWorkerTrouble{
 		restartWorker, restartAfterStorm, unlistWorker, silenceWorker, silenceAll, stormAt, drainWorker, sickenWorker,
+		silenceAfterStorm,
 	} {
 		if random.Intn(3) > 0 {
 			faults.troubles = append(faults.troubles, trouble)
@@ -208,6 +209,18 @@
 	}
 }
 
+// changeOwner stops the owner after commands of it have been delayed on their way to workers that fall silent then.
+func (s *simWhole) changeOwner(random *rand.Rand, n int) {
+	for i := range 1 + random.Intn(3) {
+		s.fleet.isolateWorker(8*n + i)
+	}
+	time.Sleep(drawTime(random, 0.2, 4))
+	if i := slices.IndexFunc(s.nodes[:], func(n *simNode) bool { return n.serves() }); i >= 0 {
+		s.nodes[i].stop()
+		s.startNode(i)
+	}
+}
+
 // play plays troubles, heals everything and returns what is wrong then.
 func (s *simWhole) play() []string {
 	random := s.draws.rand("play", 0)
@@ -225,6 +238,8 @@
 			s.fleet.trouble(steps)
 		case random.Intn(8) == 0:
 			s.fleet.muteNode(s.nodes[random.Intn(simNodes)].connection, steps)
+		case random.Intn(6) == 0:
+			s.changeOwner(random, steps)
 		case !quiet || random.Intn(6) == 0:
 			s.trouble()
 		}
