--- a/internal/owner/simfleetcall_test.go
+++ b/internal/owner/simfleetcall_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"arbutuswing.example/internal/agent"
@@ -73,6 +74,10 @@
 	if f.storms[to.ID] > f.at {
 		lateShare = 0.7
 	}
+	start := strings.HasPrefix(name, "start")
+	if start {
+		lateShare += f.faults.lateStarts
+	}
 	at := random.Float64()
 	for _, chance := range []struct {
 		share float64
@@ -91,6 +96,9 @@
 		}
 		at -= chance.share
 	}
+	if start && fate.late > 0 && random.Float64() < f.faults.restartsAtLateStarts {
+		f.restartAtLateStart(to.ID, fate.late, random)
+	}
 	return fate
 }
 
