--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -103,10 +103,8 @@
 type Owner struct {
 	cfg Config
 
-	// lastEpoch is the epoch of the last ownership, and claimCheckedAt the last generation in which this node was found not to be the
-	// recorded owner after that; only Run uses them.
-	lastEpoch      int64
-	claimCheckedAt int64
+	// lastEpoch is the epoch of the last ownership; only Run uses it.
+	lastEpoch int64
 
 	mu        sync.Mutex
 	ownership *ownership
@@ -250,7 +248,7 @@
 // handleRenewal starts or ends an ownership after the membership has been renewed by a call that began at the given uptime. It
 // returns the generation up to which the recorded owner is known to be a member, and whether the node must leave the group for
 // a while: because its ownership was fenced or failed, as the others don't take over from a member, also if they missed that it
-// had left, because it is still recorded as the owner, or because it would own under the same epoch again.
+// had left, or because it would own under the same epoch again.
 func (o *Owner) handleRenewal(
 	ctx context.Context, assignment ledger.Assignment, begun time.Duration, checkedGeneration int64,
 ) (int64, bool) {
@@ -278,17 +276,6 @@
 		} else if ctx.Err() == nil {
 			return assignment.Generation, false
 		}
-	case o.lastEpoch > 0 && assignment.Generation > o.claimCheckedAt:
-		// The others take this node for the owner, as long as it is in the group and no later takeover is recorded.
-		records, err := readOwner(ctx, o.cfg.Store)
-		if err != nil {
-			o.cfg.Log.Info("reading owner records failed", zap.Error(err))
-			break
-		}
-		if records.claimant == memberOf(o.cfg.Self) {
-			return checkedGeneration, true
-		}
-		o.claimCheckedAt = assignment.Generation
 	}
 	return checkedGeneration, false
 }
