fix(shard): a task waits for a repeat that was under way when its run ended

Cause: a start whose answer is lost is repeated. If the run's end is reported while the repeat is under way, the wait for late starts covered only the tries before it. If the repeat stays unanswered too, it may reach the worker's next incarnation later than that, after the task has started elsewhere. Queues with advice have no such wait: a ticket is valid for one incarnation. Fix: the lost answer of such a repeat extends the wait of the task.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -122,6 +122,9 @@
 		if errors.Is(err, agent.ErrNoAnswer) {
 			s.addUnknownRun(a.worker, a.key(), unknownRun{mayArrive: true})
 			a.worker.inFlightStarts[a.key()] = arrivesBy
+			// The end of the run has taken only the starts before this one into account.
+			a.startInFlightUntil = arrivesBy
+			a.task().waitForLateStart(a.reachesNextIncarnationUntil(), now, a.worker.id)
 		}
 		return
 	}
--- a/internal/shard/incarnation_test.go
+++ b/internal/shard/incarnation_test.go
@@ -461,3 +461,33 @@
 		h.shard.ApplyAdvice(call, agent.Advice{Tickets: tickets, Valid: model.Duration(2 * time.Second)}, nil, h.now)
 	}
 }
+
+// TestRepeatUnderWayAtEndIsWaitedFor guards against two runs of a task at the same time: a run failed while its start was repeated, and
+// the repeat, which stayed unanswered, may reach the worker's next incarnation later than the first start.
+func TestRepeatUnderWayAtEndIsWaitedFor(t *testing.T) {
+	h := newAgedHarness(t, "w1", "w2")
+	h.submitJob(tasks(1))
+	first := h.nextCommands().Starts[0]
+	h.shard.ApplyStartResult(first, 0, agent.ErrNoAnswer, h.now)
+	h.advance(commandRetryDelay)
+	repeated := h.nextCommands().Starts[0]
+	assert.Equal(t, repeated.Start.Run, first.Start.Run)
+	h.report(first.Target.ID, agent.Report{Ended: []agent.EndedRun{firstEnd(first, agent.OutcomeFailed)}})
+	h.advance(time.Second)
+	h.shard.ApplyStartResult(repeated, 0, agent.ErrNoAnswer, h.now)
+	lost := h.now + maxCommandDelay
+	for h.now < lost {
+		for _, id := range h.workers {
+			h.clock[id] += 50 * time.Millisecond
+			h.report(id, agent.Report{})
+		}
+		commands := h.nextCommands()
+		for _, stop := range commands.Stops {
+			h.clock[stop.Target.ID] += time.Millisecond
+			h.shard.ApplyStopResult(stop, h.clock[stop.Target.ID], nil, h.now)
+		}
+		if h.now < lost {
+			assert.Equal(t, len(commands.Starts), 0, "the task starts %v before its last start is lost", lost-h.now)
+		}
+	}
+}
