test(shard): what happens between a report that lists a run and the refusal of its repeated start

A run that succeeds, a cancelled job, a worker that restarts, and a gang, each with and without advice.

--- a/internal/shard/incarnation_test.go
+++ b/internal/shard/incarnation_test.go
@@ -491,3 +491,83 @@
 		}
 	}
 }
+
+// TestRefusalOfRepeatAfterListing checks what follows if something else happens between the report that lists a run and the refusal of
+// the repeat of its start.
+func TestRefusalOfRepeatAfterListing(t *testing.T) {
+	const testJob = "j"
+	tests := []struct {
+		name string
+		gang bool
+		// between happens before the refusal; wantStops and wantStarts are the commands to the workers within a second after it.
+		between    func(h *harness, cmd StartCommand)
+		wantStops  bool
+		wantStarts bool
+		// waitsForLate tells that without tickets the next start waits until the first one is lost for certain.
+		waitsForLate bool
+	}{
+		{name: "nothing", between: func(*harness, StartCommand) {}},
+		{name: "nothing for a gang", gang: true, between: func(*harness, StartCommand) {}},
+		{
+			name: "the run succeeds",
+			between: func(h *harness, cmd StartCommand) {
+				h.report(cmd.Target.ID, agent.Report{Ended: []agent.EndedRun{firstEnd(cmd, agent.OutcomeDone)}})
+			},
+		},
+		{
+			name: "the job is cancelled",
+			between: func(h *harness, _ StartCommand) {
+				h.shard.Cancel(testJob, h.now)
+			},
+			wantStops: true,
+		},
+		{
+			name: "the worker restarts",
+			between: func(h *harness, cmd StartCommand) {
+				h.restart(cmd.Target.ID)
+				h.report(cmd.Target.ID, agent.Report{})
+			},
+			wantStarts: true, waitsForLate: true,
+		},
+	}
+	for _, queue := range []string{testQueue, "advised"} {
+		for _, tt := range tests {
+			t.Run(queue+" "+tt.name, func(t *testing.T) {
+				h := newAgedHarness(t, "w1", "w2")
+				stage := tasks(1)
+				if tt.gang {
+					stage = tasks(2)
+					stage.Gang = true
+				}
+				h.submitAs(testJob, queue, stage)
+				h.permitAll()
+				running := make(map[model.WorkerID]agent.Report)
+				for _, first := range h.nextCommands().Starts {
+					h.shard.ApplyStartResult(first, 0, agent.ErrNoAnswer, h.now)
+					report := running[first.Target.ID]
+					report.Running = append(report.Running, agent.ActiveRun{Task: first.Start.Task, Run: first.Start.Run})
+					running[first.Target.ID] = report
+				}
+				h.advance(commandRetryDelay)
+				repeated := h.nextCommands().Starts
+				assert.Equal(t, len(repeated), stage.Count)
+				for id, report := range running {
+					h.report(id, report)
+				}
+				tt.between(h, repeated[0])
+				for _, cmd := range repeated {
+					h.shard.ApplyStartResult(cmd, 0, agent.ErrUnhealthy, h.now)
+				}
+				starts, stops := 0, 0
+				for range 10 {
+					h.advance(100 * time.Millisecond)
+					h.permitAll()
+					commands := h.nextCommands()
+					starts, stops = starts+len(commands.Starts), stops+len(commands.Stops)
+				}
+				assert.Equal(t, starts > 0, tt.wantStarts && (!tt.waitsForLate || queue != testQueue))
+				assert.Equal(t, stops > 0, tt.wantStops)
+			})
+		}
+	}
+}
