--- a/internal/shard/incarnation_test.go
+++ b/internal/shard/incarnation_test.go
@@ -461,3 +461,113 @@
 		h.shard.ApplyAdvice(call, agent.Advice{Tickets: tickets, Valid: model.Duration(2 * time.Second)}, nil, h.now)
 	}
 }
+
+// TestRepeatUnderWayAtEndIsWaitedFor guards against two runs of a task at the same time: a run failed while its start was repeated, and
+// the repeat, which stayed unanswered, may reach the worker's next incarnation later than the first start.
+func TestRepeatUnderWayAtEndIsWaitedFor(t *testing.T) {
+	h := newAgedHarness(t, "w1", "w2")
+	h.submitJob(tasks(1))
+	first := h.nextCommands().Starts[0]
+	h.shard.ApplyStartResult(first, 0, agent.ErrNoAnswer, h.now)
+	h.advance(commandRetryDelay)
+	repeated := h.nextCommands().Starts[0]
+	assert.Equal(t, repeated.Start.Run, first.Start.Run)
+	h.report(first.Target.ID, agent.Report{Ended: []agent.EndedRun{firstEnd(first, agent.OutcomeFailed)}})
+	h.advance(time.Second)
+	h.shard.ApplyStartResult(repeated, 0, agent.ErrNoAnswer, h.now)
+	lost := h.now + maxCommandDelay
+	for h.now < lost {
+		for _, id := range h.workers {
+			h.clock[id] += 50 * time.Millisecond
+			h.report(id, agent.Report{})
+		}
+		commands := h.nextCommands()
+		for _, stop := range commands.Stops {
+			h.clock[stop.Target.ID] += time.Millisecond
+			h.shard.ApplyStopResult(stop, h.clock[stop.Target.ID], nil, h.now)
+		}
+		if h.now < lost {
+			assert.Equal(t, len(commands.Starts), 0, "the task starts %v before its last start is lost", lost-h.now)
+		}
+	}
+}
+
+// TestRefusalOfRepeatAfterListing checks what follows if something else happens between the report that lists a run and the refusal of
+// the repeat of its start.
+func TestRefusalOfRepeatAfterListing(t *testing.T) {
+	const testJob = "j"
+	tests := []struct {
+		name string
+		gang bool
+		// between happens before the refusal; wantStops and wantStarts are the commands to the workers within a second after it.
+		between    func(h *harness, cmd StartCommand)
+		wantStops  bool
+		wantStarts bool
+		// waitsForLate tells that without tickets the next start waits until the first one is lost for certain.
+		waitsForLate bool
+	}{
+		{name: "nothing", between: func(*harness, StartCommand) {}},
+		{name: "nothing for a gang", gang: true, between: func(*harness, StartCommand) {}},
+		{
+			name: "the run succeeds",
+			between: func(h *harness, cmd StartCommand) {
+				h.report(cmd.Target.ID, agent.Report{Ended: []agent.EndedRun{firstEnd(cmd, agent.OutcomeDone)}})
+			},
+		},
+		{
+			name: "the job is cancelled",
+			between: func(h *harness, _ StartCommand) {
+				h.shard.Cancel(testJob, h.now)
+			},
+			wantStops: true,
+		},
+		{
+			name: "the worker restarts",
+			between: func(h *harness, cmd StartCommand) {
+				h.restart(cmd.Target.ID)
+				h.report(cmd.Target.ID, agent.Report{})
+			},
+			wantStarts: true, waitsForLate: true,
+		},
+	}
+	for _, queue := range []string{testQueue, "advised"} {
+		for _, tt := range tests {
+			t.Run(queue+" "+tt.name, func(t *testing.T) {
+				h := newAgedHarness(t, "w1", "w2")
+				stage := tasks(1)
+				if tt.gang {
+					stage = tasks(2)
+					stage.Gang = true
+				}
+				h.submitAs(testJob, queue, stage)
+				h.permitAll()
+				running := make(map[model.WorkerID]agent.Report)
+				for _, first := range h.nextCommands().Starts {
+					h.shard.ApplyStartResult(first, 0, agent.ErrNoAnswer, h.now)
+					report := running[first.Target.ID]
+					report.Running = append(report.Running, agent.ActiveRun{Task: first.Start.Task, Run: first.Start.Run})
+					running[first.Target.ID] = report
+				}
+				h.advance(commandRetryDelay)
+				repeated := h.nextCommands().Starts
+				assert.Equal(t, len(repeated), stage.Count)
+				for id, report := range running {
+					h.report(id, report)
+				}
+				tt.between(h, repeated[0])
+				for _, cmd := range repeated {
+					h.shard.ApplyStartResult(cmd, 0, agent.ErrUnhealthy, h.now)
+				}
+				starts, stops := 0, 0
+				for range 10 {
+					h.advance(100 * time.Millisecond)
+					h.permitAll()
+					commands := h.nextCommands()
+					starts, stops = starts+len(commands.Starts), stops+len(commands.Stops)
+				}
+				assert.Equal(t, starts > 0, tt.wantStarts && (!tt.waitsForLate || queue != testQueue))
+				assert.Equal(t, stops > 0, tt.wantStops)
+			})
+		}
+	}
+}
