--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -177,6 +177,7 @@
 		return
 	}
 	if a.listed {
+		s.emit("refusal-ignored", string(st.job.spec.ID), a.ref().String(), w, err.Error(), int64(a.run))
 		return
 	}
 	s.endRun(a, agent.OutcomeLeaseExpired, "", now)
--- a/internal/shard/incarnation_test.go
+++ b/internal/shard/incarnation_test.go
@@ -433,7 +433,9 @@
 				assert.Equal(t, repeated.Start.Run, first.Start.Run)
 				running := agent.Report{Running: []agent.ActiveRun{{Task: first.Start.Task, Run: first.Start.Run}}}
 				h.report(first.Target.ID, running)
+				events := h.collectEvents("refusal-ignored")
 				h.shard.ApplyStartResult(repeated, 0, refusal, h.now)
+				assert.Equal(t, len(*events), 1)
 				for range 10 {
 					h.permitAll()
 					commands := h.nextCommands()
