test(owner): the simulation asks for states while an isolation lasts

The trace shows that the job had failed for good at 54.8 s, as recorded at once, and was forgotten after the retention of 25 s; nobody asked between 48.0 and 90.7 s, because an isolation lasted so long.

--- a/internal/owner/simwhole_test.go
+++ b/internal/owner/simwhole_test.go
@@ -68,7 +68,17 @@
 	draws := simDraws{seed}
 	s := newSimSystemWith(t, seed, drawTroubles(draws.rand("troubles", 0)), simWholeWorkers, drawFaults(draws.rand("faults", 0)))
 	s.shape = s.shapeOfStages
-	return &simWhole{simSystem: s, shown: make(map[model.JobID]work.State)}
+	whole := &simWhole{simSystem: s, shown: make(map[model.JobID]work.State)}
+	s.wait = whole.waitAndAsk
+	return whole
+}
+
+// waitAndAsk waits and asks for the states often enough meanwhile that none is forgotten before.
+func (s *simWhole) waitAndAsk(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(min(time.Until(end), simRetention/4+1))
+		s.askStates()
+	}
 }
 
 // shapeOfStages draws several stages, some of them gangs. A third of their tasks outlast every wait.
--- a/internal/owner/takeoversim_test.go
+++ b/internal/owner/takeoversim_test.go
@@ -90,6 +90,8 @@
 	seriesEnded atomic.Bool
 	// shape draws the queue and the stages of a job, with how long their tasks work.
 	shape func(job *work.Job, r *rand.Rand)
+	// wait waits while a trouble that is played alone lasts.
+	wait func(time.Duration)
 
 	mu    sync.Mutex
 	nodes [simNodes]*simNode
@@ -109,6 +111,7 @@
 	s := &simSystem{
 		t: t, draws: draws, trace: trace, troubles: troubles, store: newSimStore(),
 		fleet: newSimFleet(workers, draws, faults, trace), cancelled: make(map[model.JobID]bool),
+		wait: time.Sleep,
 	}
 	s.shape = s.shapeOfSingleTasks
 	s.configuration = simConfiguration(1, s.fleet.queues())
@@ -301,7 +304,7 @@
 		trouble{"cut groups", func() { node.connection.set(func(c *simConnection) { c.cutGroups = true }) }})
 	add(s.troubles.isolations, trouble{"isolation", func() {
 		s.isolate(node, worker)
-		time.Sleep(length)
+		s.wait(length)
 	}})
 	add(s.troubles.reassigns, trouble{"reassign", func() { s.store.reassign("owners", other) }})
 	add(s.troubles.trims, trouble{"trim", func() { s.store.trim(topic) }})
