review: case 6, submissions that recur take every owner over its memory

Cause: an owner makes the tasks of all occurrences of a submission when it takes it, and nothing bounds the sum over submissions. Change: review/6 with a script, the case recurring in review/rig2.

--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -11,6 +11,7 @@
 	"failure-after-kill":   failureAfterKill,
 	"failure-on-last-room": failureOnLastRoom,
 	"memory":               memory,
+	"recurring":            recurring,
 }
 
 // waitRunning waits until a task whose name has the prefix runs.
--- a/review/rig2/system.go
+++ b/review/rig2/system.go
@@ -269,6 +269,26 @@
 	}
 }
 
+// submitRecurring submits a submission of one step that runs the given number of times (0: once, at once), at the nodes in turn until one
+// accepts it or ten have not.
+func (s *system) submitRecurring(at int, id string, st step, times int, first time.Time, interval time.Duration) bool {
+	fields := map[string]any{"spec": "spec of " + id, "phases": []step{st}}
+	if times > 0 {
+		fields["times"], fields["start-time-ms"], fields["interval-ms"] = times, first.UnixMilli(), interval.Milliseconds()
+	}
+	body, _ := json.Marshal(fields)
+	for try := range 10 {
+		n := s.nodes[(at+try)%len(s.nodes)]
+		status, _, err := s.call(http.MethodPost, n, id, body)
+		s.rec.note("POST %s to %s %s: %d %v", id, n.name, body, status, err)
+		if status == http.StatusOK {
+			return true
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	return false
+}
+
 // state asks a node for a submission's state.
 func (s *system) state(n *node, id string) string {
 	status, body, err := s.call(http.MethodGet, n, id, nil)
