--- a/review/rig2/memory.go
+++ b/review/rig2/memory.go
@@ -72,24 +72,33 @@
 	for _, n := range s.nodes {
 		results = append(results, s.watch(n, done))
 	}
-	count := 3
-	if trouble {
+	count, times, interval, pause := 3, 10_000, time.Minute, 500*time.Millisecond
+	steps := []step{{Count: 10, CPU: 1000, Memory: 1024, Estimate: 5000}}
+	if os.Getenv("SITE_FIGURES") != "" {
+		// The largest figures of large/kilan-sched-large for tackcount: 3 steps of 160 tasks, 8 times, every 2 s.
+		times, interval, pause = 8, 2*time.Second, 90*time.Millisecond
+		steps = []step{{Count: 160, CPU: 1000, Memory: 1024, Estimate: 5000}}
+		steps = append(steps, steps[0], steps[0])
+	}
+	switch {
+	case trouble && times == 8:
+		count = 480
+	case trouble:
 		count = 24
 	}
 	accepted := 0
 	first := time.Now().Add(time.Hour)
 	for i := range count {
-		id := fmt.Sprintf("%016x", 0xe0+i)
-		st := step{Count: 10, CPU: 1000, Memory: 1024, Estimate: 5000}
-		if s.submitRecurring(i, id, st, 10_000, first, time.Minute) {
+		id := fmt.Sprintf("%016x", 0xe000+i)
+		if s.submitRecurring(i, id, steps, times, first, interval) {
 			accepted++
 		}
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(pause)
 	}
 	s.rec.note("%d of %d submissions accepted; 60 s follow without any call that changes something", accepted, count)
 	end := time.Now().Add(60 * time.Second)
 	const small = "00000000000000ff"
-	_ = s.submitRecurring(0, small, step{Count: 1, CPU: 1000, Memory: 1024, Estimate: 1000}, 0, time.Time{}, 0)
+	_ = s.submitRecurring(0, small, []step{{Count: 1, CPU: 1000, Memory: 1024, Estimate: 1000}}, 0, time.Time{}, 0)
 	answered, asked := 0, 0
 	for time.Now().Before(end) {
 		for _, n := range s.nodes {
--- a/review/rig2/system.go
+++ b/review/rig2/system.go
@@ -269,10 +269,10 @@
 	}
 }
 
-// submitRecurring submits a submission of one step that runs the given number of times (0: once, at once), at the nodes in turn until one
+// submitRecurring submits a submission whose steps run the given number of times (0: once, at once), at the nodes in turn until one
 // accepts it or ten have not.
-func (s *system) submitRecurring(at int, id string, st step, times int, first time.Time, interval time.Duration) bool {
-	fields := map[string]any{"spec": "spec of " + id, "phases": []step{st}}
+func (s *system) submitRecurring(at int, id string, steps []step, times int, first time.Time, interval time.Duration) bool {
+	fields := map[string]any{"spec": "spec of " + id, "phases": steps}
 	if times > 0 {
 		fields["times"], fields["start-time-ms"], fields["interval-ms"] = times, first.UnixMilli(), interval.Milliseconds()
 	}
