fix(shard): wait for no command in doubt at a worker that is gone

Cause: a renewal that was under way at the crash stays unanswered and may be carried out up to 15 s later; leaseEndOf waited for that, plus a lease, also when the worker's entry had long been removed. The log showed commands-in-doubt at the crash, worker-unlisted 4.5 s later and run-gone 23 s after the crash, with the bound of the command in flight.

A gone worker carries out no command, so its runs end with the lease that the owner named; a read of the registry that began after that end has to show it gone. "Gone" now counts reads that follow each other: before, 3 s passed also while the registry was away, and from the time of a tick that may be old. The worker that is only cut off keeps its runs until its lease ends.

On the way: a start without a ticket is waited for until the next incarnation would be listed, not for the longest lease after it.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -31,7 +31,9 @@
 	Pause time.Duration
 	// OnChange is called with all records after each change, under a lock; it must not keep the map.
 	OnChange func(map[string][]byte)
-	Log      *zap.Logger
+	// OnRead, if set, is called after each successful read, once its changes have been passed on, with the time at which it began.
+	OnRead func(begun time.Time)
+	Log    *zap.Logger
 }
 
 // Mirror is the local copy of a partition.
@@ -80,25 +82,37 @@
 // follow reads the newest records and then the records that are added; it returns nil when the next rescan is due. It
 // calls ok when the newest records have been read.
 func (m *Mirror) follow(ctx context.Context, ok func()) error {
+	begun := time.Now()
 	page, err := m.cfg.Store.Newest(ctx, m.cfg.Topic, m.cfg.Partition)
 	if err != nil {
 		return err
 	}
 	ok()
 	m.replace(page.Records)
+	m.noteRead(begun)
 	next := page.Next
 	for scanned := time.Now(); time.Since(scanned) < rescanInterval; {
+		begun := time.Now()
 		page, err := m.cfg.Store.Read(ctx, m.cfg.Topic, m.cfg.Partition, next, m.cfg.Wait)
 		if err != nil {
 			return err
 		}
 		next = page.Next
 		m.apply(page.Records)
+		if !page.More {
+			m.noteRead(begun)
+		}
 		pause.For(ctx, m.cfg.Pause)
 	}
 	return nil
 }
 
+func (m *Mirror) noteRead(begun time.Time) {
+	if m.cfg.OnRead != nil {
+		m.cfg.OnRead(begun)
+	}
+}
+
 func (m *Mirror) replace(records []ledger.Record) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/owner/overtaken_test.go
+++ b/internal/owner/overtaken_test.go
@@ -158,7 +158,7 @@
 				ow := newOwnership(Config{
 					Store: store, Workers: workers, Log: zap.NewNop(), Shard: testShard, Uptime: testUptime,
 					Configuration: func() (terms.Configuration, bool) { return terms.New(terms.Params{Version: 1}), true },
-					Registry:      func(changed func([]agent.Entry)) Runner { return fixedRegistry{entries, changed} },
+					Registry:      func(events RegistryEvents) Runner { return fixedRegistry{entries, events} },
 				}, 2, nil)
 				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 				defer cancel()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -67,8 +67,8 @@
 	// Directory decides whether this node is a candidate, which may own jobs.
 	Directory     *Directory
 	Configuration func() (terms.Configuration, bool)
-	// Registry returns a runner that calls changed with the workers' entries whenever they change.
-	Registry func(changed func([]agent.Entry)) Runner
+	// Registry returns a runner that follows the workers' registry.
+	Registry func(RegistryEvents) Runner
 	// Shard configures the shard; each ownership sets Epoch and Events.
 	Shard shard.Config
 	// Uptime returns the time since any fixed moment, including the time for which the machine was suspended.
@@ -79,6 +79,14 @@
 	Step func(Step)
 }
 
+// RegistryEvents holds what a runner that follows the workers' registry calls.
+type RegistryEvents struct {
+	// Changed is called with the workers' entries whenever they change.
+	Changed func([]agent.Entry)
+	// Read is called after each successful read, once its changes have been passed on, with the time at which it began.
+	Read func(begun time.Time)
+}
+
 // Step identifies a step of an owner for Config.Step; fields that don't apply are zero.
 type Step struct {
 	// Name is what is about to be done, such as "decide".
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -15,6 +15,7 @@
 	"arbutuswing.example/internal/agent"
 	"arbutuswing.example/internal/ledger"
 	"arbutuswing.example/internal/model"
+	"arbutuswing.example/internal/pause"
 	"arbutuswing.example/internal/peers"
 	"arbutuswing.example/internal/shard"
 	"arbutuswing.example/internal/terms"
@@ -142,12 +143,18 @@
 // fixedRegistry is a registry whose entries don't change.
 type fixedRegistry struct {
 	entries []agent.Entry
-	changed func([]agent.Entry)
+	events  RegistryEvents
 }
 
 func (r fixedRegistry) Run(ctx context.Context) error {
-	r.changed(r.entries)
-	<-ctx.Done()
+	for first := true; ctx.Err() == nil; first = false {
+		begun := time.Now()
+		if first {
+			r.events.Changed(r.entries)
+		}
+		r.events.Read(begun)
+		pause.For(ctx, simRegistryInterval)
+	}
 	return nil
 }
 
@@ -179,7 +186,7 @@
 	cfg := Config{
 		Self: self, Group: "owners", Store: store, Workers: workers, Directory: directory, Log: log,
 		Configuration: func() (terms.Configuration, bool) { return configuration, true },
-		Registry:      func(changed func([]agent.Entry)) Runner { return fixedRegistry{entries, changed} },
+		Registry:      func(events RegistryEvents) Runner { return fixedRegistry{entries, events} },
 		Shard:         testShard, Uptime: testUptime,
 	}
 	change(&cfg)
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -199,6 +199,12 @@
 	}
 }
 
+func (ow *ownership) noteRegistryRead(begun time.Time) {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	ow.shard.NoteRegistryRead(begun.Sub(ow.start), ow.now())
+}
+
 func (ow *ownership) state(id model.JobID) (work.State, error) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
--- a/internal/owner/series_test.go
+++ b/internal/owner/series_test.go
@@ -123,8 +123,8 @@
 	n.node.owner = New(Config{
 		Self: self, Group: "owners", Store: n, Workers: n, Advisor: n, Peers: peers.NewClient(), Directory: directory, Log: zap.NewNop(),
 		Configuration: func() (terms.Configuration, bool) { return configuration, true },
-		Registry: func(changed func([]agent.Entry)) Runner {
-			return fixedRegistry{slices.DeleteFunc(fleet.entries(), func(e agent.Entry) bool { return n.unlisted(e.ID) }), changed}
+		Registry: func(events RegistryEvents) Runner {
+			return fixedRegistry{slices.DeleteFunc(fleet.entries(), func(e agent.Entry) bool { return n.unlisted(e.ID) }), events}
 		},
 		// The lease leaves no slack beside the permission.
 		Shard: shard.Config{
--- a/internal/owner/simfleet_test.go
+++ b/internal/owner/simfleet_test.go
@@ -17,8 +17,10 @@
 )
 
 const (
-	simLease       = 7 * time.Second
-	simMaxLease    = 10 * time.Second
+	simLease    = 7 * time.Second
+	simMaxLease = 10 * time.Second
+	// simGoneAfter is how long the entry of a worker may be missing before the platform has it treated as gone.
+	simGoneAfter   = 3 * time.Second
 	simKillGrace   = time.Second
 	simGangTimeout = 3 * time.Second
 	// simCheckpointInterval is the interval of work after which a task saves a checkpoint.
@@ -105,6 +107,8 @@
 	capacity model.Resources
 	token    int64
 	leaseEnd time.Duration
+	// namedEnd is the latest end that a command has named, however late it was carried out.
+	namedEnd time.Duration
 	// lapsed tells that the lease has expired.
 	lapsed     bool
 	running    map[simRun]*simTask
@@ -124,9 +128,9 @@
 	downSince   time.Duration
 	formerEntry agent.Entry
 	entryFrom   time.Duration
-	// unlistedUntil is until when the worker's entry is missing while it lives.
-	unlistedUntil time.Duration
-	draining      bool
+	// unlistedSince and unlistedUntil are from when until when the worker's entry is missing while it lives.
+	unlistedSince, unlistedUntil time.Duration
+	draining                     bool
 }
 
 // newSimFleet returns a fleet with faults, which are drawn.
@@ -152,7 +156,7 @@
 
 // reset forgets all that an incarnation knows.
 func (w *simWorker) reset() {
-	w.token, w.leaseEnd, w.lapsed, w.running = 0, 0, false, make(map[simRun]*simTask)
+	w.token, w.leaseEnd, w.namedEnd, w.lapsed, w.running = 0, 0, 0, false, make(map[simRun]*simTask)
 	w.superseded, w.ended, w.numbers, w.lapsedNumber = make(map[work.TaskRef]int), nil, 0, 0
 	w.wake()
 }
@@ -234,7 +238,7 @@
 		if !w.up {
 			continue
 		}
-		if end := w.moment(w.leaseEnd) + 1; w.leaseEnd > 0 && !w.lapsed && end < first.at {
+		if end := w.lapsesAt(); w.leaseEnd > 0 && !w.lapsed && end < first.at {
 			first = simDue{at: end, worker: w}
 		}
 		for _, run := range w.running {
@@ -251,6 +255,16 @@
 	return first
 }
 
+// lapsesAt returns when the lease expires. That of a worker whose entry has been missing for simGoneAfter ends when the commands say:
+// the platform has it treated as gone, so that no late command extends its lease.
+func (w *simWorker) lapsesAt() time.Duration {
+	end, named := w.moment(w.leaseEnd)+1, max(w.moment(w.namedEnd)+1, w.unlistedSince+simGoneAfter)
+	if named < w.unlistedUntil {
+		return min(end, named)
+	}
+	return end
+}
+
 // endOf returns when and how a run ends unless something else happens before.
 func (f *simFleet) endOf(w *simWorker, run *simTask) (time.Duration, agent.RunOutcome) {
 	if run.orphaned != "" {
@@ -376,9 +390,10 @@
 	return checkpointName(run.task, run.stage.Gang) + saved.String()
 }
 
-// extendLease extends the lease to a reading of the worker's clock.
-func (w *simWorker) extendLease(clock, end time.Duration) {
+// extendLease extends the lease to a reading of the worker's clock, for a command that names an end.
+func (w *simWorker) extendLease(clock, end, named time.Duration) {
 	w.leaseEnd = max(w.leaseEnd, min(end, clock+simMaxLease))
+	w.namedEnd = max(w.namedEnd, min(named, clock+simMaxLease))
 	w.lapsed = w.lapsed && w.leaseEnd < clock
 }
 
@@ -438,10 +453,10 @@
 		leaseEnd := f.leaseEnd(cmd.LeaseEnd, late)
 		switch {
 		case w.running[key] != nil:
-			w.extendLease(clock, leaseEnd)
+			w.extendLease(clock, leaseEnd, cmd.LeaseEnd)
 			return nil
 		case cmd.Run <= w.superseded[cmd.Task]:
-			w.extendLease(clock, leaseEnd)
+			w.extendLease(clock, leaseEnd, cmd.LeaseEnd)
 			return agent.ErrRunSuperseded
 		case leaseEnd <= clock:
 			return agent.ErrDeadlinePassed
@@ -449,10 +464,10 @@
 			f.met["tickets that were refused"]++
 			return agent.ErrTicket
 		case f.faults.enforcesCapacity && !w.used().Plus(stage.Size).Fits(w.capacity):
-			w.extendLease(clock, leaseEnd)
+			w.extendLease(clock, leaseEnd, cmd.LeaseEnd)
 			return agent.ErrNoCapacity
 		}
-		w.extendLease(clock, leaseEnd)
+		w.extendLease(clock, leaseEnd, cmd.LeaseEnd)
 		run := &simTask{simRun: key, stage: stage, waitingSince: clock, working: !stage.Gang, workBegun: clock}
 		f.plan(run, cmd.Checkpoint)
 		f.judgeStart(w, run, cmd, late)
@@ -515,7 +530,7 @@
 func (f *simFleet) heartbeat(w *simWorker, cmd agent.Heartbeat, late time.Duration) simAnswer {
 	return f.carryOut(w, cmd.Token, func(clock time.Duration) error {
 		if cmd.LeaseEnd > 0 {
-			w.extendLease(clock, f.leaseEnd(cmd.LeaseEnd, late))
+			w.extendLease(clock, f.leaseEnd(cmd.LeaseEnd, late), cmd.LeaseEnd)
 		}
 		for len(w.ended) > 0 && w.ended[0].Number <= cmd.Acked {
 			end := w.ended[0]
--- a/internal/owner/simfleetcall_test.go
+++ b/internal/owner/simfleetcall_test.go
@@ -304,21 +304,22 @@
 type simRegistry struct {
 	fleet      *simFleet
 	connection *simConnection
-	changed    func([]agent.Entry)
+	events     RegistryEvents
 }
 
 func (r simRegistry) Run(ctx context.Context) error {
 	f := r.fleet
 	var known []agent.Entry
 	for first := true; ctx.Err() == nil; first = false {
-		entries := f.entries()
+		begun, entries := time.Now(), f.entries()
 		if first || !slices.EqualFunc(entries, known, sameEntry) {
 			lag := r.connection.next("registry").Float64() * f.faults.registryLag
 			pause.For(ctx, 1+time.Duration(lag*float64(time.Second)))
 			r.connection.thawFor(ctx, "registry")
-			r.changed(entries)
+			r.events.Changed(entries)
 			known = entries
 		}
+		r.events.Read(begun)
 		pause.For(ctx, simRegistryInterval)
 	}
 	return nil
--- a/internal/owner/simfleetfault_test.go
+++ b/internal/owner/simfleetfault_test.go
@@ -242,6 +242,9 @@
 			gone++
 		}
 	}
+	if f.at >= w.unlistedUntil {
+		w.unlistedSince = f.at
+	}
 	w.unlistedUntil = f.at + length
 	if random.Intn(6) == 0 && gone < len(f.order)/6 {
 		w.unlistedUntil = never
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -31,7 +31,7 @@
 // runRegistry follows the workers' registry entries.
 func (ow *ownership) runRegistry(ctx context.Context) {
 	defer ow.group.Done()
-	if err := ow.cfg.Registry(ow.setRegistry).Run(ctx); err != nil {
+	if err := ow.cfg.Registry(RegistryEvents{Changed: ow.setRegistry, Read: ow.noteRegistryRead}).Run(ctx); err != nil {
 		ow.cfg.Log.Error("following the registry failed", zap.Error(err))
 	}
 }
--- a/internal/owner/takeoversim_test.go
+++ b/internal/owner/takeoversim_test.go
@@ -20,7 +20,6 @@
 	"go.uber.org/zap/zapcore"
 	"gotest.tools/v3/assert"
 
-	"arbutuswing.example/internal/agent"
 	"arbutuswing.example/internal/intake"
 	"arbutuswing.example/internal/ledger"
 	"arbutuswing.example/internal/model"
@@ -147,7 +146,7 @@
 			defer s.mu.Unlock()
 			return node.configuration, true
 		},
-		Registry: func(changed func([]agent.Entry)) Runner { return simRegistry{s.fleet, connection, changed} },
+		Registry: func(events RegistryEvents) Runner { return simRegistry{s.fleet, connection, events} },
 		Advisor:  simAdvisor{s.fleet, connection}, Peers: peers.NewClient(),
 		Shard: shard.Config{
 			Lease: simLease, MaxLease: simMaxLease, RenewLimit: testRenewLimit, Retention: simRetention, KillGrace: simKillGrace,
--- a/internal/shard/config.go
+++ b/internal/shard/config.go
@@ -20,8 +20,10 @@
 	commandRetryDelay = 150 * time.Millisecond
 	// maxCommandDelay is how long a command without an answer may take to reach its worker.
 	maxCommandDelay = 15 * time.Second
-	// unlistedGrace is how long the entry of a worker that lives may be missing from the registry.
+	// unlistedGrace is how long the entry of a worker that lives may be missing from the registry while the registry is read.
 	unlistedGrace = 3 * time.Second
+	// registryInterruption is the pause between two reads of the registry from which on it counts as unavailable meanwhile.
+	registryInterruption = time.Second
 	// gangStopGrace is how long workers have to stop the members of a broken gang themselves before stop commands are
 	// sent.
 	gangStopGrace = 200 * time.Millisecond
--- a/internal/shard/gone.go
+++ b/internal/shard/gone.go
@@ -153,16 +153,16 @@
 		silence: silence, leaseEnd: s.presumed.leaseOf(w), clock: w.clock, clockReadAt: w.clockReadAt,
 	}
 	if reason == goneLease {
-		end.bound = s.leaseBoundOf(a, now)
+		end.bound = s.leaseBoundOf(a)
 	}
 	s.presumed.add(a.key(), end)
 	s.endRun(a, agent.OutcomeLeaseExpired, "", now)
 }
 
 // leaseBoundOf returns which bound the run's lease end is.
-func (s *Shard) leaseBoundOf(a *attempt, now time.Duration) leaseBound {
+func (s *Shard) leaseBoundOf(a *attempt) leaseBound {
 	w := a.worker
-	switch end := s.leaseEndOf(a, now); {
+	switch end := s.leaseEndOf(a); {
 	case end == w.leaseEnd && w.tokenSeen:
 		return boundOwnLease
 	case end == w.leaseEnd:
--- a/internal/shard/grant.go
+++ b/internal/shard/grant.go
@@ -115,19 +115,21 @@
 }
 
 // leaseEndOf returns the time by which the lease of a run has expired, if the worker doesn't answer until then.
-func (s *Shard) leaseEndOf(a *attempt, now time.Duration) time.Duration {
+func (s *Shard) leaseEndOf(a *attempt) time.Duration {
 	w := a.worker
 	end, lease := w.leaseEnd, time.Duration(0)
-	if !w.gone(now) {
-		end = max(end, w.formerLeaseEnd)
-	}
 	if !a.listed {
 		end, lease = max(end, w.unreportedLeaseEnd), s.cfg.MaxLease
 	}
-	if until := a.reachesNextIncarnationUntil(); until > w.lastReportAt {
+	if until := a.reachesNextIncarnationUntil(); until > w.lastReportAt && !s.noneSince(w, until) {
 		// The next incarnation may carry out the start, and after it the other commands that are void for this one.
 		end, lease = max(end, s.longestLeaseEnd(max(until, w.voidUntil))), s.cfg.MaxLease
 	}
+	if w.gone && s.registry.begunAt > end {
+		// It was gone when the lease ended, so that no late command has extended it.
+		return end
+	}
+	end = max(end, w.formerLeaseEnd)
 	for _, g := range w.grants {
 		end = max(end, leaseEndAfter(g.arrivesBy, max(g.lease, lease)))
 	}
--- a/internal/shard/harness_test.go
+++ b/internal/shard/harness_test.go
@@ -27,6 +27,8 @@
 	wall    time.Time
 	token   int64
 	workers []model.WorkerID
+	// registryDown tells that no read of the registry succeeds.
+	registryDown bool
 	// tasksPerRecord is that of the next ownership, or zero for the default.
 	tasksPerRecord int
 	incarnation    map[model.WorkerID]int64
@@ -90,9 +92,17 @@
 	h.shard.SetRegistry(entries)
 }
 
+// advance lets time pass, in which the registry is read as often as an owner reads it.
 func (h *harness) advance(d time.Duration) {
-	h.now += d
-	h.wall = h.wall.Add(d)
+	const registryInterval = 250 * time.Millisecond
+	for end := h.now + d; h.now < end; {
+		passed := min(end-h.now, registryInterval)
+		h.now += passed
+		h.wall = h.wall.Add(passed)
+		if !h.registryDown {
+			h.shard.NoteRegistryRead(h.now, h.now)
+		}
+	}
 }
 
 // report sends a heartbeat to a worker and applies the given report as its answer.
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -37,6 +37,7 @@
 	// inFlightStarts holds what workers knew that are no longer listed; see worker.inFlightStarts.
 	inFlightStarts map[model.WorkerID]map[runKey]time.Duration
 	presumed       presumedEnds
+	registry       registryReads
 	// formerStartsUntil is when the starts of former owners have arrived or are lost for certain.
 	formerStartsUntil time.Duration
 	// toCommand holds at least the workers with a run that may have to be started or stopped.
@@ -265,7 +266,7 @@
 			s.targetsVersion++
 		}
 		s.freeCoresChanged = s.freeCoresChanged || w.entry.Capacity != entry.Capacity
-		w.entry, w.listed = entry, true
+		w.entry, w.listed, w.missing, w.gone = entry, true, false, false
 	}
 	for id, w := range s.workers {
 		if listed[id] {
@@ -273,7 +274,6 @@
 		}
 		if w.listed {
 			s.emit("worker-unlisted", "", "", w, "", int64(len(w.attempts)))
-			w.unlistedAt = s.lastTick
 		}
 		w.listed = false
 		if len(w.attempts) == 0 {
@@ -380,7 +380,7 @@
 		if len(w.attempts) == 0 || now-w.lastReportAt < suspectAfter {
 			continue
 		}
-		expired := sortedAttempts(w, func(a *attempt) bool { return now > s.leaseEndOf(a, now) })
+		expired := sortedAttempts(w, func(a *attempt) bool { return now > s.leaseEndOf(a) })
 		if len(expired) == 0 {
 			continue
 		}
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -21,6 +21,8 @@
 	simRetention   = 4 * time.Second
 	// simEntryInterval is how often workers write their entries.
 	simEntryInterval = time.Second
+	// simRegistryInterval is how often the owner reads the entries.
+	simRegistryInterval = 250 * time.Millisecond
 	// simTicketValidity is how long a placement ticket is valid on its worker's clock.
 	simTicketValidity = 2 * time.Second
 	// simTasksPerRecord lets most jobs be recorded in parts.
@@ -242,6 +244,7 @@
 	if cl.now >= cl.entriesAt {
 		cl.writeEntries()
 	}
+	cl.readRegistry(d)
 	for _, w := range cl.workers {
 		if !w.up {
 			continue
@@ -279,6 +282,13 @@
 	cl.applyAnswers()
 }
 
+// readRegistry lets the owner read the registry as often as it does in a time that has passed, unless the store is down.
+func (cl *cluster) readRegistry(passed time.Duration) {
+	for left := passed; left >= 0 && !cl.storeDown; left -= simRegistryInterval {
+		cl.shard.NoteRegistryRead(cl.now-left, cl.now-left)
+	}
+}
+
 // used returns the capacity that the worker's runs use.
 func (w *simWorker) used() model.Resources {
 	used := model.Resources{}
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -15,8 +15,13 @@
 	id     model.WorkerID
 	entry  agent.Entry
 	listed bool
-	// unlistedAt is when the worker's entry was first missing, unless it is listed.
-	unlistedAt  time.Duration
+	// missing tells that a read of the registry has found no entry, and missingSince when the first of the uninterrupted reads
+	// began that found none.
+	missing      bool
+	missingSince time.Duration
+	// gone tells that the entry has been missing for longer than that of a worker that lives. The worker carries out no command any
+	// more; an incarnation that starts later has an entry.
+	gone        bool
 	incarnation int64
 	// tokenSeen tells that this incarnation has seen the owner's fencing token.
 	tokenSeen bool
@@ -122,10 +127,6 @@
 	}
 }
 
-// gone reports whether the worker's entry has been missing for so long that the worker counts as gone. Entries that expired
-// while the registry was unavailable come back within that time.
-func (w *worker) gone(now time.Duration) bool { return !w.listed && now-w.unlistedAt > unlistedGrace }
-
 // entryIsCurrent reports whether the worker's entry and its reports are of the same incarnation. The next one may have another
 // capacity and other labels, and starts under the same ID and address.
 func (w *worker) entryIsCurrent() bool {
--- a/node/internal/daemon/components.go
+++ b/node/internal/daemon/components.go
@@ -161,12 +161,13 @@
 }
 
 // newRegistry returns a function that creates a mirror of the workers' entries; only the owner runs one.
-func newRegistry(store ledger.Store, log *zap.Logger) func(changed func([]agent.Entry)) owner.Runner {
-	return func(changed func([]agent.Entry)) owner.Runner {
+func newRegistry(store ledger.Store, log *zap.Logger) func(owner.RegistryEvents) owner.Runner {
+	return func(events owner.RegistryEvents) owner.Runner {
 		registry := newRegistryView(log)
 		return mirror.New(mirror.Config{
 			Store: store, Topic: adapt.TopicWorkers, Pause: registryPause, Log: log,
-			OnChange: func(records map[string][]byte) { changed(registry.update(records)) },
+			OnChange: func(records map[string][]byte) { events.Changed(registry.update(records)) },
+			OnRead:   events.Read,
 		})
 	}
 }
