fix(shard): wait for no start that was answered before a change of owner

Cause: a start without a ticket may reach the next incarnation of its worker late. The records didn't tell whether a start had been answered or where it had gone, so that a new owner waited for each recorded run of such a queue: 18 s for the start at no worker in particular, and the longest lease after it.

A task's record now says which starts are settled (answered or lost for certain, and not sent any more), and names the worker of the others. It is written again when that becomes true. The new owner waits for the others alone, until they are lost and their worker has reported since. A record without the field means the long wait as before; versions before ignore it.

--- a/internal/shard/acknowledge_test.go
+++ b/internal/shard/acknowledge_test.go
@@ -18,7 +18,7 @@
 		restored func(h *harness) RecordedState
 	}{
 		{"job is final", func(h *harness) RecordedState {
-			return RecordedState{Progress: map[model.JobID]work.Progress{"j": h.shard.jobs["j"].progress()}}
+			return RecordedState{Progress: map[model.JobID]work.Progress{"j": h.progress("j")}}
 		}},
 		{"job is unknown", func(*harness) RecordedState { return RecordedState{} }},
 	}
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -49,7 +49,7 @@
 			}
 			switch {
 			case a.phase == phaseBound && a.commitNumber <= s.lastCommitted && w.tokenSeen && w.entryIsCurrent() && a.visibleSince < 0:
-				a.commandPending = true
+				a.commandPending, a.startPending = true, true
 				if a.stage.job.queue.Advice == nil {
 					s.voidAcknowledgement(w)
 				}
@@ -104,7 +104,7 @@
 // ApplyStartResult applies the result of a start command; clock is the reading of the worker's clock in its answer.
 func (s *Shard) ApplyStartResult(cmd StartCommand, clock time.Duration, err error, now time.Duration) {
 	a := cmd.attempt
-	a.commandPending = false
+	a.commandPending, a.startPending = false, false
 	arrivesBy := a.startArrivesBy(now)
 	switch {
 	case errors.Is(err, agent.ErrNoAnswer):
@@ -118,7 +118,11 @@
 		a.worker.settleGrant(cmd.grant)
 	}
 	s.noteStartResult(cmd, err, now)
-	if a.worker.attempts[a.key()] != a || s.stopped {
+	ended := a.worker.attempts[a.key()] != a
+	if ended {
+		a.task().startsOfEnded--
+	}
+	if ended || s.stopped {
 		if errors.Is(err, agent.ErrNoAnswer) {
 			s.addUnknownRun(a.worker, a.key(), unknownRun{mayArrive: true})
 			a.worker.inFlightStarts[a.key()] = arrivesBy
@@ -126,6 +130,7 @@
 			a.startInFlightUntil = arrivesBy
 			a.task().waitForLateStart(a.reachesNextIncarnationUntil(), now, a.worker.id)
 		}
+		s.recordSettled(a.stage, a.index, a.startInFlightUntil)
 		return
 	}
 	switch {
@@ -136,7 +141,11 @@
 			a.phase, a.progressAt = phaseStarted, now
 			s.markStarted(a, now)
 		}
+		s.recordSettled(a.stage, a.index, a.startInFlightUntil)
 	case errors.Is(err, agent.ErrNoAnswer):
+		if !a.startUnanswered {
+			s.recordSettled(a.stage, a.index, arrivesBy)
+		}
 		a.startUnanswered, a.startInFlightUntil = true, arrivesBy
 		a.notBefore = now + commandRetryDelay
 		s.emit("start-unanswered", string(a.stage.job.spec.ID), a.ref().String(), a.worker, err.Error(), int64(a.run))
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -37,7 +37,7 @@
 	s.commitUrgent = false
 	for _, j := range s.dirtyJobs {
 		j.dirty = false
-		c.Progress = append(c.Progress, s.progressRecords(j)...)
+		c.Progress = append(c.Progress, s.progressRecords(j, now)...)
 	}
 	s.takeDroppable(&c, now)
 	// A submission that arrives again within the retention must find its job, however late it is read.
--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -235,7 +235,7 @@
 	first := h.confirmStarts()
 	assert.Equal(t, len(first), 1)
 	silent := first[0].Target.ID
-	progress := h.shard.jobs["j"].progress()
+	progress := h.progress("j")
 	other := h.workers[slices.IndexFunc(h.workers, func(id model.WorkerID) bool { return id != silent })]
 	h.takeOver(RecordedState{Jobs: []work.Job{h.shard.jobs["j"].spec}, Progress: map[model.JobID]work.Progress{"j": progress}})
 	// For 3 s the former owner may have sent commands that grant leases of at most 10 s, also if they are carried out 15 s late.
--- a/internal/shard/gone_test.go
+++ b/internal/shard/gone_test.go
@@ -242,7 +242,7 @@
 			assert.Equal(t, len(starts), 1)
 			h.takeOver(RecordedState{
 				Jobs:     []work.Job{h.shard.jobs["j"].spec},
-				Progress: map[model.JobID]work.Progress{"j": h.shard.jobs["j"].progress()},
+				Progress: map[model.JobID]work.Progress{"j": h.progress("j")},
 			})
 			h.silence(time.Minute)
 			events := h.collectEvents(EventPresumedEndRefuted, EventPresumedEndsConfirmed)
--- a/internal/shard/grant.go
+++ b/internal/shard/grant.go
@@ -172,6 +172,15 @@
 	return until
 }
 
+// settledBefore reports whether a former owner recorded that no start of a task was on its way, or of a gang none of any task.
+func (st *stage) settledBefore(index int) bool {
+	members := st.tasks[index : index+1]
+	if st.spec.Gang {
+		members = st.tasks
+	}
+	return !slices.ContainsFunc(members, func(t task) bool { return !t.settled })
+}
+
 // lateStartsUntil returns the same for the task of an ended run. Without an attempt, a former owner may have recorded the end.
 func (s *Shard) lateStartsUntil(key runKey, attempted bool) time.Duration {
 	until := time.Duration(0)
@@ -186,6 +195,9 @@
 		return 0
 	}
 	if st := j.stage(key.task.Occurrence, key.task.Stage); st != nil && key.task.Index >= 0 && key.task.Index < len(st.tasks) {
+		if st.settledBefore(key.task.Index) {
+			until = 0
+		}
 		until = max(until, st.lateStartsUntil(key.task.Index))
 	}
 	return until
--- a/internal/shard/grant_test.go
+++ b/internal/shard/grant_test.go
@@ -127,7 +127,7 @@
 			}
 			takeOver := func() {
 				j := h.shard.jobs["j"]
-				h.takeOver(RecordedState{Jobs: []work.Job{j.spec}, Progress: map[model.JobID]work.Progress{"j": j.progress()}})
+				h.takeOver(RecordedState{Jobs: []work.Job{j.spec}, Progress: map[model.JobID]work.Progress{"j": h.progress("j")}})
 			}
 			start := h.nextCommands().Starts[0]
 			begun := h.now
@@ -286,7 +286,7 @@
 			}
 			assert.Equal(t, len(h.confirmStarts()), 1)
 			j := h.shard.jobs["j"]
-			recorded := RecordedState{Jobs: []work.Job{j.spec}, Progress: map[model.JobID]work.Progress{"j": j.progress()}}
+			recorded := RecordedState{Jobs: []work.Job{j.spec}, Progress: map[model.JobID]work.Progress{"j": h.progress("j")}}
 			if !tt.listed {
 				h.workers = []model.WorkerID{"w2"}
 			}
--- a/internal/shard/harness_test.go
+++ b/internal/shard/harness_test.go
@@ -27,6 +27,8 @@
 	wall    time.Time
 	token   int64
 	workers []model.WorkerID
+	// records holds the progress records that were written, by their keys.
+	records map[string]work.Progress
 	// registryDown tells that no read of the registry succeeds.
 	registryDown bool
 	// tasksPerRecord is that of the next ownership, or zero for the default.
@@ -54,6 +56,7 @@
 	h := &harness{
 		t: t, now: time.Minute, wall: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC), token: 1, workers: workers,
 		incarnation: make(map[model.WorkerID]int64), clock: make(map[model.WorkerID]time.Duration),
+		records: make(map[string]work.Progress),
 	}
 	for _, id := range workers {
 		h.incarnation[id] = 1
@@ -131,9 +134,22 @@
 	if !c.Empty() {
 		h.shard.MarkCommitted(c.Number)
 	}
+	for _, p := range c.Progress {
+		h.records[work.ProgressKey(model.JobID(p.ID), p.Part)] = p.Progress
+	}
 	return c.Progress
 }
 
+// recorded returns the state of the test's job that was recorded.
+func (h *harness) recorded() RecordedState {
+	return RecordedState{Jobs: []work.Job{h.shard.jobs["j"].spec}, Progress: map[model.JobID]work.Progress{"j": h.records["j"]}}
+}
+
+// progress returns what the shard would record of a job now.
+func (h *harness) progress(id model.JobID) work.Progress {
+	return h.shard.progress(h.shard.jobs[id], h.now)
+}
+
 // nextCommands runs a tick, commits the decisions and returns the commands to send.
 func (h *harness) nextCommands() Commands {
 	h.shard.Tick(h.now, h.wall)
--- a/internal/shard/held_test.go
+++ b/internal/shard/held_test.go
@@ -22,7 +22,7 @@
 		}},
 		{"submission is unreadable", func(h *harness) RecordedState {
 			return RecordedState{
-				Progress:   map[model.JobID]work.Progress{"j": h.shard.jobs["j"].progress()},
+				Progress:   map[model.JobID]work.Progress{"j": h.progress("j")},
 				Unreadable: []model.JobID{"j"},
 			}
 		}},
--- a/internal/shard/incarnation_test.go
+++ b/internal/shard/incarnation_test.go
@@ -173,7 +173,7 @@
 	h.submitAs("first", testQueue, tasks(1))
 	first := h.confirmStarts()
 	assert.Equal(t, len(first), 1)
-	recorded := h.shard.jobs["first"].progress()
+	recorded := h.progress("first")
 	h.restart("w1")
 	running := agent.Report{Running: []agent.ActiveRun{{Task: first[0].Start.Task, Run: first[0].Start.Run}}}
 	h.report("w1", running)
@@ -182,7 +182,7 @@
 	assert.Equal(t, len(second), 1)
 	j1, j2 := h.shard.jobs["first"], h.shard.jobs["second"]
 	restored := RecordedState{
-		Jobs: []work.Job{j1.spec, j2.spec}, Progress: map[model.JobID]work.Progress{"first": recorded, "second": j2.progress()},
+		Jobs: []work.Job{j1.spec, j2.spec}, Progress: map[model.JobID]work.Progress{"first": recorded, "second": h.progress("second")},
 	}
 	h.takeOver(restored)
 	h.register()
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -114,7 +114,11 @@
 	// worker might carry one out. That worker is lateStartOn, which is empty if there may be several.
 	notBefore   time.Duration
 	lateStartOn model.WorkerID
-	failedRuns  []int
+	// settled tells that a former owner recorded that none of its starts was on its way.
+	settled bool
+	// startsOfEnded counts the starts under way whose runs have ended.
+	startsOfEnded int
+	failedRuns    []int
 	// stalls counts the runs that were stopped for want of progress.
 	stalls     int
 	attempts   []*attempt
@@ -145,8 +149,10 @@
 	ticket       string
 	// ticketValidUntil is when the worker certainly no longer accepts the ticket.
 	ticketValidUntil time.Duration
-	// commandPending is set while a command is in flight, startUnanswered once a start went unanswered.
+	// commandPending is set while a command is in flight, startPending while a start is, and startUnanswered once one went
+	// unanswered.
 	commandPending  bool
+	startPending    bool
 	startUnanswered bool
 	// startInFlightUntil is when the last unanswered start has arrived or is lost for certain; zero if each start was
 	// answered. It stays set when a repeated start succeeds, because the first one may still reach a later incarnation.
@@ -304,42 +310,6 @@
 	return found
 }
 
-// waitForLateStart keeps the task from starting until a start that may reach a worker's next incarnation has arrived or is lost.
-func (t *task) waitForLateStart(until, now time.Duration, worker model.WorkerID) {
-	if until <= now {
-		return
-	}
-	if t.notBefore > now && t.lateStartOn != worker {
-		worker = ""
-	}
-	t.notBefore, t.lateStartOn = max(t.notBefore, until), worker
-}
-
-// mayStart reports whether the start of an earlier run of the task can neither arrive any more nor have brought a run to a worker
-// that has not reported since.
-func (s *Shard) mayStart(st *stage, index int, now time.Duration) bool {
-	t := &st.tasks[index]
-	if now < t.notBefore || t.notBefore == 0 {
-		return t.notBefore == 0
-	}
-	w := s.workers[t.lateStartOn]
-	return (w != nil && w.lastReportAt >= t.notBefore) || now >= s.longestLeaseEnd(t.notBefore)
-}
-
-// nextLateStart returns when to look again at the tasks that wait for late starts, or zero if there are none.
-func (s *Shard) nextLateStart(st *stage, now time.Duration) time.Duration {
-	next := time.Duration(0)
-	for i := range st.tasks {
-		if t := &st.tasks[i]; !t.done && len(t.attempts) == 0 && !s.mayStart(st, i, now) {
-			at := max(t.notBefore, now+lateRetryDelay)
-			if next == 0 || at < next {
-				next = at
-			}
-		}
-	}
-	return next
-}
-
 // nextRun returns the number of a task's next run. The members of a gang share it.
 func (st *stage) nextRun(index int) int {
 	if !st.spec.Gang {
--- a/internal/shard/lease_test.go
+++ b/internal/shard/lease_test.go
@@ -71,7 +71,7 @@
 	gone := starts[0].Target.ID
 	recorded := RecordedState{
 		Jobs:     []work.Job{h.shard.jobs["j"].spec},
-		Progress: map[model.JobID]work.Progress{"j": h.shard.jobs["j"].progress()},
+		Progress: map[model.JobID]work.Progress{"j": h.progress("j")},
 	}
 	for i, id := range h.workers {
 		if id == gone {
--- a/internal/shard/progress.go
+++ b/internal/shard/progress.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"arbutuswing.example/internal/work"
 )
@@ -57,10 +58,10 @@
 
 // progressRecords returns the records of a job that have to be written, in an order in which a new owner may find only the
 // first of them: the main record comes last, but before the parts that are deleted because the job is final.
-func (s *Shard) progressRecords(j *job) []JobProgress {
+func (s *Shard) progressRecords(j *job, now time.Duration) []JobProgress {
 	id := string(j.spec.ID)
 	if !s.split(j) {
-		return []JobProgress{{ID: id, Progress: j.progress()}}
+		return []JobProgress{{ID: id, Progress: s.progress(j, now)}}
 	}
 	main := JobProgress{ID: id, Progress: work.Progress{Final: j.final, Begun: j.started, Split: true}}
 	var records []JobProgress
@@ -69,7 +70,7 @@
 	}
 	for _, part := range slices.Sorted(maps.Keys(j.dirtyParts)) {
 		first := (part - 1) * s.cfg.TasksPerRecord
-		r := JobProgress{ID: id, Part: part, Progress: work.Progress{Tasks: j.taskProgress(first, first+s.cfg.TasksPerRecord)}}
+		r := JobProgress{ID: id, Part: part, Progress: work.Progress{Tasks: s.taskProgress(j, first, first+s.cfg.TasksPerRecord, now)}}
 		if r.Deleted() && !j.recordedParts[part] {
 			continue
 		}
@@ -87,13 +88,13 @@
 }
 
 // progress returns the whole progress of the job.
-func (j *job) progress() work.Progress {
-	return work.Progress{Final: j.final, Begun: j.started, Tasks: j.taskProgress(0, j.taskCount())}
+func (s *Shard) progress(j *job, now time.Duration) work.Progress {
+	return work.Progress{Final: j.final, Begun: j.started, Tasks: s.taskProgress(j, 0, j.taskCount(), now)}
 }
 
 // taskProgress returns the progress of the tasks from number first to before number end, which count all stages in order. It
 // omits tasks without progress.
-func (j *job) taskProgress(first, end int) []work.TaskProgress {
+func (s *Shard) taskProgress(j *job, first, end int, now time.Duration) []work.TaskProgress {
 	var list []work.TaskProgress
 	at, found := slices.BinarySearchFunc(j.stages, first, func(st *stage, first int) int { return cmp.Compare(st.firstTask, first) })
 	if !found {
@@ -105,6 +106,7 @@
 		}
 		for i := max(first-st.firstTask, 0); i < min(end-st.firstTask, len(st.tasks)); i++ {
 			if tp, ok := st.taskProgress(i); ok {
+				s.noteLateStarts(&tp, st, now)
 				list = append(list, tp)
 			}
 		}
--- a/internal/shard/progress_test.go
+++ b/internal/shard/progress_test.go
@@ -177,7 +177,7 @@
 		assert.Equal(t, len(starts), 1, "start %d", i)
 		h.report(starts[0].Target.ID, agent.Report{Ended: []agent.EndedRun{firstEnd(starts[0], agent.OutcomeFailed)}})
 	}
-	tasks := h.shard.jobs["j"].progress().Tasks
+	tasks := h.progress("j").Tasks
 	assert.Assert(t, !slices.ContainsFunc(tasks, func(tp work.TaskProgress) bool { return len(tp.FailedRuns) > 0 }))
 }
 
--- a/internal/shard/removed_test.go
+++ b/internal/shard/removed_test.go
@@ -61,7 +61,7 @@
 				h.shard.SetConfiguration(withoutQueue(testQueue))
 			}
 			if tt.change {
-				restored := RecordedState{Jobs: []work.Job{spec}, Progress: map[model.JobID]work.Progress{"j": h.shard.jobs["j"].progress()}}
+				restored := RecordedState{Jobs: []work.Job{spec}, Progress: map[model.JobID]work.Progress{"j": h.progress("j")}}
 				h.takeOver(restored)
 				if tt.removed {
 					h.shard = New(h.shard.cfg)
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -303,6 +303,9 @@
 	delete(w.attempts, a.key())
 	delete(s.presumed.overlaps, a.key())
 	w.noteInFlightStart(a, now)
+	if a.startPending {
+		t.startsOfEnded++
+	}
 	t.waitForLateStart(a.reachesNextIncarnationUntil(), now, w.id)
 	w.used = w.used.Minus(a.size())
 	s.freedWorkers[w], s.freeCoresChanged, st.retry = true, true, true
--- a/internal/shard/restore.go
+++ b/internal/shard/restore.go
@@ -123,9 +123,9 @@
 		}
 		t := &st.tasks[tp.Index]
 		t.lastRun, t.checkpoint = tp.LastRun, tp.Checkpoint
-		if tp.LastRun > 0 && j.queue.Advice == nil {
+		if t.settled = tp.Settled; tp.LastRun > 0 && j.queue.Advice == nil && !tp.Settled {
 			// A start of a run that the former owner gave up may still reach a later incarnation of its worker.
-			t.waitForLateStart(now+s.cfg.RenewLimit+maxCommandDelay, now, "")
+			t.waitForLateStart(s.formerStartsUntil, now, tp.LateStartOn)
 		}
 		if !st.spec.Service {
 			t.failedRuns = tp.FailedRuns
@@ -135,8 +135,13 @@
 			t.done = true
 			st.left--
 		}
+		unsettled := tp.LastRun > 0 && !tp.Settled
 		for _, b := range tp.Bindings {
 			s.restoreBinding(st, tp.Index, b, now)
+			unsettled = unsettled || !b.Settled
+		}
+		if unsettled && !tp.Done {
+			s.recordSettled(st, tp.Index, s.formerStartsUntil)
 		}
 	}
 	if p.Final != "" {
@@ -173,9 +178,12 @@
 // restoreBinding restores a run that may be on its worker, whatever incarnation of the worker is recorded with it: the start may
 // have reached a later one. The worker's first report tells.
 func (s *Shard) restoreBinding(st *stage, index int, b work.Binding, now time.Duration) {
-	w := s.ensureWorker(b.Worker)
-	s.attach(&attempt{
-		stage: st, index: index, run: b.Run, worker: w, visibleSince: 0, progressAt: now, savedAt: now,
-		startInFlightUntil: now + s.cfg.RenewLimit + maxCommandDelay,
-	})
+	a := &attempt{
+		stage: st, index: index, run: b.Run, worker: s.ensureWorker(b.Worker), visibleSince: 0, progressAt: now, savedAt: now,
+		startInFlightUntil: s.formerStartsUntil,
+	}
+	if b.Settled {
+		a.startInFlightUntil = 0
+	}
+	s.attach(a)
 }
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -40,6 +40,8 @@
 	registry       registryReads
 	// formerStartsUntil is when the starts of former owners have arrived or are lost for certain.
 	formerStartsUntil time.Duration
+	// unsettled holds the tasks to record once no start of them is on its way.
+	unsettled []unsettledTask
 	// toCommand holds at least the workers with a run that may have to be started or stopped.
 	toCommand map[*worker]bool
 	teamUsage map[model.TeamID]model.Resources
@@ -366,6 +368,7 @@
 	}
 	s.lastTick = now
 	s.expireLeases(now)
+	s.checkUnsettled(now)
 	s.stopStalledRuns(now)
 	s.plan(now, wall)
 }
--- a/internal/work/decode_test.go
+++ b/internal/work/decode_test.go
@@ -84,7 +84,7 @@
 	binding := rapid.Custom(func(t *rapid.T) Binding {
 		return Binding{
 			Run: rapid.IntRange(0, 9).Draw(t, "run"), Worker: model.WorkerID(text.Draw(t, "worker")),
-			Incarnation: rapid.Int64().Draw(t, "incarnation"),
+			Incarnation: rapid.Int64().Draw(t, "incarnation"), Settled: rapid.Bool().Draw(t, "settled"),
 		}
 	})
 	task := rapid.Custom(func(t *rapid.T) TaskProgress {
@@ -94,6 +94,7 @@
 			LastRun:    rapid.IntRange(0, 3).Draw(t, "last run"),
 			FailedRuns: rapid.SliceOfN(rapid.IntRange(1, 5), 0, 3).Draw(t, "failed"),
 			Bindings:   rapid.SliceOfN(binding, 0, 2).Draw(t, "bindings"), Checkpoint: text.Draw(t, "checkpoint"),
+			Settled: rapid.Bool().Draw(t, "settled"), LateStartOn: model.WorkerID(text.Draw(t, "late start on")),
 		}
 	})
 	rapid.Check(t, func(t *rapid.T) {
@@ -158,3 +159,33 @@
 		})
 	}
 }
+
+// TestProgressOfOtherVersions guards against records that a version before or after can't read: one that doesn't know which starts are
+// settled takes none for settled.
+func TestProgressOfOtherVersions(t *testing.T) {
+	p, err := DecodeProgress([]byte(`{"begun":true,"tasks":[{"last-run":1,"bindings":[{"run":1,"worker":"w","born":5}]}]}`))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, p.Tasks, []TaskProgress{{LastRun: 1, Bindings: []Binding{{Run: 1, Worker: "w", Incarnation: 5}}}})
+
+	p.Tasks[0].Settled, p.Tasks[0].Bindings[0].Settled = true, true
+	p.Tasks = append(p.Tasks, TaskProgress{Index: 1, LastRun: 2, LateStartOn: "w"})
+	data, err := p.Encode()
+	assert.NilError(t, err)
+	again, err := DecodeProgress(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, p)
+	// What the version before reads.
+	var stored struct {
+		Tasks []struct {
+			LastRun  int `json:"last-run"`
+			Bindings []struct {
+				Run    int            `json:"run"`
+				Worker model.WorkerID `json:"worker"`
+			} `json:"bindings"`
+		} `json:"tasks"`
+	}
+	assert.NilError(t, json.Unmarshal(data, &stored))
+	assert.Equal(t, len(stored.Tasks), 2)
+	assert.Equal(t, stored.Tasks[0].Bindings[0].Worker, model.WorkerID("w"))
+	assert.Equal(t, stored.Tasks[1].LastRun, 2)
+}
--- a/internal/work/progress.go
+++ b/internal/work/progress.go
@@ -34,6 +34,9 @@
 	// Incarnation identifies the worker's process when the run was recorded: its start in milliseconds since 1970 by the worker's
 	// clock. The run may have reached a later one.
 	Incarnation int64 `json:"born"`
+	// Settled tells that no start of the run was on its way when the run was recorded, and that none is sent any more. It is recorded
+	// for queues without placement advice only, and earlier versions don't record it.
+	Settled bool `json:"settled,omitempty"`
 }
 
 // TaskProgress is the recorded progress of a task; tasks without progress are omitted.
@@ -47,6 +50,11 @@
 	// FailedRuns lists the runs that failed, so that a failure that is reported again to a later owner counts only once.
 	FailedRuns []int     `json:"failed-runs,omitempty"`
 	Bindings   []Binding `json:"bindings,omitempty"`
+	// Settled tells that no start of a run that isn't bound any more was on its way, or could have brought a run to a worker that had
+	// not reported since. It is recorded like that of a binding. If it isn't set, LateStartOn is the worker that these starts were
+	// sent to, or empty if there may be several.
+	Settled     bool           `json:"settled,omitempty"`
+	LateStartOn model.WorkerID `json:"late-start-on,omitempty"`
 	// Checkpoint is the latest checkpoint, as reported by the worker.
 	Checkpoint string `json:"checkpoint,omitempty"`
 }
@@ -155,10 +163,14 @@
 			o.key("worker")
 			o.quote(string(b.Worker))
 			o.data = append(o.data, `,"born":`...)
-			o.data = append(strconv.AppendInt(o.data, b.Incarnation, 10), '}')
+			o.data = strconv.AppendInt(o.data, b.Incarnation, 10)
+			o.flag("settled", b.Settled)
+			o.data = append(o.data, '}')
 		}
 		o.data = append(o.data, ']')
 	}
+	o.flag("settled", t.Settled)
+	o.text("late-start-on", string(t.LateStartOn))
 	o.text("checkpoint", t.Checkpoint)
 	o.data = append(o.data, '}')
 }
