test(shard): late commands extend no lease of a simulated worker that is gone

The model now ends the lease of such a worker when the commands say, like the simulation of the whole; late commands before that, and everything else at such workers, count as before.

--- a/internal/shard/faultmodel_test.go
+++ b/internal/shard/faultmodel_test.go
@@ -117,9 +117,11 @@
 		}
 		start := *d.start
 		if cl.options.startsFromArrival {
-			start.Start.LeaseEnd += w.clock - d.sentAt
+			w.lateBy = w.clock - d.sentAt
+			start.Start.LeaseEnd += w.lateBy
 		}
 		_, _ = cl.applyStart(start, other)
+		w.lateBy = 0
 	case d.heartbeat != nil:
 		if other && !cl.options.lateHeartbeats {
 			return
@@ -129,9 +131,11 @@
 			heartbeat.Acked = 0
 		}
 		if cl.options.heartbeatsFromArrival && heartbeat.LeaseEnd > 0 {
-			heartbeat.LeaseEnd += w.clock - d.sentAt
+			w.lateBy = w.clock - d.sentAt
+			heartbeat.LeaseEnd += w.lateBy
 		}
 		_, _ = cl.applyHeartbeat(w, heartbeat)
+		w.lateBy = 0
 	case !other || cl.options.lateStops:
 		_, _ = cl.applyStop(*d.stop)
 	}
--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -73,7 +73,7 @@
 			}
 		}
 	}
-	w.up, w.unreachable, w.clock, w.token, w.leaseEnd, w.lastEnd, w.lastUncountedEnd = false, false, 0, 0, 0, 0, 0
+	w.up, w.unreachable, w.clock, w.token, w.leaseEnd, w.namedEnd, w.lastEnd, w.lastUncountedEnd = false, false, 0, 0, 0, 0, 0, 0
 	clear(w.connections)
 	w.ends, w.superseded, w.endedAt = nil, make(map[work.TaskRef]int), make(map[int64]int)
 }
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -54,8 +54,9 @@
 	up          bool
 	unreachable bool
 	draining    bool
-	// unlisted tells that the worker's entry is gone while its processes run.
-	unlisted bool
+	// unlisted tells that the worker's entry is gone while its processes run, and unlistedAt since when.
+	unlisted   bool
+	unlistedAt time.Duration
 	// address is where the present incarnation is reached.
 	address string
 	// entry is the worker's entry as the registry has it, or empty if there is none.
@@ -68,7 +69,10 @@
 	clock       time.Duration
 	token       int64
 	leaseEnd    time.Duration
-	runs        map[runKey]*simRun
+	// namedEnd is the latest end that a command has named, however late it was carried out. lateBy is by how much later the lease of
+	// the command ends that is being carried out.
+	namedEnd, lateBy time.Duration
+	runs             map[runKey]*simRun
 	// superseded holds, for each task, the highest run that has ended or was stopped on the worker. The worker refuses starts
 	// of this and earlier runs.
 	superseded map[work.TaskRef]int
@@ -191,8 +195,12 @@
 func (cl *cluster) register() {
 	for _, w := range cl.workers {
 		w.entry = agent.Entry{}
-		if w.up && !w.unlisted {
-			w.entry.ID = w.id
+		switch {
+		case !w.up:
+		case !w.unlisted:
+			w.entry.ID, w.unlistedAt = w.id, 0
+		case w.unlistedAt == 0:
+			w.unlistedAt = cl.now
 		}
 	}
 	cl.writeEntries()
@@ -250,13 +258,14 @@
 			continue
 		}
 		w.clock += time.Duration(float64(d) * w.clockRate)
-		if w.clock > w.leaseEnd {
+		leaseEnd := w.leaseEndAt(cl.now)
+		if w.clock > leaseEnd {
 			w.lastUncountedEnd = w.lastEnd
 		}
 		for _, run := range w.sortedRuns() {
 			switch {
 			case w.runs[run.key] != run:
-			case w.clock > w.leaseEnd:
+			case w.clock > leaseEnd:
 				cl.endRun(w, run, agent.OutcomeLeaseExpired)
 			case run.stopping && cl.now >= run.stopAt:
 				cl.endRun(w, run, agent.OutcomeStopped)
@@ -386,8 +395,19 @@
 	return true
 }
 
+// extendLease extends the lease until an end, which is later by lateBy than the command has named.
 func (w *simWorker) extendLease(end time.Duration) {
 	w.leaseEnd = max(w.leaseEnd, min(end, w.clock+simMaxLease))
+	w.namedEnd = max(w.namedEnd, min(end-w.lateBy, w.clock+simMaxLease))
+}
+
+// leaseEndAt returns when the lease ends. That of a worker whose entry has been missing for unlistedGrace ends when the commands say:
+// the platform has it treated as gone, so that no late command extends its lease.
+func (w *simWorker) leaseEndAt(now time.Duration) time.Duration {
+	if w.unlisted && w.unlistedAt > 0 && now-w.unlistedAt > unlistedGrace {
+		return min(w.leaseEnd, w.namedEnd)
+	}
+	return w.leaseEnd
 }
 
 // newTicket returns a placement ticket, which is valid for a while during one life of the worker.
