fix(shard): a late start may have reached a worker before it was gone

That no incarnation lives which came after the worker was gone doesn't say that none lives from before. The wait now includes the longest lease after the worker was gone.

--- a/internal/shard/grant.go
+++ b/internal/shard/grant.go
@@ -121,9 +121,13 @@
 	if !a.listed {
 		end, lease = max(end, w.unreportedLeaseEnd), s.cfg.MaxLease
 	}
-	if until := a.reachesNextIncarnationUntil(); until > w.lastReportAt && !s.noneSince(w, until) {
+	if until := a.reachesNextIncarnationUntil(); until > w.lastReportAt {
 		// The next incarnation may carry out the start, and after it the other commands that are void for this one.
-		end, lease = max(end, s.longestLeaseEnd(max(until, w.voidUntil))), s.cfg.MaxLease
+		lastArrival := max(until, w.voidUntil)
+		if s.noneSince(w, until) {
+			lastArrival = min(lastArrival, w.goneAt)
+		}
+		end, lease = max(end, s.longestLeaseEnd(lastArrival)), s.cfg.MaxLease
 	}
 	if w.gone && s.registry.begunAt > end {
 		// It was gone when the lease ended, so that no late command has extended it.
--- a/internal/shard/registry.go
+++ b/internal/shard/registry.go
@@ -21,7 +21,7 @@
 			w.missing, w.missingSince = true, begun
 		}
 		if !w.gone && begun-w.missingSince > unlistedGrace {
-			w.gone = true
+			w.gone, w.goneAt = true, begun
 			s.emit("worker-gone", "", "", w, "", (begun - w.missingSince).Milliseconds())
 		}
 	}
--- a/internal/shard/registry_test.go
+++ b/internal/shard/registry_test.go
@@ -200,3 +200,20 @@
 	h.advance(time.Second)
 	assert.Assert(t, !h.shard.workers[silentWorker].gone)
 }
+
+// TestLateStartBeforeWorkerWasGone guards against two runs of a task at the same time: a late start reaches the next incarnation of its
+// worker, which then loses its entry and runs on until its lease ends.
+func TestLateStartBeforeWorkerWasGone(t *testing.T) {
+	h := newAgedHarness(t, silentWorker)
+	h.submitJob(tasks(1))
+	start := h.nextCommands().Starts[0]
+	h.workers, h.incarnation[otherWorker] = append(h.workers, otherWorker), 1
+	h.register()
+	h.report(otherWorker, agent.Report{})
+	notice := func() { h.shard.ApplyStartResult(start, 0, agent.ErrNoAnswer, h.now) }
+	// The start arrives just before the entry is removed.
+	const missingFrom = 12 * time.Second
+	waited := h.outlastSilence(entryOutage{missingFrom: missingFrom}, notice, 40*time.Second)
+	runsUntil := missingFrom + onSlowestClock(h.shard.cfg.MaxLease)
+	assert.Assert(t, waited > runsUntil, "the task may be started again after %v and runs until %v", waited, runsUntil)
+}
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -19,9 +19,10 @@
 	// began that found none.
 	missing      bool
 	missingSince time.Duration
-	// gone tells that the entry has been missing for longer than that of a worker that lives. The worker carries out no command any
-	// more; an incarnation that starts later has an entry.
+	// gone tells that the entry has been missing for longer than that of a worker that lives, as a read found that began at goneAt. The
+	// worker carries out no command any more; an incarnation that starts later has an entry.
 	gone        bool
+	goneAt      time.Duration
 	incarnation int64
 	// tokenSeen tells that this incarnation has seen the owner's fencing token.
 	tokenSeen bool
