fix(node): answer the calls that wait before a stopping node ends

Cause: the stages of a stop had budgets that didn't add up. Calls were read until 1.2 s before the end of the grace and might wait 1.2 s for an owner, but the node ended 0.6 s after it had stopped listening.

All stages now share the grace. The seconds of waiting are those of the plan; nothing is kept unused while a call waits.

--- a/node/internal/daemon/daemon.go
+++ b/node/internal/daemon/daemon.go
@@ -25,8 +25,13 @@
 	// minDrainTime is the minimum time for which a stopping node goes on serving requests, so that the platform notices before
 	// the stop that it isn't ready.
 	minDrainTime = 2500 * time.Millisecond
-	// shutdownReserve is the part of the stop grace that is kept for the last requests.
-	shutdownReserve = 1200 * time.Millisecond
+	// lastCallTime is the part of the stop grace that is kept for calls that were read before the node stopped listening, and
+	// answerMargin the part of it in which the last answers are written.
+	lastCallTime = 1200 * time.Millisecond
+	answerMargin = 150 * time.Millisecond
+	// exitMargin is the part that is kept beside the timeouts of the components and the log, for a process that is short of processor
+	// time.
+	exitMargin = 150 * time.Millisecond
 	// gcPercent is the growth of the heap, in percent, after which garbage is collected. memoryLimitShare is the share of the
 	// node's memory from which on it is collected more often; the rest is for what the collector doesn't see.
 	gcPercent         = 250
@@ -172,19 +177,31 @@
 		zap.ByteString("contents", contents))
 }
 
+// stopPlan divides the stop grace among the stages of a stop, in times since its begin.
+type stopPlan struct {
+	// serveUntil is until when new calls are accepted, answerBy when the last call is answered, and closeBy when the last answer has
+	// been written. The rest of the grace is for the components and the log.
+	serveUntil, answerBy, closeBy time.Duration
+}
+
+func planStop(grace time.Duration) stopPlan {
+	closeBy := max(grace-componentsTimeout-logFlushTimeout-exitMargin, 0)
+	answerBy := max(closeBy-answerMargin, 0)
+	return stopPlan{min(max(grace-lastCallTime, minDrainTime), answerBy), answerBy, closeBy}
+}
+
 // stop drains the client connections until none is left or the stop grace is nearly over, and then stops the client interface.
 func (d *daemon) stop(cause error) error {
-	d.Ingress.Drain()
-	start := time.Now()
-	drainTime := max(d.Settings.StopGrace.Std()-shutdownReserve, minDrainTime)
+	start, plan := time.Now(), planStop(d.Settings.StopGrace.Std())
+	d.Ingress.Drain(start.Add(plan.answerBy))
 	for {
 		elapsed := time.Since(start)
-		if elapsed > drainTime || (elapsed > minDrainTime && d.Ingress.Connections() == 0) {
+		if elapsed > plan.serveUntil || (elapsed > minDrainTime && d.Ingress.Connections() == 0) {
 			break
 		}
 		time.Sleep(drainPollInterval)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownReserve/2)
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(plan.closeBy))
 	defer cancel()
 	if err := d.Ingress.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return errors.Join(cause, fmt.Errorf("stopping the client interface: %w", err))
