fix(shard): use the last room for a failed task

Cause: a job avoids a worker on which a task has failed for 10 s, and for 2 s if no other worker could run it; full workers counted as able to. Now those count that have room, for a gang together.

--- a/internal/shard/avoid.go
+++ b/internal/shard/avoid.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// avoidTime is how long a job's tasks stay off a worker on which one has failed or stalled, while there are others.
+	// avoidTime is how long a job's tasks stay off a worker on which one has failed or stalled, while others have room.
 	avoidTime = 10 * time.Second
-	// avoidTimeWithoutOthers is how long they wait after the last such event if there are no others. The fault is usually the
+	// avoidTimeWithoutOthers is how long they wait after the last such event if no other worker has room. The fault is usually the
 	// worker's and over within seconds, and each start uses up one of the task's attempts.
 	avoidTimeWithoutOthers = 2 * time.Second
 )
@@ -33,17 +33,23 @@
 	return now-at < avoidTime
 }
 
-// hasOnlyAvoidedLeft reports whether no worker could run the stage but those that its job avoids, with or without free
-// capacity. A worker about which there is no advice yet counts as one that could.
-func (s *Shard) hasOnlyAvoidedLeft(st *stage, now time.Duration) bool {
+// hasOnlyAvoidedLeft reports whether no worker has room for a task of the stage, or for all n tasks of a gang, but those that its job
+// avoids. A worker about which there is no advice yet counts as one that may run the stage.
+func (s *Shard) hasOnlyAvoidedLeft(st *stage, n int, now time.Duration) bool {
 	if len(st.job.avoided) == 0 {
 		return false
 	}
+	if !st.spec.Gang {
+		n = 1
+	}
 	for _, w := range s.workersByID {
 		_, avoided := st.job.avoided[w.id]
 		advice, advised := st.answers[w.id]
 		permitted := st.job.queue.Advice == nil || !advised || advice.permitted
-		if !avoided && permitted && s.meetsConstraints(st, w, now) && st.fitsEmpty(w) {
+		if avoided || !permitted || !s.meetsConstraints(st, w, now) {
+			continue
+		}
+		if n -= st.slotsOn(w, n); n <= 0 {
 			return false
 		}
 	}
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -119,6 +119,14 @@
 	}
 }
 
+// slotsOn returns how many tasks of the stage fit into the worker's free capacity, at most n.
+func (st *stage) slotsOn(w *worker, n int) int {
+	if !st.spec.Scavenger {
+		n = slots(w.freeFor(st), st.spec.Size, n)
+	}
+	return st.limitPerWorker(w, n)
+}
+
 // hasCapacity reports whether a task of the stage fits into the worker's free capacity.
 func (s *Shard) hasCapacity(st *stage, w *worker) bool {
 	return w.suits(st) && (st.spec.Scavenger || slots(w.freeFor(st), st.spec.Size, 1) > 0)
@@ -208,7 +216,7 @@
 		st.waitsFor = waitLateStart
 		return
 	}
-	st.onlyAvoidedLeft = s.hasOnlyAvoidedLeft(st, now)
+	st.onlyAvoidedLeft = s.hasOnlyAvoidedLeft(st, len(waiting), now)
 	allowedByLimit := s.teamLimitSlots(st, len(waiting))
 	if allowedByLimit == 0 || (st.spec.Gang && allowedByLimit < len(waiting)) {
 		st.waitsFor = waitTeamLimit
@@ -308,13 +316,8 @@
 		if w == nil || !s.meetsConstraints(st, w, now) {
 			return
 		}
-		free := w.freeFor(st)
-		n := slots(free, st.spec.Size, st.spec.Count)
-		if st.spec.Scavenger {
-			n = st.spec.Count
-		}
-		if n = st.limitPerWorker(w, n); n > 0 {
-			list = append(list, candidate{w, n, free, ticket})
+		if n := st.slotsOn(w, st.spec.Count); n > 0 {
+			list = append(list, candidate{w, n, w.freeFor(st), ticket})
 		}
 	}
 	if st.job.queue.Advice == nil {
