fix(shard): count the memory of scavenger tasks

Now each resource is counted by itself, through stage.demand and stage.fits.

TestCapacityOfEachResource and TestScavengersUseIdleCores failed before.

--- a/internal/shard/adviceworkers.go
+++ b/internal/shard/adviceworkers.go
@@ -64,7 +64,7 @@
 		return candidate{}, false
 	}
 	free := w.freeFor(st)
-	return candidate{worker: w, slots: st.limitPerWorker(w, slots(free, st.spec.Size, n)), freeCapacity: free}, true
+	return candidate{worker: w, slots: st.limitPerWorker(w, st.fits(free, n)), freeCapacity: free}, true
 }
 
 // fullestUnadvised returns the fullest workers in which a task fits and that have the slots needed in sum, at least
@@ -74,7 +74,7 @@
 	var list, reserved []candidate
 	total := 0.0
 	for _, w := range s.workersByFreeCores() {
-		if w.freeCores < st.spec.Size.Cores {
+		if w.freeCores < st.demand().Cores {
 			continue
 		}
 		c, ok := s.unadvised(st, w, n, now)
@@ -114,7 +114,7 @@
 			reserved = append(reserved, c)
 			continue
 		case st.spec.Gang:
-			c.slots = st.limitPerWorker(w, slots(w.entry.Capacity, st.spec.Size, n))
+			c.slots = st.limitPerWorker(w, st.fits(w.entry.Capacity, n))
 		}
 		list, total = append(list, c), total+float64(c.slots)
 		if len(list) == limit || (len(list) >= minWorkersPerCall && total >= needed) {
--- a/internal/shard/gang.go
+++ b/internal/shard/gang.go
@@ -74,7 +74,7 @@
 func (s *Shard) eligibleSlots(st *stage, n int, now time.Duration) int {
 	total := 0
 	for _, w := range s.eligibleWorkers(st, now) {
-		total += st.limitPerWorker(w, slots(w.entry.Capacity, st.spec.Size, n))
+		total += st.limitPerWorker(w, st.fits(w.entry.Capacity, n))
 	}
 	return total
 }
@@ -100,9 +100,9 @@
 	}
 	var options []option
 	for _, w := range s.eligibleWorkers(st, now) {
-		slotCount, free := st.limitPerWorker(w, slots(w.reservableCapacity(st), st.spec.Size, n)), w.freeFor(st)
+		slotCount, free := st.limitPerWorker(w, st.fits(w.reservableCapacity(st), n)), w.freeFor(st)
 		for k := 1; k <= slotCount; k++ {
-			options = append(options, option{w, st.spec.Size.Times(k).Minus(free).DominantShare(w.entry.Capacity)})
+			options = append(options, option{w, st.demand().Times(k).Minus(free).DominantShare(w.entry.Capacity)})
 		}
 	}
 	if len(options) < n {
@@ -139,7 +139,7 @@
 		}
 	}
 	total = max(total, 1)
-	return float64(reserved) / float64(total), float64(reserved+st.spec.Size.Times(n).Cores) / float64(total)
+	return float64(reserved) / float64(total), float64(reserved+st.demand().Times(n).Cores) / float64(total)
 }
 
 // reservedTicketsToRenew returns the workers with capacity reserved for the gang whose tickets need to be renewed. It
@@ -148,8 +148,8 @@
 	freeSlots := 0
 	var expiring []candidate
 	for w, amount := range st.reserved {
-		reservedSlots := slots(amount, st.spec.Size, n)
-		freeSlots += min(reservedSlots, slots(w.freeFor(st), st.spec.Size, n))
+		reservedSlots := st.fits(amount, n)
+		freeSlots += min(reservedSlots, st.fits(w.freeFor(st), n))
 		if st.expiresBy(w, now+s.minTicketValidity()+ticketRenewMargin) {
 			expiring = append(expiring, candidate{worker: w, slots: reservedSlots})
 		}
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -183,12 +183,26 @@
 	return work.TaskRef{Job: a.stage.job.spec.ID, Occurrence: a.stage.occurrence, Stage: a.stage.index, Index: a.index}
 }
 
-// size returns the capacity that the run uses; scavenger tasks use none.
-func (a *attempt) size() model.Resources {
-	if a.stage.spec.Scavenger {
-		return model.Resources{}
+// size returns what the run takes of its worker's capacity.
+func (a *attempt) size() model.Resources { return a.stage.demand() }
+
+// demand returns what a task of the stage takes of its worker's capacity. Scavenger tasks use the cores that others leave unused, so
+// that only their other resources count.
+func (st *stage) demand() model.Resources {
+	size := st.spec.Size
+	if st.spec.Scavenger {
+		size.Cores = 0
 	}
-	return a.stage.spec.Size
+	return size
+}
+
+// fits returns how many tasks of the stage fit into free capacity, at most n.
+func (st *stage) fits(free model.Resources, n int) int {
+	if st.spec.Scavenger {
+		// Reservations may exceed what is free.
+		free.Cores = 0
+	}
+	return slots(free, st.demand(), n)
 }
 
 func (a *attempt) key() runKey { return runKey{a.ref(), a.run} }
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -121,15 +121,12 @@
 
 // slotsOn returns how many tasks of the stage fit into the worker's free capacity, at most n.
 func (st *stage) slotsOn(w *worker, n int) int {
-	if !st.spec.Scavenger {
-		n = slots(w.freeFor(st), st.spec.Size, n)
-	}
-	return st.limitPerWorker(w, n)
+	return st.limitPerWorker(w, st.fits(w.freeFor(st), n))
 }
 
 // hasCapacity reports whether a task of the stage fits into the worker's free capacity.
 func (s *Shard) hasCapacity(st *stage, w *worker) bool {
-	return w.suits(st) && (st.spec.Scavenger || slots(w.freeFor(st), st.spec.Size, 1) > 0)
+	return w.suits(st) && st.fits(w.freeFor(st), 1) > 0
 }
 
 // suits reports whether the worker is in the pool that the stage's queue names and has the label that the stage requires.
@@ -139,7 +136,7 @@
 
 // fitsEmpty reports whether a task of the stage fits on the worker without its runs.
 func (st *stage) fitsEmpty(w *worker) bool {
-	return st.spec.Scavenger || slots(w.entry.Capacity, st.spec.Size, 1) > 0
+	return st.fits(w.entry.Capacity, 1) > 0
 }
 
 // fitsEmptyWorker reports whether a task of the stage fits on an eligible worker without runs. For a stage that needs advice,
@@ -420,6 +417,7 @@
 func (s *Shard) attach(a *attempt) {
 	a.worker.attempts[a.key()] = a
 	s.toCommand[a.worker], s.freeCoresChanged = true, true
+
 	a.worker.used = a.worker.used.Plus(a.size())
 	team := a.stage.job.spec.Team
 	s.teamUsage[team] = s.teamUsage[team].Plus(a.stage.spec.Size)
--- a/internal/shard/preempt.go
+++ b/internal/shard/preempt.go
@@ -32,14 +32,14 @@
 	for _, w := range s.eligibleWorkers(st, now) {
 		p, free := plan{worker: w}, w.freeFor(st)
 		for _, a := range s.preemptibleRuns(st, w, now) {
-			if slots(free, st.spec.Size, n) >= n {
+			if st.fits(free, n) >= n {
 				break
 			}
 			p.victims = append(p.victims, a)
 			p.loss += s.lostWork(a, now)
 			free = free.Plus(a.size())
 		}
-		p.slots = st.limitPerWorker(w, slots(free, st.spec.Size, n))
+		p.slots = st.limitPerWorker(w, st.fits(free, n))
 		if p.slots > 0 {
 			plans = append(plans, p)
 			total += p.slots
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -285,7 +285,7 @@
 	if st.reserved == nil {
 		st.reserved = make(map[*worker]model.Resources)
 	}
-	st.reserved[w] = st.reserved[w].Plus(st.spec.Size.Times(n))
+	st.reserved[w] = st.reserved[w].Plus(st.demand().Times(n))
 	w.reservations[st] = st.reserved[w]
 }
 
