fix(shard): a late repeat of a start may extend the lease after its ticket has expired

Cause: a start without an answer is repeated. A repeat that is carried out late finds the run that the first one has begun, is answered with success whatever its ticket, and extends the lease. The owner counted the start as void once the ticket had expired.

For beginning a run the ticket still ends it.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -54,7 +54,7 @@
 					s.voidAcknowledgement(w)
 				}
 				commands.Starts = append(commands.Starts, StartCommand{
-					target, s.startCommand(a, now), a, s.addGrant(w, a.startArrivesBy(now), now), w.incarnation,
+					target, s.startCommand(a, now), a, s.addGrant(w, now+maxCommandDelay, now), w.incarnation,
 				})
 			case a.phase == phaseStopping:
 				a.commandPending = true
@@ -108,7 +108,8 @@
 	arrivesBy := a.startArrivesBy(now)
 	switch {
 	case errors.Is(err, agent.ErrNoAnswer):
-		s.doubtGrant(a.worker, cmd.grant, arrivesBy)
+		// With an expired ticket too it may be carried out and extend the lease: the run may be there already.
+		s.doubtGrant(a.worker, cmd.grant, now+maxCommandDelay)
 	case err == nil:
 		if cmd.incarnation == a.worker.incarnation {
 			s.voidGrants(a.worker, cmd.grant.generation, now)
--- a/internal/shard/grant.go
+++ b/internal/shard/grant.go
@@ -140,8 +140,8 @@
 	return end
 }
 
-// startArrivesBy returns when a start that is sent or stays unanswered now has been carried out or is lost for certain. A worker
-// refuses a start with an expired ticket, which then extends no lease.
+// startArrivesBy returns when a start that is sent or stays unanswered now has begun a run or is lost for certain. A worker begins no run
+// with an expired ticket.
 func (a *attempt) startArrivesBy(now time.Duration) time.Duration {
 	if a.stage.job.queue.Advice == nil {
 		return now + maxCommandDelay
--- a/internal/shard/latestart_test.go
+++ b/internal/shard/latestart_test.go
@@ -155,3 +155,25 @@
 	}
 	assert.Assert(t, len(w.grants) < 100, "%d grants", len(w.grants))
 }
+
+// TestLateRepeatOfStartMayExtendLease guards against two runs of a task at the same time: the repeat of a start is carried out late,
+// with an expired ticket, of a run that the first start has brought to its worker. The lease of all runs there may count from then on.
+func TestLateRepeatOfStartMayExtendLease(t *testing.T) {
+	h, _ := startOnSilentWorker(t)
+	h.submitAs("second", "advised", tasks(1))
+	for _, call := range h.nextAdviceCalls() {
+		h.shard.ApplyAdvice(call, agent.Advice{
+			Tickets: map[model.WorkerID]string{silentWorker: "ticket"}, Valid: model.Duration(2 * time.Second),
+		}, nil, h.now)
+	}
+	for range 2 {
+		starts := h.nextCommands().Starts
+		assert.Equal(t, len(starts), 1)
+		h.advance(commandRetryDelay)
+		h.shard.ApplyStartResult(starts[0], 0, agent.ErrNoAnswer, h.now)
+		h.advance(commandRetryDelay)
+	}
+	runsUntil := 2 * onSlowestClock(testLease)
+	waited := h.outlastSilence(entryOutage{missingFrom: time.Hour}, nil, 40*time.Second)
+	assert.Assert(t, waited > runsUntil, "the run may be started again after %v and goes on until %v", waited, runsUntil)
+}
