--- a/internal/shard/capacity_test.go
+++ b/internal/shard/capacity_test.go
@@ -20,9 +20,9 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		h := newHarness(t)
 		labels := []string{"", "big", "fast"}
-		var entries []agent.Entry
-		byID := make(map[model.WorkerID]agent.Entry)
-		for i := range rapid.IntRange(1, 4).Draw(rt, "workers") {
+		count := rapid.IntRange(1, 4).Draw(rt, "workers")
+		entries, byID := make([]agent.Entry, 0, count), make(map[model.WorkerID]agent.Entry, count)
+		for i := range count {
 			entry := agent.Entry{
 				ID: model.WorkerID(fmt.Sprintf("w%d", i)), Pool: testPool, Address: fmt.Sprintf("w%d", i), DataCentre: "dc1",
 				Capacity: model.Resources{
--- a/internal/shard/failures_test.go
+++ b/internal/shard/failures_test.go
@@ -275,7 +275,7 @@
 			assert.Equal(t, len(first), tt.stage.Count)
 			failedOn := first[0].Target.ID
 			assert.Assert(t, failedOn != other.Target.ID)
-			var ends []agent.EndedRun
+			ends := make([]agent.EndedRun, 0, len(first))
 			for i, cmd := range first {
 				ends = append(ends, agent.EndedRun{Number: int64(i + 1), Task: cmd.Start.Task, Run: cmd.Start.Run, Outcome: agent.OutcomeFailed})
 			}
