--- a/internal/shard/grant.go
+++ b/internal/shard/grant.go
@@ -124,7 +124,8 @@
 	if until := a.reachesNextIncarnationUntil(); until > w.lastReportAt {
 		// The next incarnation may carry out the start, and after it the other commands that are void for this one.
 		lastArrival := max(until, w.voidUntil)
-		if s.noneSince(w, until) {
+		if s.notBackBy(w, until) {
+			// Only an incarnation from before the worker was gone can have carried them out.
 			lastArrival = min(lastArrival, w.goneAt)
 		}
 		end, lease = max(end, s.longestLeaseEnd(lastArrival)), s.cfg.MaxLease
--- a/internal/shard/registry.go
+++ b/internal/shard/registry.go
@@ -27,7 +27,7 @@
 	}
 }
 
-// noneSince reports whether no incarnation of the worker lives that was there at the given time or before: it would be listed by now.
-func (s *Shard) noneSince(w *worker, at time.Duration) bool {
+// notBackBy reports whether no incarnation of a gone worker had come back by the given time: it would be listed by now.
+func (s *Shard) notBackBy(w *worker, at time.Duration) bool {
 	return w.gone && s.registry.begunAt-max(at, w.missingSince) > unlistedGrace
 }
