test(soak): restart nodes in series under callers on open connections

With -restart.standstill the nodes stand still again and again.

Ports of nodes are given out once, so that tests can run side by side.

--- a/soak/main_test.go
+++ b/soak/main_test.go
@@ -19,6 +19,12 @@
 	soakNodes  = flag.Int("soak.nodes", 5, "number of nodes")
 	soakPlan   = flag.String("soak.plan", "", "file with a fault plan to replay instead of a plan from the seed")
 
+	restartNodeCount  = flag.Int("restart.nodes", 7, "number of nodes that are restarted in series")
+	restartCallers    = flag.Int("restart.callers", 150, "number of callers on open connections")
+	restartRounds     = flag.Int("restart.rounds", 2, "number of rounds of restarts")
+	restartGrace      = flag.Duration("restart.grace", 4*time.Second, "time of a node between SIGTERM and SIGKILL")
+	restartStandstill = flag.Duration("restart.standstill", 0, "longest time for which the nodes stand still again and again")
+
 	soakRegressions = flag.Bool("soak.regressions", false, "replay the plans in testdata under which guarantees were once violated")
 )
 
--- a/soak/node_test.go
+++ b/soak/node_test.go
@@ -17,8 +17,8 @@
 	"arbutuswing.example/platform/fakes"
 )
 
-// restartDelay is the pause before a process that has ended is restarted.
-const restartDelay = 150 * time.Millisecond
+// defaultRestartDelay is the pause before a process that has ended is restarted.
+const defaultRestartDelay = 150 * time.Millisecond
 
 // node is an aw-node process that is restarted whenever it ends.
 type node struct {
@@ -27,6 +27,8 @@
 	settings string
 	logPath  string
 	store    *proxy
+	// restartDelay is the pause before a process that has ended is restarted.
+	restartDelay time.Duration
 
 	mu       sync.Mutex
 	cmd      *exec.Cmd
@@ -34,28 +36,47 @@
 	closing  bool
 	// starved is closed when the node is no longer to be starved; it is nil while it isn't.
 	starved chan struct{}
+	// generation counts the processes, and terminated is when one of them was last told to end.
+	generation int
+	terminated time.Time
 	// signalled is set once the process has been told to end; ends holds how processes ended that had not been told to.
 	signalled bool
 	ends      []string
 	done      chan struct{}
 }
 
-// newNode starts a node, which reaches the store through a proxy of its own. It answers calls about an ended job for at least
-// the retention time.
-func newNode(
-	t *testing.T, dir string, index int, dataCentre string, retention time.Duration, store *fakes.Store, fleet *fakes.Fleet,
-) *node {
+// nodeConfig configures a node.
+type nodeConfig struct {
+	dir        string
+	index      int
+	dataCentre string
+	// retention is how long the node answers calls about an ended job, at least.
+	retention time.Duration
+	// grace is the time between the request to stop and the kill.
+	grace time.Duration
+	// restartDelay is the pause before the process is restarted after it has ended.
+	restartDelay time.Duration
+	// metricsAddress is the IP:port of the metrics, or empty.
+	metricsAddress string
+	store          *fakes.Store
+	fleet          *fakes.Fleet
+}
+
+// newNode starts a node, which reaches the store through a proxy of its own.
+func newNode(t *testing.T, cfg nodeConfig) *node {
 	t.Helper()
-	link, err := newProxy(store.Address())
+	link, err := newProxy(cfg.store.Address())
 	assert.NilError(t, err)
 	ports := freePorts(t, 3)
 	n := &node{
-		name: fmt.Sprintf("node-%d", index), address: ports[0], store: link, done: make(chan struct{}),
-		settings: filepath.Join(dir, fmt.Sprintf("node-%d.json", index)), logPath: filepath.Join(dir, fmt.Sprintf("node-%d.log", index)),
+		name: fmt.Sprintf("node-%d", cfg.index), address: ports[0], store: link, done: make(chan struct{}), restartDelay: cfg.restartDelay,
+		settings: filepath.Join(cfg.dir, fmt.Sprintf("node-%d.json", cfg.index)),
+		logPath:  filepath.Join(cfg.dir, fmt.Sprintf("node-%d.log", cfg.index)),
 	}
 	text := fmt.Sprintf(`{"node":%q,"data-centre":%q,"client-address":%q,"readiness-address":%q,"peer-address":%q,
-		"store-address":%q,"advice-address":%q,"worker-lease-max":"10s","kill-grace":"300ms","gang-timeout":"3s","stop-grace":"4s","retention":%q}`,
-		n.name, dataCentre, ports[0], ports[1], ports[2], link.address(), fleet.AdviceAddress(), retention)
+		"store-address":%q,"advice-address":%q,"worker-lease-max":"10s","kill-grace":"300ms","gang-timeout":"3s","stop-grace":%q,"retention":%q,
+		"metrics-address":%q}`,
+		n.name, cfg.dataCentre, ports[0], ports[1], ports[2], link.address(), cfg.fleet.AdviceAddress(), cfg.grace, cfg.retention, cfg.metricsAddress)
 	assert.NilError(t, os.WriteFile(n.settings, []byte(text), 0o600))
 	go n.run()
 	t.Cleanup(n.close)
@@ -76,9 +97,18 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>14&0x7f, 1+pid>>7&0x7f, 1+pid&0x7f)
 }
 
-// freePorts returns addresses of nodes whose ports were free when it checked.
+var (
+	portsMu sync.Mutex
+	// usedPorts holds the addresses that freePorts has returned.
+	usedPorts = make(map[string]bool)
+)
+
+// freePorts returns addresses of nodes whose ports were free when it checked. It returns no address twice, as tests run side by side
+// and nodes are down for some time.
 func freePorts(t *testing.T, count int) []string {
 	t.Helper()
+	portsMu.Lock()
+	defer portsMu.Unlock()
 	addresses := make([]string, 0, count)
 	for tries := 0; len(addresses) < count; tries++ {
 		assert.Assert(t, tries < 100*count, "no free ports")
@@ -87,7 +117,10 @@
 			continue
 		}
 		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
+		if address := listener.Addr().String(); !usedPorts[address] {
+			usedPorts[address] = true
+			addresses = append(addresses, address)
+		}
 	}
 	return addresses
 }
@@ -109,6 +142,7 @@
 		stayDown := n.stayDown
 		if !stayDown {
 			n.signalled = false
+			n.generation++
 			n.cmd = exec.Command(nodeBinary, "run", "--settings", n.settings)
 			n.cmd.Stdout, n.cmd.Stderr = out, out
 			// The kernel kills the node when the test binary ends: a binary that is killed at its timeout runs no cleanup.
@@ -127,18 +161,46 @@
 			}
 			n.mu.Unlock()
 		}
-		time.Sleep(restartDelay)
+		time.Sleep(n.restartDelay)
 	}
 }
 
 func (n *node) signal(s syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.cmd != nil {
-		n.signalled = n.signalled || s == syscall.SIGKILL || s == syscall.SIGTERM
-		// The process may have ended already.
-		_ = n.cmd.Process.Signal(s)
+	n.send(s)
+}
+
+// send sends a signal to the process and reports whether it still ran; the lock is held.
+func (n *node) send(s syscall.Signal) bool {
+	if n.cmd == nil {
+		return false
 	}
+	n.signalled = n.signalled || s == syscall.SIGKILL || s == syscall.SIGTERM
+	return n.cmd.Process.Signal(s) == nil
+}
+
+// terminate sends SIGTERM to the process and returns its generation.
+func (n *node) terminate() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.terminated = time.Now()
+	n.send(syscall.SIGTERM)
+	return n.generation
+}
+
+// lastStop returns when a process of the node was last told to end.
+func (n *node) lastStop() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.terminated
+}
+
+// signalGeneration sends a signal to the process of a generation and reports whether it still ran.
+func (n *node) signalGeneration(generation int, s syscall.Signal) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.generation == generation && n.send(s)
 }
 
 // minStarve and maxStarve bound how long a node that starves stands still, and how long it runs in between.
@@ -147,22 +209,22 @@
 	maxStarve = 200 * time.Millisecond
 )
 
-// setStarved sets whether the node stands still again and again.
-func (n *node) setStarved(starved bool) {
+// setStarved lets the node stand still again and again, each time for the given time at most, or no longer if that is zero.
+func (n *node) setStarved(longest time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	switch {
-	case starved && n.starved == nil:
+	case longest > 0 && n.starved == nil:
 		n.starved = make(chan struct{})
-		go n.runStarved(n.starved)
-	case !starved && n.starved != nil:
+		go n.runStarved(longest, n.starved)
+	case longest == 0 && n.starved != nil:
 		close(n.starved)
 		n.starved = nil
 	}
 }
 
 // runStarved stops and continues the node until the channel is closed.
-func (n *node) runStarved(end <-chan struct{}) {
+func (n *node) runStarved(longest time.Duration, end <-chan struct{}) {
 	for {
 		for _, s := range []syscall.Signal{syscall.SIGSTOP, syscall.SIGCONT} {
 			n.signal(s)
@@ -170,7 +232,7 @@
 			case <-end:
 				n.signal(syscall.SIGCONT)
 				return
-			case <-time.After(minStarve + rand.N(maxStarve-minStarve)):
+			case <-time.After(minStarve + rand.N(longest-minStarve)):
 			}
 		}
 	}
@@ -194,7 +256,7 @@
 	n.mu.Lock()
 	n.closing = true
 	n.mu.Unlock()
-	n.setStarved(false)
+	n.setStarved(0)
 	n.signal(syscall.SIGKILL)
 	<-n.done
 	n.store.close()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -47,6 +48,8 @@
 	cancelTimeout = 12 * time.Second
 	// startTimeout bounds the time until a node serves clients.
 	startTimeout = 20 * time.Second
+	// defaultGrace is the time that a node has to stop.
+	defaultGrace = 4 * time.Second
 )
 
 var dataCentres = []string{"dc1", "dc2", "dc3"}
@@ -63,7 +66,11 @@
 	nodes  int
 	// retention is how long nodes answer calls about ended jobs.
 	retention time.Duration
-	plan      []fault
+	// grace is the nodes' time between the request to stop and the kill, or zero for defaultGrace.
+	grace time.Duration
+	// restartDelay is the pause before a node that has ended is restarted, or zero for defaultRestartDelay.
+	restartDelay time.Duration
+	plan         []fault
 	// pause is that of each client before the next job, and taskTime the shortest time that a task runs.
 	pause    time.Duration
 	taskTime time.Duration
@@ -130,7 +137,10 @@
 	d.store.PutConfig(fakes.Config(d.version, teamKey, queues...))
 	d.putOddEntries()
 	for i := range s.nodes {
-		d.nodes = append(d.nodes, newNode(t, dir, i, dataCentres[i%len(dataCentres)], s.retention, d.store, d.fleet))
+		d.nodes = append(d.nodes, newNode(t, nodeConfig{
+			dir: dir, index: i, dataCentre: dataCentres[i%len(dataCentres)], retention: s.retention,
+			grace: cmp.Or(s.grace, defaultGrace), restartDelay: cmp.Or(s.restartDelay, defaultRestartDelay), store: d.store, fleet: d.fleet,
+		}))
 	}
 	return d
 }
@@ -290,7 +300,11 @@
 			n.signal(syscall.SIGCONT)
 		}
 	case faultStarveNode:
-		n.setStarved(e.start)
+		if e.start {
+			n.setStarved(maxStarve)
+		} else {
+			n.setStarved(0)
+		}
 	case faultStoreLink:
 		n.store.set(linkModeAt(e))
 	case faultWorkerLink:
@@ -385,7 +399,7 @@
 	d.store.SetFaults(fakes.StoreFaults{})
 	for _, n := range d.nodes {
 		n.setStayDown(false)
-		n.setStarved(false)
+		n.setStarved(0)
 		n.signal(syscall.SIGCONT)
 		n.store.set(linkHealthy)
 	}
