fix(node): wait for late answers until the grace of a stop is over

Callers of a stopping node that is short of processor time could lose their answer: the margins between the stages of a stop were fixed times, so that a process that stands still over two of them ended the calls in progress and itself at the same moment, with 0.4 s of the grace unused.

Answers now come first. The process ends once they are written, or 150 ms before the end of the grace; components and log get what the answers leave, at most 0.2 s each as before.

TestStopWaitsForLateAnswers failed before: the node ended 0.45 s after the begin of its stop, with the answer due at 0.65 s. The test of the stages checks the same sums; the end of answers it named is now the end of the process.

--- a/node/internal/daemon/daemon.go
+++ b/node/internal/daemon/daemon.go
@@ -38,6 +38,7 @@
 	memoryLimitShare  = 0.75
 	drainPollInterval = 50 * time.Millisecond
 	logFlushTimeout   = 200 * time.Millisecond
+	minLogFlush       = 20 * time.Millisecond
 	// componentsTimeout bounds the wait for the components to end, so that their last calls and log lines get out.
 	componentsTimeout = 200 * time.Millisecond
 )
@@ -104,11 +105,13 @@
 	cause := d.wait(serversCtx, signals)
 	close(draining)
 	stopOwner()
-	err := d.stop(cause)
+	start, plan := time.Now(), planStop(d.Settings.StopGrace.Std())
+	err := d.stop(start, plan, cause)
 	stopBase()
-	awaitComponents(group, componentsTimeout)
+	exitBy := start.Add(plan.exitBy)
+	awaitComponents(group, min(componentsTimeout, time.Until(exitBy)))
 	d.Log.Info("node stopped", zap.Error(err))
-	d.Buffer.Close(logFlushTimeout)
+	d.Buffer.Close(min(logFlushTimeout, max(time.Until(exitBy), minLogFlush)))
 	return err
 }
 
@@ -179,20 +182,21 @@
 
 // stopPlan divides the stop grace among the stages of a stop, in times since its begin.
 type stopPlan struct {
-	// serveUntil is until when new calls are accepted, answerBy when the last call is answered, and closeBy when the last answer has
-	// been written. The rest of the grace is for the components and the log.
-	serveUntil, answerBy, closeBy time.Duration
+	// serveUntil is until when new calls are accepted, and answerBy when calls that wait for another process are ended.
+	serveUntil, answerBy time.Duration
+	// exitBy is when the process ends even if answers are still being written. What is left between answerBy and exitBy is for the
+	// components and the log.
+	exitBy time.Duration
 }
 
 func planStop(grace time.Duration) stopPlan {
-	closeBy := max(grace-componentsTimeout-logFlushTimeout-exitMargin, 0)
-	answerBy := max(closeBy-answerMargin, 0)
-	return stopPlan{min(max(grace-lastCallTime, minDrainTime), answerBy), answerBy, closeBy}
+	exitBy := max(grace-exitMargin, 0)
+	answerBy := max(exitBy-componentsTimeout-logFlushTimeout-answerMargin, 0)
+	return stopPlan{min(max(grace-lastCallTime, minDrainTime), answerBy), answerBy, exitBy}
 }
 
 // stop drains the client connections until none is left or the stop grace is nearly over, and then stops the client interface.
-func (d *daemon) stop(cause error) error {
-	start, plan := time.Now(), planStop(d.Settings.StopGrace.Std())
+func (d *daemon) stop(start time.Time, plan stopPlan, cause error) error {
 	d.Ingress.Drain(start.Add(plan.answerBy))
 	for {
 		elapsed := time.Since(start)
@@ -201,7 +205,8 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(plan.closeBy))
+	// A process that is short of processor time is late with the last answers: components and log get what these leave.
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(plan.exitBy))
 	defer cancel()
 	if err := d.Ingress.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return errors.Join(cause, fmt.Errorf("stopping the client interface: %w", err))
--- a/node/internal/daemon/daemon_test.go
+++ b/node/internal/daemon/daemon_test.go
@@ -1,10 +1,18 @@
 package daemon
 
 import (
+	"context"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
+
+	"arbutuswing.example/internal/intake"
+	"arbutuswing.example/internal/terms"
+	adapt "arbutuswing.example/platform"
 )
 
 // TestStagesOfStopShareGrace guards against a stopping node that cuts a call while a part of its grace is unused, or that is killed
@@ -24,10 +32,74 @@
 			plan := planStop(tt.grace)
 			assert.Equal(t, plan.serveUntil, tt.serveUntil)
 			assert.Equal(t, plan.answerBy, tt.answerBy)
-			assert.Assert(t, plan.answerBy <= plan.closeBy)
-			if plan.closeBy > 0 {
-				assert.Equal(t, plan.closeBy+componentsTimeout+logFlushTimeout+exitMargin, tt.grace)
+			assert.Equal(t, plan.exitBy+exitMargin, tt.grace)
+			if plan.answerBy > 0 {
+				assert.Equal(t, plan.answerBy+answerMargin+componentsTimeout+logFlushTimeout, plan.exitBy)
 			}
 		})
 	}
 }
+
+// lateOwner is an owner that answers a call only some time after its context has ended, as in a process that is short of processor
+// time.
+type lateOwner struct {
+	intake.Owner
+	called chan struct{}
+	delay  time.Duration
+}
+
+func (o lateOwner) Pending(ctx context.Context, _ string) (int, error) {
+	close(o.called)
+	<-ctx.Done()
+	time.Sleep(o.delay)
+	return 0, intake.ErrNoOwner
+}
+
+// TestStopWaitsForLateAnswers guards against a node that ends while an answer is late, although a part of its grace is left.
+func TestStopWaitsForLateAnswers(t *testing.T) {
+	const grace = time.Second
+	configuration := terms.New(terms.Params{Version: 1, Queues: []terms.Queue{
+		{Name: "q", Host: "h.example", Prefix: "/q/", Pool: "p", Anonymous: true, Attempts: 1},
+	}})
+	owner := lateOwner{called: make(chan struct{}), delay: 350 * time.Millisecond}
+	in := adapt.NewIngress(intake.New(intake.Config{
+		Configuration: func() (terms.Configuration, bool) { return configuration, true }, Owner: owner, Log: zap.NewNop(),
+	}), func() bool { return true })
+	address := freeAddress(t)
+	go func() { _ = in.Run(address) }()
+	for {
+		conn, err := net.Dial("tcp4", address)
+		if err == nil {
+			_ = conn.Close()
+			break
+		}
+	}
+	answered := make(chan int, 1)
+	go func() {
+		req, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+address+"/q/", http.NoBody)
+		req.Host = "h.example"
+		req.Header.Set("Request-Deadline", "20000")
+		resp, err := http.DefaultTransport.RoundTrip(req)
+		if err != nil {
+			answered <- 0
+			return
+		}
+		_ = resp.Body.Close()
+		answered <- resp.StatusCode
+	}()
+	<-owner.called
+	d := &daemon{components: components{Ingress: in, Log: zap.NewNop()}}
+	start, plan := time.Now(), planStop(grace)
+	assert.NilError(t, d.stop(start, plan, nil))
+	assert.Assert(t, time.Since(start) >= plan.answerBy+owner.delay, "the node ends before the answer")
+	assert.Equal(t, <-answered, http.StatusServiceUnavailable)
+}
+
+// freeAddress returns an IP:port that was free when it checked.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
