fix(accept): answer calls that a stopping node had not read when it stopped listening

Callers of a stopping node that is short of processor time saw connections reset up to 0.4 s after their request: closing the listener resets the connections that wait to be accepted, and the HTTP server closes idle connections at the same moment, also one on which a request has just arrived.

Cause: the shutdown of the HTTP server ends both at one point in time, without a look at what has arrived meanwhile.

The listener of the client interface tracks its connections. It accepts what waits before it closes, and ends idle connections 0.3 s later, each after a look at whether data is there: the runtime reports a deadline that has passed without looking. The node ends once all connections have ended. It logs a line for each stage of its stop with the calls in progress, and counts those that it leaves without an answer.

--- a/node/internal/daemon/daemon.go
+++ b/node/internal/daemon/daemon.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -29,6 +28,8 @@
 	// answerMargin the part of it in which the last answers are written.
 	lastCallTime = 1200 * time.Millisecond
 	answerMargin = 150 * time.Millisecond
+	// lastReadTime is the time for which connections that were open when the node stopped listening may still send a request.
+	lastReadTime = 300 * time.Millisecond
 	// exitMargin is the part that is kept beside the timeouts of the components and the log, for a process that is short of processor
 	// time.
 	exitMargin = 150 * time.Millisecond
@@ -79,6 +80,9 @@
 	defer signal.Stop(signals)
 	base, stopBase := context.WithCancel(context.Background())
 	defer stopBase()
+	if err := d.Ingress.Listen(d.Settings.ClientAddress); err != nil {
+		return err
+	}
 	ownerCtx, stopOwner := context.WithCancel(base)
 	defer stopOwner()
 	draining := make(chan struct{})
@@ -96,23 +100,23 @@
 	group.Go(func() error { return d.Directory.Run(ctx) })
 	group.Go(func() error { return d.Peers.Run(ctx) })
 	group.Go(func() error { return d.Metrics.Run(ctx) })
-	group.Go(func() error { return d.Ingress.Run(d.Settings.ClientAddress) })
+	group.Go(d.Ingress.Run)
 	servers, serversCtx := errgroup.WithContext(ctx)
 	servers.Go(func() error { return readiness.Run(d.Settings.ReadinessAddress) })
 	group.Go(func() error { return d.Owner.Run(ownerCtx) })
 	d.Log.Info("node started", zap.String("version", Version), zap.String("data-centre", string(d.Settings.DataCentre)),
 		zap.String("client-address", d.Settings.ClientAddress))
 	cause := d.wait(serversCtx, signals)
+	start, plan := time.Now(), planStop(d.Settings.StopGrace.Std())
 	close(draining)
 	stopOwner()
-	start, plan := time.Now(), planStop(d.Settings.StopGrace.Std())
-	err := d.stop(start, plan, cause)
+	cut := d.stop(start, plan)
 	stopBase()
 	exitBy := start.Add(plan.exitBy)
 	awaitComponents(group, min(componentsTimeout, time.Until(exitBy)))
-	d.Log.Info("node stopped", zap.Error(err))
+	d.Log.Info("node stopped", zap.Int("calls-cut", cut), zap.Duration("took", time.Since(start)), zap.Error(cause))
 	d.Buffer.Close(min(logFlushTimeout, max(time.Until(exitBy), minLogFlush)))
-	return err
+	return cause
 }
 
 // awaitComponents waits until the components have ended, but at most for the timeout.
@@ -182,8 +186,9 @@
 
 // stopPlan divides the stop grace among the stages of a stop, in times since its begin.
 type stopPlan struct {
-	// serveUntil is until when new calls are accepted, and answerBy when calls that wait for another process are ended.
-	serveUntil, answerBy time.Duration
+	// serveUntil is until when new connections are accepted, readUntil until when requests are read, and answerBy when calls that wait
+	// for another process are ended.
+	serveUntil, readUntil, answerBy time.Duration
 	// exitBy is when the process ends even if answers are still being written. What is left between answerBy and exitBy is for the
 	// components and the log.
 	exitBy time.Duration
@@ -192,24 +197,42 @@
 func planStop(grace time.Duration) stopPlan {
 	exitBy := max(grace-exitMargin, 0)
 	answerBy := max(exitBy-componentsTimeout-logFlushTimeout-answerMargin, 0)
-	return stopPlan{min(max(grace-lastCallTime, minDrainTime), answerBy), answerBy, exitBy}
+	serveUntil := min(max(grace-lastCallTime, minDrainTime), answerBy)
+	return stopPlan{serveUntil, min(serveUntil+lastReadTime, answerBy), answerBy, exitBy}
 }
 
-// stop drains the client connections until none is left or the stop grace is nearly over, and then stops the client interface.
-func (d *daemon) stop(start time.Time, plan stopPlan, cause error) error {
+// stop drains the client connections until none is left or the stop grace is nearly over. It returns the number of calls that it
+// leaves without an answer.
+func (d *daemon) stop(start time.Time, plan stopPlan) int {
 	d.Ingress.Drain(start.Add(plan.answerBy))
-	for {
-		elapsed := time.Since(start)
-		if elapsed > plan.serveUntil || (elapsed > minDrainTime && d.Ingress.Connections() == 0) {
-			break
-		}
-		time.Sleep(drainPollInterval)
+	d.logStop("node is stopping")
+	d.pollUntil(start.Add(plan.serveUntil), func() bool {
+		return time.Since(start) > minDrainTime && d.Ingress.Progress().Connections == 0
+	})
+	if err := d.Ingress.StopListening(time.Now().Add(plan.readUntil - plan.serveUntil)); err != nil {
+		d.Log.Warn("stopping to listen for clients failed", zap.Error(err))
+	}
+	d.logStop("node no longer listens")
+	ended := func() bool { return d.Ingress.Progress().Ended() }
+	d.pollUntil(start.Add(plan.answerBy), ended)
+	if !ended() {
+		d.logStop("calls in progress are ended")
 	}
 	// A process that is short of processor time is late with the last answers: components and log get what these leave.
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(plan.exitBy))
-	defer cancel()
-	if err := d.Ingress.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		return errors.Join(cause, fmt.Errorf("stopping the client interface: %w", err))
+	d.pollUntil(start.Add(plan.exitBy), ended)
+	return d.Ingress.Progress().Requests
+}
+
+// pollUntil waits until done returns true or the time has come.
+func (d *daemon) pollUntil(end time.Time, done func() bool) {
+	for time.Now().Before(end) && !done() {
+		time.Sleep(drainPollInterval)
 	}
-	return cause
+}
+
+// logStop logs a stage of the stop with the calls in progress.
+func (d *daemon) logStop(message string) {
+	p := d.Ingress.Progress()
+	d.Log.Info(message, zap.Int("connections", p.Connections), zap.Int("calls-in-progress", p.Requests),
+		zap.Duration("oldest-call", p.Oldest))
 }
--- a/node/internal/daemon/daemon_test.go
+++ b/node/internal/daemon/daemon_test.go
@@ -19,18 +19,19 @@
 // before it has ended.
 func TestStagesOfStopShareGrace(t *testing.T) {
 	tests := []struct {
-		grace, serveUntil, answerBy time.Duration
+		grace, serveUntil, readUntil, answerBy time.Duration
 	}{
-		{6 * time.Second, 4800 * time.Millisecond, 5300 * time.Millisecond},
-		{10 * time.Second, 8800 * time.Millisecond, 9300 * time.Millisecond},
-		{4 * time.Second, 2800 * time.Millisecond, 3300 * time.Millisecond},
-		{2 * time.Second, 1300 * time.Millisecond, 1300 * time.Millisecond},
-		{500 * time.Millisecond, 0, 0},
+		{6 * time.Second, 4800 * time.Millisecond, 5100 * time.Millisecond, 5300 * time.Millisecond},
+		{10 * time.Second, 8800 * time.Millisecond, 9100 * time.Millisecond, 9300 * time.Millisecond},
+		{4 * time.Second, 2800 * time.Millisecond, 3100 * time.Millisecond, 3300 * time.Millisecond},
+		{2 * time.Second, 1300 * time.Millisecond, 1300 * time.Millisecond, 1300 * time.Millisecond},
+		{500 * time.Millisecond, 0, 0, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.grace.String(), func(t *testing.T) {
 			plan := planStop(tt.grace)
 			assert.Equal(t, plan.serveUntil, tt.serveUntil)
+			assert.Equal(t, plan.readUntil, tt.readUntil)
 			assert.Equal(t, plan.answerBy, tt.answerBy)
 			assert.Equal(t, plan.exitBy+exitMargin, tt.grace)
 			if plan.answerBy > 0 {
@@ -66,14 +67,8 @@
 		Configuration: func() (terms.Configuration, bool) { return configuration, true }, Owner: owner, Log: zap.NewNop(),
 	}), func() bool { return true })
 	address := freeAddress(t)
-	go func() { _ = in.Run(address) }()
-	for {
-		conn, err := net.Dial("tcp4", address)
-		if err == nil {
-			_ = conn.Close()
-			break
-		}
-	}
+	assert.NilError(t, in.Listen(address))
+	go func() { _ = in.Run() }()
 	answered := make(chan int, 1)
 	go func() {
 		req, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+address+"/q/", http.NoBody)
@@ -90,7 +85,7 @@
 	<-owner.called
 	d := &daemon{components: components{Ingress: in, Log: zap.NewNop()}}
 	start, plan := time.Now(), planStop(grace)
-	assert.NilError(t, d.stop(start, plan, nil))
+	assert.Equal(t, d.stop(start, plan), 0)
 	assert.Assert(t, time.Since(start) >= plan.answerBy+owner.delay, "the node ends before the answer")
 	assert.Equal(t, <-answered, http.StatusServiceUnavailable)
 }
--- a/soak/restart_test.go
+++ b/soak/restart_test.go
@@ -31,6 +31,8 @@
 	// slowRestart is the pause before a node is restarted: long enough that no restarted node owns the jobs while those wait for an
 	// owner that were stopped together with it.
 	slowRestart = 1200 * time.Millisecond
+	// longStandstill is longer than lossSlack.
+	longStandstill = 450 * time.Millisecond
 	// answerSlack is how much later than its deadline an answer may arrive.
 	answerSlack = time.Second
 )
@@ -389,8 +391,18 @@
 
 // TestSoakRollingRestarts guards against calls that a stopping node has read and doesn't answer before it ends.
 func TestSoakRollingRestarts(t *testing.T) {
-	restartNodes(t, restartScenario{
+	restartNodes(t, newRestartScenario(*restartStandstill))
+}
+
+// TestSoakRollingRestartsShortOfProcessorTime guards against calls that a stopping node, which stands still again and again, resets
+// before it has read them or ends before it has answered them.
+func TestSoakRollingRestartsShortOfProcessorTime(t *testing.T) {
+	restartNodes(t, newRestartScenario(longStandstill))
+}
+
+func newRestartScenario(standstill time.Duration) restartScenario {
+	return restartScenario{
 		seed: *soakSeed, nodes: *restartNodeCount, callers: *restartCallers, rounds: *restartRounds, grace: *restartGrace,
-		standstill: *restartStandstill,
-	})
+		standstill: standstill,
+	}
 }
