fix(inbox): withdraw records that wait when their caller's time is over

Callers whose deadline passed while the store was slow, and those of a stopping node, got a 504 for a submission that no append had sent.

Cause: the record stayed in the queue of appends when its caller gave up, which could not tell whether it had been sent.

The caller and the append now claim the record; the caller withdraws it if it comes first and answers with a 503, which is true. The answer of an append that ends at the same moment is passed on.

TestRecordThatWaitsIsWithdrawn failed before: the waiting record was answered as in doubt and stored later.

--- a/internal/inbox/inbox.go
+++ b/internal/inbox/inbox.go
@@ -62,14 +62,19 @@
 	record ledger.Record
 	since  time.Time
 	done   chan error
+	// claimed is set by the first of the append that sends the record and the caller that withdraws it.
+	claimed atomic.Bool
 }
 
+func (p *pendingRecord) claim() bool { return p.claimed.CompareAndSwap(false, true) }
+
 // New returns an inbox that appends nothing until Run is called.
 func New(cfg Config) *Inbox {
 	return &Inbox{cfg: cfg, queue: make(chan *pendingRecord, queueSize), start: time.Now(), epoch: 1, sequence: 1}
 }
 
-// Put stores a record and returns nil once the store has confirmed it, or else ErrRefused, ErrTooLarge or ErrUnknown.
+// Put stores a record and returns nil once the store has confirmed it, or else ErrRefused, ErrTooLarge or ErrUnknown. A record that
+// still waits for its append when the context ends is withdrawn.
 func (b *Inbox) Put(ctx context.Context, record ledger.Record) error {
 	if record.Size() > ledger.MaxRecordBytes {
 		return ErrTooLarge
@@ -87,6 +92,14 @@
 	case err := <-p.done:
 		return err
 	case <-ctx.Done():
+	}
+	if p.claim() {
+		return ErrRefused
+	}
+	select {
+	case err := <-p.done:
+		return err
+	default:
 		return ErrUnknown
 	}
 }
@@ -98,24 +111,30 @@
 		case <-ctx.Done():
 			return nil
 		case first := <-b.queue:
-			b.append(ctx, b.collectBatch(first))
+			if batch := b.collectBatch(first); len(batch) > 0 {
+				b.append(ctx, batch)
+			}
 		}
 	}
 }
 
-// collectBatch takes waiting records up to the limits of one append.
+// collectBatch takes waiting records, which have not been withdrawn, up to the limits of one append.
 func (b *Inbox) collectBatch(first *pendingRecord) []*pendingRecord {
-	batch, size := []*pendingRecord{first}, len(first.record.Value)
-	for len(batch) < maxBatchRecords && size < maxBatchBytes {
-		select {
-		case p := <-b.queue:
+	var batch []*pendingRecord
+	for p, size := first, 0; ; {
+		if p.claim() {
 			batch = append(batch, p)
 			size += len(p.record.Value)
+		}
+		if len(batch) >= maxBatchRecords || size >= maxBatchBytes {
+			return batch
+		}
+		select {
+		case p = <-b.queue:
 		default:
 			return batch
 		}
 	}
-	return batch
 }
 
 func (b *Inbox) append(ctx context.Context, pending []*pendingRecord) {
--- a/internal/inbox/inbox_test.go
+++ b/internal/inbox/inbox_test.go
@@ -175,3 +175,34 @@
 		assert.NilError(t, <-done)
 	})
 }
+
+// TestRecordThatWaitsIsWithdrawn guards against an answer in doubt, and a job that is stored later, for a record that no append has
+// sent when its caller's time is over.
+func TestRecordThatWaitsIsWithdrawn(t *testing.T) {
+	const outage = 300 * time.Millisecond
+	slow := func(store func()) error { time.Sleep(outage); store(); return nil }
+	run(t, []func(func()) error{slow}, func(b *Inbox, f *fakeStore) {
+		results := make(chan error, 2)
+		put := func(key string, timeout time.Duration) {
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			results <- b.Put(ctx, ledger.Record{Key: key})
+		}
+		go put("sent", outage/3)
+		synctest.Wait()
+		go put("waiting", outage/2)
+		assert.Assert(t, errors.Is(<-results, ErrUnknown))
+		assert.Assert(t, errors.Is(<-results, ErrRefused))
+		time.Sleep(outage)
+		assert.NilError(t, b.Put(context.Background(), ledger.Record{Key: "next"}))
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		var keys []string
+		for _, batch := range f.batches {
+			for _, r := range batch.Records {
+				keys = append(keys, r.Key)
+			}
+		}
+		assert.DeepEqual(t, keys, []string{"sent", "next"})
+	})
+}
