fix(node): keep the components running until a node that fails has answered its calls

Callers of a node one of whose components fails got no useful answer for the 2.5 s and more in which it serves before it ends: 504 or 503 for submissions, 503 for counts.

Cause: the components shared a context that ends with the first failure; the client interface went on without them.

A failure now stops the node like SIGTERM: the components run until calls are answered.

TestSoakFailedComponentServesCalls failed before (57 submissions in 20 s, none accepted) and passes in seconds.

--- a/node/internal/daemon/daemon.go
+++ b/node/internal/daemon/daemon.go
@@ -94,14 +94,15 @@
 			return d.View.ready()
 		}
 	})
-	group, ctx := errgroup.WithContext(base)
-	group.Go(func() error { return d.View.configurationMirror.Run(ctx) })
-	group.Go(func() error { return d.Inbox.Run(ctx) })
-	group.Go(func() error { return d.Directory.Run(ctx) })
-	group.Go(func() error { return d.Peers.Run(ctx) })
-	group.Go(func() error { return d.Metrics.Run(ctx) })
+	// A component that fails stops the node gracefully: the others run until calls are answered.
+	group, failed := errgroup.WithContext(base)
+	group.Go(func() error { return d.View.configurationMirror.Run(base) })
+	group.Go(func() error { return d.Inbox.Run(base) })
+	group.Go(func() error { return d.Directory.Run(base) })
+	group.Go(func() error { return d.Peers.Run(base) })
+	group.Go(func() error { return d.Metrics.Run(base) })
 	group.Go(d.Ingress.Run)
-	servers, serversCtx := errgroup.WithContext(ctx)
+	servers, serversCtx := errgroup.WithContext(failed)
 	servers.Go(func() error { return readiness.Run(d.Settings.ReadinessAddress) })
 	group.Go(func() error { return d.Owner.Run(ownerCtx) })
 	d.Log.Info("node started", zap.String("version", Version), zap.String("data-centre", string(d.Settings.DataCentre)),
--- a/soak/restart_test.go
+++ b/soak/restart_test.go
@@ -406,3 +406,26 @@
 		standstill: standstill,
 	}
 }
+
+// TestSoakFailedComponentServesCalls guards against a node that ends because one of its components has failed and answers no call
+// before: it can't serve its metrics, but clients reach it until it ends.
+func TestSoakFailedComponentServesCalls(t *testing.T) {
+	dir := t.TempDir()
+	d := newDeployment(t, dir, scenario{seed: *soakSeed, nodes: 1, retention: longRetention})
+	d.awaitStart(t)
+	n := newNode(t, nodeConfig{
+		dir: dir, index: 1, dataCentre: dataCentres[0], retention: longRetention, grace: defaultGrace, restartDelay: slowRestart,
+		metricsAddress: d.nodes[0].address, store: d.store, fleet: d.fleet,
+	})
+	random := rand.New(rand.NewPCG(*soakSeed, 0))
+	outcomes := make(map[fakes.Outcome]int)
+	for end := time.Now().Add(startTimeout); outcomes[fakes.Accepted] == 0 && time.Now().Before(end); time.Sleep(clientPause) {
+		id := fmt.Sprintf("%016x", random.Uint64())
+		j := randomJob(random, id, 0)
+		d.fleet.RegisterJob(id, j)
+		outcome, err := d.clients[1].Submit(n.address, id, j)
+		assert.NilError(t, err)
+		outcomes[outcome]++
+	}
+	assert.Assert(t, outcomes[fakes.Accepted] > 0, "outcomes of calls: %v", outcomes)
+}
