fix(front): answer calls on open connections while an entry instance stops

The callers' API uses the tracked listener too: what waits is accepted, and idle connections end 0.3 s later, each after a look for data.

TestShutdownAnswersOnOpenConnections failed before (unexpected EOF).

--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +31,8 @@
 	DefaultSubmitTimeout = 5 * time.Second
 	readTimeout          = 30 * time.Second
 	idleTimeout          = 60 * time.Second
+	// lastReadTime is the time for which connections that are open when the server stops listening may still send a request.
+	lastReadTime = 300 * time.Millisecond
 )
 
 // RequestRouter sends a request to an endpoint and returns its answer; *route.Router implements it.
@@ -106,6 +107,8 @@
 type Server struct {
 	cfg  Config
 	http *fasthttp.Server
+	// listener is nil before Serve.
+	listener atomic.Pointer[accept.Tracked]
 	// draining is set once this instance is about to stop.
 	draining atomic.Bool
 }
@@ -119,7 +122,7 @@
 	s := &Server{cfg: cfg}
 	s.http = &fasthttp.Server{
 		Handler: s.handler(s.routes()), MaxRequestBodySize: cfg.MaxBody, ReadTimeout: readTimeout,
-		IdleTimeout: idleTimeout, Name: "arbutuswing", NoDefaultServerHeader: true, CloseOnShutdown: true,
+		IdleTimeout: idleTimeout, Name: "arbutuswing", NoDefaultServerHeader: true,
 	}
 	return s, nil
 }
@@ -159,7 +162,7 @@
 
 // Run listens on the configured address and serves clients until Shutdown is called.
 func (s *Server) Run() error {
-	listener, err := accept.Listen(s.cfg.Address)
+	listener, err := accept.ListenTracked(s.cfg.Address)
 	if err != nil {
 		return fmt.Errorf("listening for callers: %w", err)
 	}
@@ -167,16 +170,22 @@
 }
 
 // Serve serves clients on listener until Shutdown is called.
-func (s *Server) Serve(listener net.Listener) error {
+func (s *Server) Serve(listener *accept.Tracked) error {
+	s.listener.Store(listener)
 	if err := s.http.Serve(listener); err != nil {
 		return fmt.Errorf("serving callers: %w", err)
 	}
 	return nil
 }
 
-// Shutdown stops listening and waits until open calls have finished or ctx ends.
+// Shutdown drains the connections, stops listening and waits until open calls have finished or ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
-	if err := s.http.ShutdownWithContext(ctx); err != nil {
+	s.StartDraining()
+	listener := s.listener.Load()
+	if listener == nil {
+		return nil
+	}
+	if err := listener.Shutdown(ctx, lastReadTime); err != nil {
 		return fmt.Errorf("waiting for open calls to finish: %w", err)
 	}
 	return nil
--- a/entry/internal/front/front_test.go
+++ b/entry/internal/front/front_test.go
@@ -1,18 +1,22 @@
 package front
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
-	"github.com/valyala/fasthttp/fasthttputil"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"arbutuswing.example/internal/accept"
 	"arbutuswing.example/internal/decl"
 	"arbutuswing.example/internal/invar"
 	"arbutuswing.example/internal/model"
@@ -28,6 +32,7 @@
 type fixture struct {
 	t       *testing.T
 	machine *state.Machine
+	server  *Server
 	client  *fasthttp.Client
 	offset  model.Offset
 
@@ -82,10 +87,12 @@
 		NotRecorded: errNotRecorded,
 	})
 	assert.NilError(t, err)
-	listener := fasthttputil.NewInmemoryListener()
+	listener, err := accept.ListenTracked("127.0.0.1:0")
+	assert.NilError(t, err)
+	f.server = server
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
-	f.client = &fasthttp.Client{Dial: func(string) (net.Conn, error) { return listener.Dial() }}
+	f.client = &fasthttp.Client{Dial: func(string) (net.Conn, error) { return net.Dial("tcp4", listener.Addr().String()) }}
 	t.Cleanup(func() {
 		f.client.CloseIdleConnections()
 		assert.NilError(t, server.Shutdown(context.Background()))
@@ -324,3 +331,29 @@
 		})
 	}
 }
+
+// TestShutdownAnswersOnOpenConnections guards against a stopping instance that closes a kept-alive connection on which the next call
+// has just arrived.
+func TestShutdownAnswersOnOpenConnections(t *testing.T) {
+	f := startServer(t)
+	conn, err := f.client.Dial("")
+	assert.NilError(t, err)
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	call := func() (int, bool) {
+		_, err := io.WriteString(conn, "GET /health HTTP/1.1\r\nHost: entry\r\n\r\n")
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		return resp.StatusCode, resp.Close
+	}
+	status, closes := call()
+	assert.Assert(t, status == http.StatusOK && !closes, "status %d, closes: %t", status, closes)
+	ended := make(chan error, 1)
+	go func() { ended <- f.server.Shutdown(context.Background()) }()
+	time.Sleep(lastReadTime / 3)
+	status, closes = call()
+	assert.Assert(t, status == http.StatusServiceUnavailable && closes, "status %d, closes: %t", status, closes)
+	assert.NilError(t, <-ended)
+}
--- a/internal/accept/tracked.go
+++ b/internal/accept/tracked.go
@@ -116,6 +116,9 @@
 func (t *Tracked) Close() error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.closing {
+		return nil
+	}
 	t.closing = true
 	return t.tcp.SetDeadline(time.Now())
 }
