--- a/soak/restart_test.go
+++ b/soak/restart_test.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -339,8 +338,9 @@
 
 // restartNodes runs the scenario and fails the test if a call was cut or an accepted job was lost.
 func restartNodes(t *testing.T, s restartScenario) {
-	dir := filepath.Join(os.TempDir(), fmt.Sprintf("arbutuswing-restarts-%d-%d", s.seed, os.Getpid()))
-	assert.NilError(t, os.MkdirAll(dir, 0o700))
+	t.Parallel()
+	dir, err := os.MkdirTemp("", fmt.Sprintf("arbutuswing-restarts-%d-", s.seed))
+	assert.NilError(t, err)
 	r := &restarts{
 		deployment: newDeployment(t, dir, scenario{
 			seed: s.seed, nodes: s.nodes, retention: longRetention, grace: s.grace, restartDelay: slowRestart,
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -504,8 +504,9 @@
 
 // soak runs a deployment under the faults of a plan and fails the test if a guarantee was violated.
 func soak(t *testing.T, s scenario) {
-	dir := filepath.Join(os.TempDir(), fmt.Sprintf("arbutuswing-soak-%d-%d", s.seed, os.Getpid()))
-	assert.NilError(t, os.MkdirAll(dir, 0o700))
+	t.Parallel()
+	dir, err := os.MkdirTemp("", fmt.Sprintf("arbutuswing-soak-%d-", s.seed))
+	assert.NilError(t, err)
 	d := newDeployment(t, dir, s)
 	d.awaitStart(t)
 	started := time.Now()
