fix(node): stop listening earlier on a process that stands still while it drains

Cause: the node handled SIGTERM 0.4 s late and counted its grace from there, and stood still again before it had closed its connections.

The longest overrun of the pauses while the node drains tells how long the process stands still.

--- a/node/internal/daemon/daemon.go
+++ b/node/internal/daemon/daemon.go
@@ -207,9 +207,7 @@
 func (d *daemon) stop(start time.Time, plan stopPlan) int {
 	d.Ingress.Drain(start.Add(plan.answerBy))
 	d.logStop("node is stopping")
-	d.pollUntil(start.Add(plan.serveUntil), func() bool {
-		return time.Since(start) > minDrainTime && d.Ingress.Progress().Connections == 0
-	})
+	d.serveLast(start, plan)
 	if err := d.Ingress.StopListening(time.Now().Add(plan.readUntil - plan.serveUntil)); err != nil {
 		d.Log.Warn("stopping to listen for clients failed", zap.Error(err))
 	}
@@ -224,6 +222,26 @@
 	return d.Ingress.Progress().Requests
 }
 
+// listenUntil returns until when a process accepts connections that has stood still for the given time at most since the begin of its
+// stop. It may do so again and has got the signal late, so that it leaves itself that much more time.
+func (p stopPlan) listenUntil(standstill time.Duration) time.Duration {
+	return max(p.serveUntil-standstill, min(minDrainTime, p.serveUntil))
+}
+
+// serveLast waits until the node has to stop listening, or until no connection is open and the platform has noticed the stop.
+func (d *daemon) serveLast(start time.Time, plan stopPlan) {
+	standstill := time.Duration(0)
+	for {
+		now := time.Now()
+		served := now.Sub(start)
+		if served >= plan.listenUntil(standstill) || (served > minDrainTime && d.Ingress.Progress().Connections == 0) {
+			return
+		}
+		time.Sleep(drainPollInterval)
+		standstill = max(standstill, time.Since(now)-drainPollInterval)
+	}
+}
+
 // pollUntil waits until done returns true or the time has come.
 func (d *daemon) pollUntil(end time.Time, done func() bool) {
 	for time.Now().Before(end) && !done() {
--- a/node/internal/daemon/daemon_test.go
+++ b/node/internal/daemon/daemon_test.go
@@ -41,6 +41,25 @@
 	}
 }
 
+// TestStandstillShortensListening guards against a node that gets its signal late and stands still again before it has closed its
+// connections, so that the platform kills it while calls arrive.
+func TestStandstillShortensListening(t *testing.T) {
+	tests := []struct {
+		grace, standstill, want time.Duration
+	}{
+		{6 * time.Second, 0, 4800 * time.Millisecond},
+		{6 * time.Second, 450 * time.Millisecond, 4350 * time.Millisecond},
+		{6 * time.Second, 10 * time.Second, minDrainTime},
+		{4 * time.Second, 450 * time.Millisecond, minDrainTime},
+		{2 * time.Second, 450 * time.Millisecond, 1300 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.grace.String()+" "+tt.standstill.String(), func(t *testing.T) {
+			assert.Equal(t, planStop(tt.grace).listenUntil(tt.standstill), tt.want)
+		})
+	}
+}
+
 // lateOwner is an owner that answers a call only some time after its context has ended, as in a process that is short of processor
 // time.
 type lateOwner struct {
