fix(node): end waiting calls earlier on a process that stands still while it drains

Cause: the node handled SIGTERM 0.43 s late and stood still over the time at which it ends calls.

The plan of the stop is shifted as a whole by the longest standstill that was seen: the end of listening, of reads and of waiting calls. TestStandstillShortensStop replaces the test of the first alone and checks all three.

--- a/node/internal/daemon/daemon.go
+++ b/node/internal/daemon/daemon.go
@@ -207,7 +207,8 @@
 func (d *daemon) stop(start time.Time, plan stopPlan) int {
 	d.Ingress.Drain(start.Add(plan.answerBy))
 	d.logStop("node is stopping")
-	d.serveLast(start, plan)
+	plan = d.serveLast(start, plan)
+	d.Ingress.Drain(start.Add(plan.answerBy))
 	if err := d.Ingress.StopListening(time.Now().Add(plan.readUntil - plan.serveUntil)); err != nil {
 		d.Log.Warn("stopping to listen for clients failed", zap.Error(err))
 	}
@@ -222,20 +223,24 @@
 	return d.Ingress.Progress().Requests
 }
 
-// listenUntil returns until when a process accepts connections that has stood still for the given time at most since the begin of its
-// stop. It may do so again and has got the signal late, so that it leaves itself that much more time.
-func (p stopPlan) listenUntil(standstill time.Duration) time.Duration {
-	return max(p.serveUntil-standstill, min(minDrainTime, p.serveUntil))
+// withStandstill returns the plan of a process that has stood still for the given time at most since the begin of its stop. It may do so
+// again and has got the signal late, so that it leaves itself that much more time.
+func (p stopPlan) withStandstill(standstill time.Duration) stopPlan {
+	p.serveUntil = max(p.serveUntil-standstill, min(minDrainTime, p.serveUntil))
+	p.answerBy = max(p.answerBy-standstill, min(p.serveUntil+lastReadTime, p.answerBy))
+	p.readUntil = min(p.serveUntil+lastReadTime, p.answerBy)
+	return p
 }
 
-// serveLast waits until the node has to stop listening, or until no connection is open and the platform has noticed the stop.
-func (d *daemon) serveLast(start time.Time, plan stopPlan) {
+// serveLast waits until the node has to stop listening, or until no connection is open and the platform has noticed the stop. It
+// returns the plan for the rest of the stop.
+func (d *daemon) serveLast(start time.Time, plan stopPlan) stopPlan {
 	standstill := time.Duration(0)
 	for {
 		now := time.Now()
-		served := now.Sub(start)
-		if served >= plan.listenUntil(standstill) || (served > minDrainTime && d.Ingress.Progress().Connections == 0) {
-			return
+		served, current := now.Sub(start), plan.withStandstill(standstill)
+		if served >= current.serveUntil || (served > minDrainTime && d.Ingress.Progress().Connections == 0) {
+			return current
 		}
 		time.Sleep(drainPollInterval)
 		standstill = max(standstill, time.Since(now)-drainPollInterval)
--- a/node/internal/daemon/daemon_test.go
+++ b/node/internal/daemon/daemon_test.go
@@ -41,21 +41,26 @@
 	}
 }
 
-// TestStandstillShortensListening guards against a node that gets its signal late and stands still again before it has closed its
-// connections, so that the platform kills it while calls arrive.
-func TestStandstillShortensListening(t *testing.T) {
+// TestStandstillShortensStop guards against a node that gets its signal late and stands still again, so that the platform kills it while
+// calls arrive or wait for their answers.
+func TestStandstillShortensStop(t *testing.T) {
+	const standstill = 450 * time.Millisecond
 	tests := []struct {
-		grace, standstill, want time.Duration
+		grace, standstill, serveUntil, readUntil, answerBy time.Duration
 	}{
-		{6 * time.Second, 0, 4800 * time.Millisecond},
-		{6 * time.Second, 450 * time.Millisecond, 4350 * time.Millisecond},
-		{6 * time.Second, 10 * time.Second, minDrainTime},
-		{4 * time.Second, 450 * time.Millisecond, minDrainTime},
-		{2 * time.Second, 450 * time.Millisecond, 1300 * time.Millisecond},
+		{6 * time.Second, 0, 4800 * time.Millisecond, 5100 * time.Millisecond, 5300 * time.Millisecond},
+		{6 * time.Second, standstill, 4350 * time.Millisecond, 4650 * time.Millisecond, 4850 * time.Millisecond},
+		{6 * time.Second, 10 * time.Second, minDrainTime, 2800 * time.Millisecond, 2800 * time.Millisecond},
+		{4 * time.Second, standstill, minDrainTime, 2800 * time.Millisecond, 2850 * time.Millisecond},
+		{2 * time.Second, standstill, 1300 * time.Millisecond, 1300 * time.Millisecond, 1300 * time.Millisecond},
 	}
 	for _, tt := range tests {
 		t.Run(tt.grace.String()+" "+tt.standstill.String(), func(t *testing.T) {
-			assert.Equal(t, planStop(tt.grace).listenUntil(tt.standstill), tt.want)
+			plan := planStop(tt.grace).withStandstill(tt.standstill)
+			assert.Equal(t, plan.serveUntil, tt.serveUntil)
+			assert.Equal(t, plan.readUntil, tt.readUntil)
+			assert.Equal(t, plan.answerBy, tt.answerBy)
+			assert.Equal(t, plan.exitBy, planStop(tt.grace).exitBy)
 		})
 	}
 }
