--- a/internal/accept/tracked.go
+++ b/internal/accept/tracked.go
@@ -33,8 +33,8 @@
 
 // Tracked is a listener that tracks the requests on its connections, so that a server can stop without cutting one.
 //
-// A server stops in three steps: it asks its clients to close their connections, it calls Close, which hands out the connections
-// that wait to be accepted, and it calls EndReads, after which connections end that are idle.
+// A server that stops asks its clients to close their connections. It then calls EndReads, which ends idle connections at a time, and
+// Close, which hands out the connections that wait to be accepted; their requests are read until that time too.
 type Tracked struct {
 	listener
 	tcp *net.TCPListener
