--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -204,71 +203,6 @@
 	r.finish()
 }
 
-// rss returns the memory of a process in kB, or 0 if it is down.
-func (n *Node) rss() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.cmd == nil {
-		return 0
-	}
-	data, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.cmd.Process.Pid))
-	for _, line := range strings.Split(string(data), "\n") {
-		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmRSS:" {
-			kb, _ := strconv.Atoi(fields[1])
-			return kb
-		}
-	}
-	return 0
-}
-
-// limitMemory does what the platform does: it kills a process that exceeds its memory and starts it again one second later.
-func (r *Rig) limitMemory(n *Node) {
-	for {
-		time.Sleep(100 * time.Millisecond)
-		if kb := n.rss(); kb > memoryMB*1024 {
-			n.kill()
-			r.Logf("%s has %d MB, its limit is %d MB: killed by the platform", n.Name, kb/1024, memoryMB)
-			time.Sleep(time.Second)
-			r.must(n.start(os.Getenv("ROOT")), "restart")
-			r.Logf("%s started again", n.Name)
-		}
-	}
-}
-
-// schedules: clients hand in schedules with many times, among small submissions.
-func schedules(r *Rig, trouble bool) {
-	r.putConfig()
-	r.addWorkers(10, kindA)
-	r.startNodes(3)
-	for _, n := range r.nodes {
-		go r.limitMemory(n)
-	}
-	time.Sleep(4 * time.Second)
-	small := Submission{Spec: "quote", Phases: []Phase{{Count: 2, CPU: 1000, Mem: 1000, Estimate: 500}}}
-	go func() {
-		if !trouble {
-			return
-		}
-		plan := Submission{Spec: "plan", Times: 8640, Start: time.Now().Add(10 * time.Minute).UnixMilli(), Every: 10000}
-		for i := range 10 {
-			p := Phase{Count: 1, CPU: 1000, Mem: 1000, Estimate: 500}
-			if i > 0 {
-				p.After = []int{i - 1}
-			}
-			plan.Phases = append(plan.Phases, p)
-		}
-		for i := range 12 {
-			time.Sleep(time.Second)
-			r.submit(jobID(100000+i), plan, i)
-		}
-	}()
-	r.submitSteadily(small, 250*time.Millisecond, time.Now().Add(30*time.Second)).Wait()
-	r.Logf("traffic has ended")
-	time.Sleep(14 * time.Second)
-	r.checkFinished()
-	r.finish()
-}
-
 // neverRan returns the accepted submissions without times that have had no run.
 func (r *Rig) neverRan() []string {
 	r.mu.Lock()
@@ -353,3 +287,108 @@
 	r.checkFinished()
 	r.finish()
 }
+
+// flaky: tasks that last, on the two executors that have their label, fail once in 10 to 30 s each.
+func flaky(r *Rig, trouble bool) {
+	r.putConfig()
+	r.addWorkers(10, func(i int) string { return string("bbaaaaaaaa"[i]) })
+	r.planned = func(run *Run, p Phase) {
+		if trouble {
+			run.endAt, run.endHow = run.Began.Add(time.Duration(10000+rand.IntN(20000))*time.Millisecond), "failed"
+		}
+	}
+	r.startNodes(3)
+	time.Sleep(4 * time.Second)
+	const count = 60
+	id := jobID(1)
+	serve := Submission{Spec: "serve", Phases: []Phase{{Count: count, CPU: 500, Mem: 500, LongRunning: true, Requires: "b"}}}
+	if !r.submit(id, serve, 0) {
+		r.must(fmt.Errorf("not accepted"), "submission")
+	}
+	until := time.Now().Add(90 * time.Second)
+	time.Sleep(time.Until(until))
+	r.checkGaps(id, count, time.Time{}, time.Time{}, until)
+	r.finish()
+}
+
+// gone: an executor that runs tasks that last, and gets starts all the time, crashes and doesn't come back.
+func gone(r *Rig, trouble bool) {
+	r.putConfig()
+	r.addWorkers(10, kindA)
+	r.startNodes(3)
+	time.Sleep(4 * time.Second)
+	const count = 20
+	id := jobID(1000000)
+	serve := Submission{Spec: "serve", Phases: []Phase{{Count: count, CPU: 2000, Mem: 2000, LongRunning: true, MaxPer: 3}}}
+	if !r.submit(id, serve, 0) {
+		r.must(fmt.Errorf("not accepted"), "submission")
+	}
+	var crashed time.Time
+	time.AfterFunc(time.Duration(8000+rand.IntN(3000))*time.Millisecond, func() {
+		if trouble {
+			crashed = time.Now()
+			r.workers[0].CrashForGood()
+		}
+	})
+	small := Submission{Spec: "quote", Phases: []Phase{{Count: 2, CPU: 700, Mem: 1000, Estimate: 1000}}}
+	r.submitSteadily(small, 50*time.Millisecond, time.Now().Add(30*time.Second)).Wait()
+	r.checkGaps(id, count, crashed, crashed, time.Now())
+	r.finish()
+}
+
+// hangDrain: an executor answers nothing for 5.5 s and reports meanwhile that it is draining.
+func hangDrain(r *Rig, trouble bool) {
+	r.putConfig()
+	r.addWorkers(10, kindA)
+	w := r.workers[0]
+	var drained time.Time
+	r.check = func(run *Run, spec WorkerSpec) string {
+		if late := run.Began.Sub(drained); !drained.IsZero() && spec.ID == w.spec.ID && late > 2*time.Second {
+			return fmt.Sprintf("%s was started on %s, %.3f s after the acknowledgement that it is draining", run.Task, spec.ID, late.Seconds())
+		}
+		return ""
+	}
+	r.startNodes(3)
+	time.Sleep(4 * time.Second)
+	go func() {
+		time.Sleep(4 * time.Second)
+		if trouble {
+			w.Hang(time.Now().Add(5500 * time.Millisecond))
+			r.Logf("executor %s answers no call for 5.5 s", w.spec.ID)
+		}
+		time.Sleep(time.Second)
+		w.SetDraining()
+		r.mu.Lock()
+		drained = time.Now()
+		r.mu.Unlock()
+		r.Logf("executor %s: draining, acknowledged by the store", w.spec.ID)
+	}()
+	job := Submission{Spec: "plan", Phases: []Phase{{Count: 2, CPU: 200, Mem: 400, Estimate: 1000}}}
+	r.submitSteadily(job, 33*time.Millisecond, time.Now().Add(14*time.Second)).Wait()
+	time.Sleep(3 * time.Second)
+	r.finish()
+}
+
+// closing: executors close each connection after their answer (Connection: close), and run tasks that last.
+func closing(r *Rig, trouble bool) {
+	r.closing = trouble
+	r.putConfig()
+	r.addWorkers(10, kindA)
+	r.startNodes(3)
+	time.Sleep(4 * time.Second)
+	serve := Submission{Spec: "serve", Phases: []Phase{{Count: 10, CPU: 2000, Mem: 2000, LongRunning: true, MaxUnavailable: 1}}}
+	if !r.submit(jobID(1), serve, 0) {
+		r.must(fmt.Errorf("not accepted"), "submission")
+	}
+	time.Sleep(30 * time.Second)
+	lapsed := 0
+	for _, run := range r.runs {
+		if run.How == "lapsed" {
+			lapsed++
+		}
+	}
+	if lapsed > 0 {
+		r.breach("AVAIL: %d runs of a step with max-unavailable 1 ended as the lease lapsed, with no disturbance", lapsed)
+	}
+	r.finish()
+}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -7,11 +7,16 @@
 )
 
 var cases = map[string]func(r *Rig, trouble bool){
-	"schedules": schedules,
-	"restart":   restart,
-	"reborn":    reborn,
+	// The cases 11 to 15.
+	"gang":    gang,
+	"restart": restart,
+	"flaky":   flaky,
+	"gone":    gone,
+	"reborn":  reborn,
+	// Others that the report names.
 	"oddentry":  oddEntry,
-	"gang":      gang,
+	"hangdrain": hangDrain,
+	"closing":   closing,
 }
 
 func main() {
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -20,15 +20,16 @@
 
 // Phase is a step of a submission.
 type Phase struct {
-	Count       int    `json:"count"`
-	CPU         int    `json:"cpu"`
-	Mem         int    `json:"mem-mb"`
-	Estimate    int    `json:"estimate-ms,omitempty"`
-	Requires    string `json:"requires,omitempty"`
-	LongRunning bool   `json:"long-running,omitempty"`
-	Gang        bool   `json:"gang,omitempty"`
-	MaxPer      int    `json:"max-per-server,omitempty"`
-	After       []int  `json:"after,omitempty"`
+	Count          int    `json:"count"`
+	CPU            int    `json:"cpu"`
+	Mem            int    `json:"mem-mb"`
+	Estimate       int    `json:"estimate-ms,omitempty"`
+	Requires       string `json:"requires,omitempty"`
+	LongRunning    bool   `json:"long-running,omitempty"`
+	Gang           bool   `json:"gang,omitempty"`
+	MaxPer         int    `json:"max-per-server,omitempty"`
+	MaxUnavailable int    `json:"max-unavailable,omitempty"`
+	After          []int  `json:"after,omitempty"`
 }
 
 // Submission is what a client submits.
@@ -47,6 +48,8 @@
 	Zones                           []string
 	Cap                             Amount
 
+	// closing makes the executors close each connection after their answer.
+	closing bool
 	begun   time.Time
 	dir     string
 	record  *os.File
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -25,6 +25,9 @@
 	Capacity             Amount
 }
 
+// beat is the interval at which an executor writes its entry.
+const beat = 1500 * time.Millisecond
+
 // Worker is a stand-in for an executor, written after PROTOCOL.md ("Running tasks", "Service discovery").
 type Worker struct {
 	rig     *Rig
@@ -43,6 +46,9 @@
 	finished   []End
 	ends       int64
 	sequence   int
+	draining   bool
+	written    time.Time
+	hangUntil  time.Time
 }
 
 // Run is a run of a task on an executor.
@@ -118,6 +124,33 @@
 	_ = server.Close()
 }
 
+// CrashForGood ends the executor; its entry is removed after three status report intervals without one.
+func (w *Worker) CrashForGood() {
+	w.mu.Lock()
+	left := time.Until(w.written.Add(3 * beat))
+	w.mu.Unlock()
+	w.Crash()
+	time.AfterFunc(left, func() {
+		w.rig.store.Put("servers", w.spec.ID, nil)
+		w.rig.Logf("the entry of executor %s is removed", w.spec.ID)
+	})
+}
+
+// Hang leaves all calls without an answer, and without effect, until the time.
+func (w *Worker) Hang(until time.Time) {
+	w.mu.Lock()
+	w.hangUntil = until
+	w.mu.Unlock()
+}
+
+// SetDraining makes the executor report that it is draining.
+func (w *Worker) SetDraining() {
+	w.mu.Lock()
+	w.draining = true
+	w.mu.Unlock()
+	w.writeEntry()
+}
+
 func (w *Worker) loop(boot int) {
 	ticker := time.NewTicker(5 * time.Millisecond)
 	defer ticker.Stop()
@@ -130,7 +163,7 @@
 		}
 		w.update(time.Now())
 		w.mu.Unlock()
-		if time.Since(written) >= 1500*time.Millisecond {
+		if time.Since(written) >= beat {
 			written = time.Now()
 			w.writeEntry()
 		}
@@ -142,8 +175,13 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sequence++
+	w.written = time.Now()
+	state := "ready"
+	if w.draining {
+		state = "draining"
+	}
 	return map[string]any{
-		"service": w.rig.Pool, "address": w.address, "zone": w.spec.Zone, "version": "v1", "slots": 8, "state": "ready",
+		"service": w.rig.Pool, "address": w.address, "zone": w.spec.Zone, "version": "v1", "slots": 8, "state": state,
 		"cold-remaining-ms": 0, "capacity": w.spec.Capacity, "labels": []string{w.spec.Kind, w.spec.Rack},
 		"clock-ms": time.Since(w.startedAt).Milliseconds(), "sequence": w.sequence, "born": w.startedAt.UnixMilli(),
 	}
@@ -200,6 +238,15 @@
 		return
 	}
 	w.mu.Lock()
+	if hang := time.Until(w.hangUntil); hang > 0 {
+		w.mu.Unlock()
+		// The caller gives up long before.
+		select {
+		case <-r.Context().Done():
+		case <-time.After(hang + time.Minute):
+		}
+		panic(http.ErrAbortHandler)
+	}
 	defer w.mu.Unlock()
 	if !w.up || w.boot != boot {
 		panic(http.ErrAbortHandler)
@@ -282,7 +329,7 @@
 		w.mu.Unlock()
 		time.Sleep(5 * time.Millisecond)
 		w.mu.Lock()
-		if !w.up || w.boot != boot {
+		if !w.up || w.boot != boot || time.Now().Before(w.hangUntil) {
 			panic(http.ErrAbortHandler)
 		}
 	}
@@ -306,6 +353,9 @@
 	body["clock-ms"] = w.clock().Milliseconds()
 	data, _ := json.Marshal(body)
 	rw.Header().Set("Content-Type", "application/json")
+	if w.rig.closing {
+		rw.Header().Set("Connection", "close")
+	}
 	rw.WriteHeader(status)
 	_, _ = rw.Write(data)
 }
